--- /dev/null
+++ b/skylarkpost/filters/__init__.py
@@ -0,0 +1,14 @@
+"""The filter chain that each request passes."""
+
+from skylarkpost.filters.chain import FilterChain
+from skylarkpost.filters.exchange import Decision, Exchange
+from skylarkpost.filters.registry import Filter, build_filters, register_filter
+
+__all__ = [
+    "Decision",
+    "Exchange",
+    "Filter",
+    "FilterChain",
+    "build_filters",
+    "register_filter",
+]
--- /dev/null
+++ b/skylarkpost/outcomes/__init__.py
@@ -0,0 +1,6 @@
+"""Tagged outcomes: what became of a request, as values rather than exceptions."""
+
+from skylarkpost.outcomes.outcome import Outcome, Refused, Relayed, RunState
+from skylarkpost.outcomes.reasons import Reason
+
+__all__ = ["Outcome", "Reason", "Refused", "Relayed", "RunState"]
--- /dev/null
+++ b/skylarkpost/rpc/__init__.py
@@ -0,0 +1,5 @@
+"""gRPC between instances: generated messages and the channels to peers."""
+
+from skylarkpost.rpc.channels import CallFailed, PeerChannels, call_peer
+
+__all__ = ["CallFailed", "PeerChannels", "call_peer"]
