Serve HTTP: take the key out of requests, check bodies, run the chain

Cause: nothing received a request yet. The key is hashed at the edge; what would be forwarded is searched for keys in plain, percent-encoded and JSON-escaped form, since an allow list of headers alone does not cover bodies, queries and paths.

Ruled out: comparing with the shown key only, which misses a key that a caller puts in a body on a route open to all.

Shutdown and the HTTP server are not tested yet.

--- /dev/null
+++ b/skylarkpost/daemon/instance.py
@@ -0,0 +1,124 @@
+"""Starts the parts of one instance, and stops them without cutting a request."""
+
+import asyncio
+import contextlib
+import logging
+import socket
+
+import grpc
+import uvicorn
+
+from skylarkpost.daemon.controllers import build_controllers
+from skylarkpost.eventlog import log_event
+from skylarkpost.filters import FilterChain, build_filters
+from skylarkpost.frontend import build_app
+
+__all__ = ["Instance"]
+
+logger = logging.getLogger(__name__)
+
+PEER_SERVER_GRACE_S = 1.0
+DRAIN_POLL_S = 0.05
+LISTEN_BACKLOG = 2048
+KEEP_ALIVE_S = 75
+
+
+class HttpServer(uvicorn.Server):
+    """A uvicorn server that leaves the process's signals alone."""
+
+    @contextlib.contextmanager
+    def capture_signals(self):
+        """Do nothing: the daemon handles signals."""
+        yield
+
+
+class Instance:
+    """One running instance.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        Clients are set already.
+    """
+
+    def __init__(self, *, services):
+        self.services = services
+        self.stop_requested = asyncio.Event()
+        self.peer_server = grpc.aio.server()
+        build_controllers(services=services)
+        chain = FilterChain(
+            filters=build_filters(services=services), clock=services.clock
+        )
+        self.app = build_app(services=services, chain=chain)
+        self.http_server = HttpServer(
+            uvicorn.Config(
+                self.app,
+                loop="asyncio",
+                lifespan="off",
+                log_config=None,
+                access_log=False,
+                server_header=False,
+                date_header=False,
+                timeout_keep_alive=KEEP_ALIVE_S,
+            )
+        )
+
+    async def run(self):
+        """Serve until `stop_requested` is set, then leave gracefully."""
+        http_task = await self._start()
+        stop_task = asyncio.create_task(self.stop_requested.wait())
+        await asyncio.wait({http_task, stop_task}, return_when="FIRST_COMPLETED")
+        await self._leave()
+        await self._stop(http_task)
+
+    async def _start(self):
+        settings = self.services.settings.instance
+        for part in self.services.controllers.values():
+            part.add_to_server(self.peer_server)
+        self.peer_server.add_insecure_port(self.services.peer_address)
+        await self.peer_server.start()
+        for part in self.services.controllers.values():
+            await part.start()
+        listener = _listen(str(settings.address), settings.http_port)
+        task = asyncio.create_task(self.http_server.serve(sockets=[listener]))
+        log_event(
+            logger,
+            "instance-started",
+            boot=self.services.boot,
+            data_centre=self.services.data_centre,
+            http_port=settings.http_port,
+            peer_port=settings.peer_port,
+        )
+        return task
+
+    async def _leave(self):
+        services = self.services
+        log_event(logger, "shutdown-started", open_requests=len(services.exchanges))
+        services.draining = True
+        await asyncio.sleep(services.settings.shutdown.notice)
+        services.leaving = True
+        for part in reversed(services.controllers.values()):
+            await part.leave()
+        deadline = services.clock() + services.settings.shutdown.drain
+        while services.exchanges and services.clock() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        log_event(logger, "requests-ended", left_open=len(services.exchanges))
+
+    async def _stop(self, http_task):
+        self.http_server.should_exit = True
+        await http_task
+        for part in reversed(self.services.controllers.values()):
+            await part.stop()
+        await self.peer_server.stop(PEER_SERVER_GRACE_S)
+        await self.services.close()
+        log_event(logger, "instance-stopped")
+
+
+def _listen(address, port):
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((address, port))
+    listener.listen(LISTEN_BACKLOG)
+    listener.setblocking(False)
+    return listener
--- a/skylarkpost/daemon/services.py
+++ b/skylarkpost/daemon/services.py
@@ -44,8 +44,10 @@
         By registered name.
     exchanges : dict of str to skylarkpost.filters.Exchange
         Requests open now, by request id.
+    draining : bool
+        Whether the balancer is asked to send nothing more.
     leaving : bool
-        Whether this instance is shutting down.
+        Whether new requests are refused because of a shutdown.
     """
 
     def __init__(self, *, settings, clock=time.monotonic, wall_clock=time.time, seed):
@@ -61,6 +63,7 @@
         self.http = None
         self.controllers = {}
         self.exchanges = {}
+        self.draining = False
         self.leaving = False
 
     @property
--- a/skylarkpost/filters/__init__.py
+++ b/skylarkpost/filters/__init__.py
@@ -1,10 +1,11 @@
 """The filter chain that each request passes."""
 
 from skylarkpost.filters.chain import FilterChain
-from skylarkpost.filters.exchange import Decision, Exchange
+from skylarkpost.filters.exchange import Answer, Decision, Exchange
 from skylarkpost.filters.registry import Filter, build_filters, register_filter
 
 __all__ = [
+    "Answer",
     "Decision",
     "Exchange",
     "Filter",
--- a/skylarkpost/filters/exchange.py
+++ b/skylarkpost/filters/exchange.py
@@ -1,8 +1,9 @@
 """One request on its way through the filter chain."""
 
+import asyncio
 from typing import NamedTuple
 
-__all__ = ["Decision", "Exchange"]
+__all__ = ["Answer", "Decision", "Exchange"]
 
 
 class Decision(NamedTuple):
@@ -26,6 +27,24 @@
     detail: str
 
 
+class Answer(NamedTuple):
+    """The answer of a plain service, kept for callers who ask again.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : dict of str to str
+        Headers for the caller.
+    body : bytes or None
+        None if it was too large to keep.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes | None
+
+
 class Exchange:
     """A request, and what the filters found out about it.
 
@@ -58,10 +77,26 @@
         Set by the profile filter for calls to plain services.
     prompt_tokens, output_tokens : int
         Tokens of the prompt and the most that may be generated.
+    generated_tokens : int or None
+        Tokens that were generated, as far as this instance has seen.
     ticket : object or None
         Set by the placement filter.
+    fingerprint : str or None
+        Hash of what the target would be asked; set by the quarantine filter.
+    suspect : bool
+        Whether a target crashed once while this request ran on it.
+    dispatched : bool
+        Whether bytes of the request may have reached a target.
+    answer : Answer or None
+        What a plain service answered.
     decisions : list of Decision
         For the `explain` command.
+    outcome : Outcome or None
+        What became of it.
+    cancelled : Refused or None
+        Why the request has to stop, e.g. because its key was withdrawn.
+    cancel_event : asyncio.Event
+        Set when `cancelled` is.
     """
 
     def __init__(
@@ -94,10 +129,15 @@
         self.output_tokens = 0
         self.generated_tokens = None
         self.ticket = None
+        self.fingerprint = None
+        self.suspect = False
+        self.dispatched = False
+        self.answer = None
         self.first_byte_at = None
         self.decisions = []
         self.outcome = None
         self.cancelled = None
+        self.cancel_event = asyncio.Event()
         self._finishers = []
 
     @property
@@ -144,4 +184,6 @@
         refusal : Refused
             What the caller is told.
         """
-        self.cancelled = refusal
+        if self.cancelled is None:
+            self.cancelled = refusal
+            self.cancel_event.set()
--- /dev/null
+++ b/skylarkpost/frontend/admin.py
@@ -0,0 +1,87 @@
+"""Endpoints for operators and the balancer."""
+
+from starlette.responses import JSONResponse, Response
+
+from skylarkpost.frontend.caller import summarize
+
+__all__ = ["AdminEndpoints"]
+
+
+class AdminEndpoints:
+    """Health, readiness, metrics, status and explanations of one instance.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    history : skylarkpost.frontend.history.RequestHistory
+        Requests that have ended.
+    """
+
+    def __init__(self, *, services, history):
+        self.services = services
+        self.history = history
+
+    def is_ready(self):
+        """Return whether the balancer may send requests here.
+
+        Returns
+        -------
+        bool
+        """
+        if self.services.leaving or self.services.draining:
+            return False
+        return all(part.is_ready() for part in self.services.controllers.values())
+
+    async def health(self, request):
+        """Answer 200 for as long as the process can answer at all."""
+        return JSONResponse({"healthy": True})
+
+    async def readiness(self, request):
+        """Answer 200 if requests may be sent here, else 503 with what is missing."""
+        waiting = [
+            name
+            for name, part in self.services.controllers.items()
+            if not part.is_ready()
+        ]
+        ready = self.is_ready()
+        content = {"ready": ready, "waiting_for": waiting}
+        return JSONResponse(content, status_code=200 if ready else 503)
+
+    async def metrics(self, request):
+        """Answer with all metrics in Prometheus' text format."""
+        content, headers = self.services.metrics.render()
+        return Response(content, headers=headers)
+
+    async def status(self, request):
+        """Answer with the state of every controller."""
+        controllers = self.services.controllers
+        degraded = [text for part in controllers.values() for text in part.degraded()]
+        return JSONResponse(
+            {
+                "instance": self.services.instance,
+                "data_centre": self.services.data_centre,
+                "boot": self.services.boot,
+                "ready": self.is_ready(),
+                "leaving": self.services.leaving or self.services.draining,
+                "open_requests": len(self.services.exchanges),
+                "degraded": degraded,
+                "controllers": {
+                    name: part.status() for name, part in controllers.items()
+                },
+            }
+        )
+
+    async def explain(self, request):
+        """Answer with every decision about one request."""
+        request_id = request.path_params["request_id"]
+        exchange = self.services.exchanges.get(request_id)
+        if exchange is not None:
+            summary = summarize(exchange)
+        else:
+            summary = self.history.get(request_id)
+        if summary is None:
+            return JSONResponse({"error": "unknown request"}, status_code=404)
+        content = summary._asdict()
+        content["decisions"] = [item._asdict() for item in summary.decisions]
+        return JSONResponse(content)
--- /dev/null
+++ b/skylarkpost/frontend/caller.py
@@ -0,0 +1,190 @@
+"""Serves one request of a caller from its first byte to its last."""
+
+import asyncio
+import logging
+import uuid
+
+from starlette.requests import ClientDisconnect, Request
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.filters import Exchange
+from skylarkpost.frontend.credentials import take_credentials
+from skylarkpost.frontend.history import RequestHistory, RequestSummary
+from skylarkpost.frontend.responses import refusal_response, relayed_response
+from skylarkpost.outcomes import Reason, Refused, RunState
+
+__all__ = ["CallerEndpoint"]
+
+logger = logging.getLogger(__name__)
+
+HISTORY_LIMIT = 5000
+BODY_TIMEOUT_S = 15.0
+
+
+class CallerEndpoint:
+    """ASGI application for all requests that go through the filter chain.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    chain : skylarkpost.filters.FilterChain
+        The filters.
+    """
+
+    def __init__(self, *, services, chain):
+        self.services = services
+        self.chain = chain
+        self.history = RequestHistory(limit=HISTORY_LIMIT)
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request. See the ASGI specification."""
+        request = Request(scope, receive)
+        request_id = uuid.uuid4().hex
+        body = await self._read_body(request)
+        if isinstance(body, Refused):
+            response = refusal_response(body, request_id=request_id)
+            await response(scope, receive, send)
+            return
+        exchange = self._open_exchange(request, request_id, body)
+        self.services.exchanges[request_id] = exchange
+        try:
+            await self._serve(exchange, scope, receive, send)
+        finally:
+            await asyncio.shield(self._close_exchange(exchange))
+
+    async def _read_body(self, request):
+        settings = self.services.settings.requests
+        if len(self.services.exchanges) >= settings.max_open:
+            return Refused(
+                reason=Reason.TOO_MANY_OPEN,
+                message="This instance has too many open requests.",
+                retry_after=1.0,
+            )
+        chunks = bytearray()
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                async for chunk in request.stream():
+                    chunks += chunk
+                    if len(chunks) > settings.max_body:
+                        return Refused(
+                            reason=Reason.TOO_LARGE,
+                            message=f"The body is over {settings.max_body} bytes.",
+                        )
+        except TimeoutError:
+            message = f"The body did not arrive within {BODY_TIMEOUT_S:.0f} seconds."
+            return Refused(reason=Reason.DEADLINE_PASSED, message=message)
+        except ClientDisconnect:
+            return Refused(reason=Reason.CALLER_LEFT, message="The caller left.")
+        return bytes(chunks)
+
+    def _open_exchange(self, request, request_id, body):
+        now = self.services.clock()
+        credentials = take_credentials(request.headers)
+        return Exchange(
+            request_id=request_id,
+            method=request.method,
+            path=request.scope["path"],
+            query=request.scope["query_string"].decode("latin-1"),
+            headers=credentials.headers,
+            body=body,
+            key_hash=credentials.key_hash,
+            received_at=now,
+            deadline=now + self.services.settings.requests.deadline,
+        )
+
+    async def _serve(self, exchange, scope, receive, send):
+        self.services.metrics.open_requests.set({}, len(self.services.exchanges))
+        watcher = asyncio.create_task(_watch_caller(exchange, receive))
+        try:
+            outcome = await self._run_chain(exchange)
+        finally:
+            watcher.cancel()
+        if isinstance(outcome, Refused):
+            response = refusal_response(outcome, request_id=exchange.request_id)
+        else:
+            response = relayed_response(
+                outcome, request_id=exchange.request_id, body=outcome.body
+            )
+        await response(scope, receive, send)
+
+    async def _run_chain(self, exchange):
+        now = self.services.clock()
+        try:
+            async with asyncio.timeout(max(0.0, exchange.deadline - now)):
+                return await self.chain.run(exchange)
+        except TimeoutError:
+            state = RunState.UNKNOWN if exchange.dispatched else RunState.NOT_RUN
+            exchange.outcome = Refused(
+                reason=Reason.DEADLINE_PASSED,
+                message="The request took longer than this instance allows.",
+                run_state=state,
+            )
+            return exchange.outcome
+
+    async def _close_exchange(self, exchange):
+        await exchange.finish()
+        self.services.exchanges.pop(exchange.request_id, None)
+        self.services.metrics.open_requests.set({}, len(self.services.exchanges))
+        summary = summarize(exchange)
+        self.history.add(summary)
+        self._record(exchange, summary)
+
+    def _record(self, exchange, summary):
+        metrics = self.services.metrics
+        team = exchange.team or "-"
+        metrics.requests.inc({"team": team, "outcome": summary.outcome})
+        if isinstance(exchange.outcome, Refused):
+            labels = {"team": team, "reason": summary.outcome}
+            metrics.refusals.inc({**labels, "run_state": summary.run_state})
+        if exchange.first_byte_at is not None:
+            urgency = exchange.profile.urgency if exchange.profile else "-"
+            metrics.first_token.observe(
+                {"team": team, "urgency": str(urgency)},
+                exchange.first_byte_at - exchange.received_at,
+            )
+        log_event(
+            logger,
+            "request-ended",
+            request=exchange.request_id,
+            team=exchange.team,
+            profile=summary.profile,
+            route=summary.route,
+            outcome=summary.outcome,
+            run_state=summary.run_state,
+            seconds=self.services.clock() - exchange.received_at,
+        )
+
+
+def summarize(exchange):
+    """Return what the history keeps of a request.
+
+    Parameters
+    ----------
+    exchange : skylarkpost.filters.Exchange
+        The request, open or ended.
+
+    Returns
+    -------
+    RequestSummary
+    """
+    outcome, run_state = "open", RunState.RUNNING
+    if isinstance(exchange.outcome, Refused):
+        outcome, run_state = exchange.outcome.reason, exchange.outcome.run_state
+    elif exchange.outcome is not None:
+        outcome, run_state = "answered", RunState.ANSWERED
+    return RequestSummary(
+        request_id=exchange.request_id,
+        team=exchange.team,
+        profile=exchange.profile.name if exchange.profile else None,
+        route=exchange.route.name if exchange.route else None,
+        decisions=exchange.decisions,
+        outcome=str(outcome),
+        run_state=str(run_state),
+    )
+
+
+async def _watch_caller(exchange, receive):
+    while (await receive())["type"] != "http.disconnect":
+        pass
+    exchange.cancel(Refused(reason=Reason.CALLER_LEFT, message="The caller left."))
--- /dev/null
+++ b/skylarkpost/frontend/credentials.py
@@ -0,0 +1,139 @@
+"""Takes the caller's key out of a request, so that nothing of it goes further."""
+
+import hashlib
+import json
+import re
+import urllib.parse
+from typing import NamedTuple
+
+__all__ = ["Credentials", "find_key_in", "hash_key", "take_credentials"]
+
+KEY_PATTERN = re.compile(rb"skp_[A-Za-z0-9_-]{20,}")
+KEY_HEADERS = ("x-api-key", "api-key")
+MAX_DECODINGS = 3
+
+FORWARDED_HEADERS = frozenset(
+    {
+        "accept",
+        "accept-language",
+        "content-encoding",
+        "content-type",
+        "idempotency-key",
+        "if-match",
+        "if-none-match",
+        "user-agent",
+    }
+)
+
+
+class Credentials(NamedTuple):
+    """What a request showed of itself.
+
+    Attributes
+    ----------
+    key_hash : str or None
+        SHA-256 of the key in hexadecimal, None if none was shown.
+    headers : dict of str to str
+        The headers that may go to a target.
+    """
+
+    key_hash: str | None
+    headers: dict[str, str]
+
+
+def hash_key(key):
+    """Return the hash under which a key is published.
+
+    Parameters
+    ----------
+    key : str
+        The key as the caller shows it.
+
+    Returns
+    -------
+    str
+        SHA-256 in hexadecimal.
+    """
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def take_credentials(headers):
+    """Separate the key of a request from what may be forwarded.
+
+    Parameters
+    ----------
+    headers : mapping of str to str
+        All headers, by lower-case name.
+
+    Returns
+    -------
+    Credentials
+        The hash of the key and the headers for the target.
+
+    Notes
+    -----
+    The key is accepted as ``Authorization: Bearer``, ``X-Api-Key`` and
+    ``Api-Key``, as engine users send it. Only headers on a fixed list are
+    forwarded, none of which carries credentials.
+    """
+    key = _key_from(headers)
+    forwarded = {
+        name: value for name, value in headers.items() if name in FORWARDED_HEADERS
+    }
+    return Credentials(hash_key(key) if key else None, forwarded)
+
+
+def find_key_in(*, path, query, headers, body):
+    """Tell whether what would be forwarded holds a key.
+
+    Parameters
+    ----------
+    path, query : str
+        Of the request.
+    headers : dict of str to str
+        The headers that would be forwarded.
+    body : bytes
+        The body that would be forwarded.
+
+    Returns
+    -------
+    bool
+        True if a key is found in plain, percent-encoded or JSON-escaped form.
+    """
+    texts = [path, query, *headers.values()]
+    if any(_holds_key(text.encode()) for text in texts):
+        return True
+    return _holds_key(body) or _holds_escaped_key(body)
+
+
+def _key_from(headers):
+    scheme, _, token = headers.get("authorization", "").partition(" ")
+    if scheme.lower() == "bearer" and token.strip():
+        return token.strip()
+    for name in KEY_HEADERS:
+        if headers.get(name, "").strip():
+            return headers[name].strip()
+    return None
+
+
+def _holds_key(data):
+    for _ in range(MAX_DECODINGS):
+        if KEY_PATTERN.search(data):
+            return True
+        if b"%" not in data:
+            return False
+        decoded = urllib.parse.unquote_to_bytes(data)
+        if decoded == data:
+            return False
+        data = decoded
+    return KEY_PATTERN.search(data) is not None
+
+
+def _holds_escaped_key(body):
+    if b"\\" not in body:
+        return False
+    try:
+        text = json.dumps(json.loads(body), ensure_ascii=False)
+    except (ValueError, RecursionError):
+        return False
+    return _holds_key(text.encode("utf-8", "surrogatepass"))
--- /dev/null
+++ b/skylarkpost/frontend/identify.py
@@ -0,0 +1,53 @@
+"""First filter: what kind of request this is, and whether it is well formed."""
+
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.frontend.credentials import find_key_in
+from skylarkpost.frontend.model_request import SCHEMAS, BadContent, parse_content
+from skylarkpost.outcomes import Reason, Refused
+
+__all__ = ["IdentifyFilter"]
+
+
+@register_filter("identify", order=10)
+class IdentifyFilter(Filter):
+    """Refuses malformed requests and those that would carry a key onwards."""
+
+    async def apply(self, exchange):
+        """Judge the form of one request. See `Filter.apply`."""
+        if self.services.leaving:
+            return Refused(
+                reason=Reason.SHUTTING_DOWN,
+                message="This instance is shutting down; send the request again.",
+                retry_after=0.0,
+            )
+        if exchange.headers.get("content-encoding", "identity") != "identity":
+            return _bad("Compressed request bodies are not accepted.")
+        if find_key_in(
+            path=exchange.path,
+            query=exchange.query,
+            headers=exchange.headers,
+            body=exchange.body,
+        ):
+            return Refused(
+                reason=Reason.KEY_IN_CONTENT,
+                message="A key stands where it would be passed on; send it in the"
+                " Authorization header only.",
+            )
+        if exchange.path in SCHEMAS:
+            return self._read_content(exchange)
+        return None
+
+    def _read_content(self, exchange):
+        if exchange.method != "POST":
+            return Refused(
+                reason=Reason.METHOD_NOT_ALLOWED, message="Only POST is allowed here."
+            )
+        content = parse_content(path=exchange.path, body=exchange.body)
+        if isinstance(content, BadContent):
+            return _bad(content.message)
+        exchange.content = content
+        return None
+
+
+def _bad(message):
+    return Refused(reason=Reason.BAD_REQUEST, message=message)
--- a/skylarkpost/outcomes/reasons.py
+++ b/skylarkpost/outcomes/reasons.py
@@ -41,6 +41,8 @@
     TARGET_TIMEOUT = "target-timeout"
     STREAM_BROKEN = "stream-broken"
     DEADLINE_PASSED = "deadline-passed"
+    CALLER_LEFT = "caller-left"
+    TOO_MANY_OPEN = "too-many-open"
     NOT_READY = "not-ready"
     SHUTTING_DOWN = "shutting-down"
 
@@ -73,4 +75,5 @@
     Reason.TARGET_TIMEOUT: 504,
     Reason.STREAM_BROKEN: 502,
     Reason.DEADLINE_PASSED: 504,
+    Reason.CALLER_LEFT: 499,
 }
