Add clients of the platform's log and instance list, with stand-ins

The log client tells appended, certainly not appended and unknown apart. After a timeout an address is served with new connections, since a kept-alive one can be silent for good.

--- /dev/null
+++ b/skylarkpost/platform/sessions.py
@@ -0,0 +1,95 @@
+"""Chooses between kept-alive and new HTTP connections."""
+
+import asyncio
+
+import aiohttp
+
+__all__ = ["HttpSessions"]
+
+# Longer than an idle connection is kept, so that all suspects have been closed.
+DISTRUST_S = 20.0
+MAX_DISTRUSTED = 4096
+
+
+class HttpSessions:
+    """A pooled HTTP session and one that opens a new connection each time.
+
+    A kept-alive connection can go silent for good while new ones work. After
+    a timeout, the peer's address is served with new connections until its
+    idle ones have expired.
+
+    Parameters
+    ----------
+    session_source : callable
+        Returns the pooled `aiohttp.ClientSession`.
+    """
+
+    def __init__(self, *, session_source):
+        self.session_source = session_source
+        self.distrusted_until = {}
+        self._fresh = None
+
+    def pooled(self, address, *, now):
+        """Return a session whose connections may be kept-alive ones.
+
+        Parameters
+        ----------
+        address : str
+            The peer, as given to `note_silence`.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        aiohttp.ClientSession
+        """
+        until = self.distrusted_until.get(address)
+        if until is None:
+            return self.session_source()
+        if now < until:
+            return self.fresh()
+        del self.distrusted_until[address]
+        return self.session_source()
+
+    def fresh(self):
+        """Return a session that opens a new connection for each request.
+
+        Returns
+        -------
+        aiohttp.ClientSession
+        """
+        if self._fresh is None or self._fresh.closed:
+            connector = aiohttp.TCPConnector(
+                limit=0, force_close=True, use_dns_cache=False
+            )
+            self._fresh = aiohttp.ClientSession(
+                connector=connector, timeout=aiohttp.ClientTimeout(total=None)
+            )
+        return self._fresh
+
+    def note_silence(self, address, *, now):
+        """Stop using kept-alive connections to a peer for a while.
+
+        Parameters
+        ----------
+        address : str
+            The peer.
+        now : float
+            The present time, in seconds.
+        """
+        if len(self.distrusted_until) >= MAX_DISTRUSTED:
+            self._prune(now)
+        if len(self.distrusted_until) < MAX_DISTRUSTED:
+            self.distrusted_until[address] = now + DISTRUST_S
+
+    async def close(self):
+        """Close the session for new connections; the pooled one stays."""
+        if self._fresh is not None:
+            await self._fresh.close()
+            # Lets the transports close before the event loop does.
+            await asyncio.sleep(0)
+
+    def _prune(self, now):
+        expired = [a for a, until in self.distrusted_until.items() if until <= now]
+        for address in expired:
+            del self.distrusted_until[address]
--- /dev/null
+++ b/standins/log.py
@@ -0,0 +1,178 @@
+"""Stand-in for the platform's append-only log.
+
+Run it with ``python -m standins.log --port 7001``. With several ports, a cut
+between the log and one data centre is acted out by ``cut_ports``.
+"""
+
+import asyncio
+import random
+import time
+from typing import NamedTuple
+
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from standins.common import StandIn, Switches, abort, main
+
+__all__ = ["LogStandIn", "LogSwitches"]
+
+MAX_WAIT_S = 10.0
+DEFAULT_LIMIT = 500
+
+
+class LogSwitches(Switches, kw_only=True):
+    """Faults of the log.
+
+    Parameters
+    ----------
+    outage : bool
+        Answer 503 and append nothing.
+    delay : float
+        Seconds before each request is dealt with.
+    lose_answers : int
+        The next appends take effect and lose their answers.
+    lose_probability : float
+        Probability that an append takes effect and loses its answer.
+    retention : float
+        Seconds that records are kept.
+    """
+
+    outage: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+    lose_probability: float = 0.0
+    retention: float = 3600.0
+
+
+class Stored(NamedTuple):
+    """One record, with its time in seconds of the wall clock."""
+
+    offset: int
+    time: float
+    data: dict
+
+
+class Stream:
+    """One stream; records before `first_offset` are gone."""
+
+    def __init__(self):
+        self.first_offset = 0
+        self.records = []
+        self.appended = asyncio.Event()
+
+    @property
+    def next_offset(self):
+        """The offset that the next record will get."""
+        return self.first_offset + len(self.records)
+
+    def append(self, records, *, now):
+        """Append records and return the offset of the first."""
+        first = self.next_offset
+        for number, data in enumerate(records):
+            self.records.append(Stored(first + number, now, data))
+        self.appended.set()
+        self.appended = asyncio.Event()
+        return first
+
+    def expire(self, *, before):
+        """Drop the records that are older than a moment."""
+        kept = 0
+        while kept < len(self.records) and self.records[kept].time < before:
+            kept += 1
+        del self.records[:kept]
+        self.first_offset += kept
+
+    def piece(self, start, limit):
+        """Return records from an offset on."""
+        index = max(start - self.first_offset, 0)
+        return self.records[index : index + limit]
+
+
+class LogStandIn(StandIn):
+    """Keeps streams in memory.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the random faults.
+    """
+
+    switches_type = LogSwitches
+
+    def __init__(self, *, seed=1):
+        super().__init__()
+        self.random = random.Random(seed)
+        self.streams = {}
+
+    def routes(self):
+        """Return the routes of the log."""
+        path = "/streams/{stream}/records"
+        return [
+            Route(path, self.post_records, methods=["POST"]),
+            Route(path, self.get_records, methods=["GET"]),
+        ]
+
+    def stream(self, name):
+        """Return a stream without the records that have expired."""
+        stream = self.streams.setdefault(name, Stream())
+        stream.expire(before=time.time() - self.switches.retention)
+        return stream
+
+    async def post_records(self, request):
+        """Append records."""
+        content = await request.json()
+        await asyncio.sleep(self.switches.delay)
+        if self.switches.outage:
+            return _unavailable()
+        stream = self.stream(request.path_params["stream"])
+        first = stream.append(content["records"], now=time.time())
+        if self.loses_answer():
+            return abort(request)
+        return JSONResponse({"first_offset": first})
+
+    async def get_records(self, request):
+        """Read records, and wait for them if there are none yet."""
+        query = request.query_params
+        start = int(query.get("from", "0"))
+        limit = int(query.get("limit", str(DEFAULT_LIMIT)))
+        wait = min(float(query.get("wait", "0")), MAX_WAIT_S)
+        await asyncio.sleep(self.switches.delay)
+        stream = self.stream(request.path_params["stream"])
+        if start >= stream.next_offset and wait > 0 and not self.switches.outage:
+            await self.wait_for_record(stream, wait)
+        if self.switches.outage:
+            return _unavailable()
+        stream = self.stream(request.path_params["stream"])
+        return JSONResponse(
+            {
+                "first_offset": stream.first_offset,
+                "next_offset": stream.next_offset,
+                "records": [r._asdict() for r in stream.piece(start, limit)],
+            }
+        )
+
+    async def wait_for_record(self, stream, wait):
+        """Wait until a record is appended, at most some seconds."""
+        try:
+            await asyncio.wait_for(stream.appended.wait(), wait)
+        except TimeoutError:
+            return
+
+    def loses_answer(self):
+        """Return whether the answer to an append that took effect is lost."""
+        if self.switches.lose_answers > 0:
+            self.switches.lose_answers -= 1
+            return True
+        return self.random.random() < self.switches.lose_probability
+
+
+def _unavailable():
+    return JSONResponse({"error": "the log is down"}, status_code=503)
+
+
+if __name__ == "__main__":
+    main(
+        lambda arguments: LogStandIn(seed=arguments.seed),
+        description="Stand-in for the platform's append-only log.",
+        add_arguments=lambda p: p.add_argument("--seed", type=int, default=1),
+    )
--- /dev/null
+++ b/tests/platform/test_log_client.py
@@ -0,0 +1,110 @@
+import contextlib
+
+import aiohttp
+import pytest
+
+from skylarkpost.platform import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    InstanceList,
+    InstanceListClient,
+    InstanceListUnavailable,
+    LogClient,
+    LogUnavailable,
+)
+from standins.common import serving
+from standins.instances import InstanceListStandIn
+from standins.log import LogStandIn
+
+
+@contextlib.asynccontextmanager
+async def log_pair():
+    stand_in = LogStandIn()
+    async with serving(stand_in) as urls, aiohttp.ClientSession() as session:
+        client = LogClient(
+            base_url=urls[0], session_source=lambda: session, answer_timeout=0.3
+        )
+        yield stand_in, client
+        await client.close()
+
+
+async def test_appended_records_are_read_back_in_order():
+    async with log_pair() as (_, log):
+        assert await log.append("s", [{"type": "a"}] * 2) == Appended(first_offset=0)
+        assert await log.append("s", [{"type": "b"}]) == Appended(first_offset=2)
+        piece = await log.read("s", from_offset=1)
+        assert [(r.offset, r.data["type"]) for r in piece.records] == [
+            (1, "a"),
+            (2, "b"),
+        ]
+        assert (piece.first_offset, piece.next_offset) == (0, 3)
+
+
+async def test_a_lost_answer_is_unknown_and_an_outage_is_refused():
+    async with log_pair() as (stand_in, log):
+        stand_in.switches.lose_answers = 1
+        assert isinstance(await log.append("s", [{}]), AppendUnknown)
+        assert (await log.read("s", from_offset=0)).next_offset == 1
+        stand_in.switches.outage = True
+        assert isinstance(await log.append("s", [{}]), AppendRefused)
+        assert isinstance(await log.read("s", from_offset=0), LogUnavailable)
+
+
+async def test_silence_ends_at_the_deadline_and_kept_connections_are_left():
+    async with log_pair() as (stand_in, log):
+        await log.append("s", [{}])
+        stand_in.switches.silent = True
+        assert isinstance(await log.append("s", [{}]), AppendUnknown)
+        assert isinstance(await log.read("s", from_offset=0), LogUnavailable)
+        # Open connections stay silent for good, new ones work.
+        held = set(stand_in.transports)
+        stand_in.is_cut = lambda scope: scope["transport"] in held
+        assert isinstance(await log.append("s", [{}]), Appended)
+        assert log.sessions.pooled(log.base_url, now=log.clock()) is (
+            log.sessions.fresh()
+        )
+
+
+async def test_nobody_listening_means_not_appended():
+    async with aiohttp.ClientSession() as session:
+        log = LogClient(base_url="http://127.0.0.1:9", session_source=lambda: session)
+        assert isinstance(await log.append("s", [{}]), AppendRefused)
+        assert isinstance(await log.read("s", from_offset=0), LogUnavailable)
+
+
+async def test_expired_records_move_the_first_offset():
+    async with log_pair() as (stand_in, log):
+        await log.append("s", [{}] * 3)
+        stand_in.switches.retention = 0.0
+        piece = await log.read("s", from_offset=0)
+        assert (piece.first_offset, piece.next_offset, piece.records) == (3, 3, [])
+
+
+@pytest.mark.parametrize("fault", ["absent", "silent"])
+async def test_the_last_list_is_kept_while_the_platform_has_none(fault):
+    stand_in = InstanceListStandIn()
+    async with serving(stand_in) as urls, aiohttp.ClientSession() as session:
+        clock = iter(range(100))
+        client = InstanceListClient(
+            base_url=urls[0],
+            session_source=lambda: session,
+            clock=lambda: float(next(clock)),
+        )
+        entry = {
+            "id": "e-1",
+            "role": "entry",
+            "address": "127.0.0.1:9001",
+            "data_centre": "yaba",
+            "state": "live",
+        }
+        async with session.put(
+            urls[0] + "/instances", json={"instances": [entry]}
+        ) as response:
+            assert response.status == 200
+        assert isinstance(await client.poll(), InstanceList)
+        setattr(stand_in.switches, fault, True)
+        assert isinstance(await client.poll(), InstanceListUnavailable)
+        assert client.instances["e-1"].data_centre == "yaba"
+        assert not client.available
+        await client.stop()
