Fold the config stream so that every reader reaches the same state

A reader that starts behind the first record cannot judge a change that expects a version it never saw. Restatements therefore name the offset they hold for (as_of); such a reader holds changes back and applies those that come after each item's statement. Late restatements are harmless by the same rule. A change is valid only some seconds around the time it was made, so that the memory of change ids is bounded and a late copy never counts as new.

Ruled out: judging held changes in the order read (a conflict was accepted), trusting the offset of a restatement instead of as_of (a withdrawn key came back), dropping tombstones at half the retention (a copy of the creation was accepted).

--- /dev/null
+++ b/skylarkpost/config/records.py
@@ -0,0 +1,149 @@
+"""Records of the ``config`` stream and their validation."""
+
+from typing import Annotated, Literal, NotRequired, TypedDict
+
+import msgspec
+from msgspec import Meta
+
+from skylarkpost.config.kinds import KINDS, check_body
+
+__all__ = [
+    "ChangeRecord",
+    "RecordError",
+    "RestatementRecord",
+    "parse_change",
+    "parse_restatement",
+]
+
+DEFAULT_VALID_FOR_S = 30.0
+MAX_VALID_FOR_S = 300.0
+
+Offset = Annotated[int, Meta(ge=0, le=2**62)]
+Text = Annotated[str, Meta(max_length=1000)]
+Id = Annotated[str, Meta(min_length=1, max_length=64)]
+ItemName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$")]
+
+
+class ChangeRecord(TypedDict):
+    """A change that an operator asks for.
+
+    Attributes
+    ----------
+    type : str
+        ``"change"``.
+    change_id : str
+        Unique id; a copy with the same id is applied once.
+    author, reason : str
+        Who changes it and why, for the audit trail.
+    kind, name : str
+        The item.
+    expected_version : int or None
+        Version that the item must have; 0 if it must not exist; None for any.
+    body : dict or None
+        The new content; None removes the item (withdraws the key).
+    made_at : float
+        Wall-clock seconds at which the change was first published.
+    valid_for : float
+        Seconds before and after `made_at` in which the log has to take it.
+    """
+
+    type: Literal["change"]
+    change_id: Id
+    author: Annotated[str, Meta(min_length=1, max_length=200)]
+    reason: Text
+    kind: str
+    name: ItemName
+    expected_version: Offset | None
+    body: dict | None
+    made_at: float
+    valid_for: NotRequired[Annotated[float, Meta(gt=0.0, le=MAX_VALID_FOR_S)]]
+
+
+class RestatementRecord(TypedDict):
+    """An item written again, so that it stays on the log.
+
+    Attributes
+    ----------
+    type : str
+        ``"restatement"``.
+    kind, name : str
+        The item.
+    version : int
+        Version that the change gave it.
+    as_of : int
+        The item is as stated after all records before this offset.
+    body : dict or None
+        Its content; None for a tombstone.
+    writer : str
+        Instance that wrote the record.
+    """
+
+    type: Literal["restatement"]
+    kind: str
+    name: ItemName
+    version: Annotated[int, Meta(ge=1, le=2**62)]
+    as_of: Offset
+    body: dict | None
+    writer: str
+
+
+class RecordError(ValueError):
+    """A record that no instance will apply."""
+
+
+def parse_change(record):
+    """Check a change record.
+
+    Parameters
+    ----------
+    record : object
+        As read from the log.
+
+    Returns
+    -------
+    ChangeRecord
+        With all optional fields filled in.
+
+    Raises
+    ------
+    RecordError
+        If it is not a valid change.
+    """
+    change = _convert(record, ChangeRecord)
+    change.setdefault("valid_for", DEFAULT_VALID_FOR_S)
+    return change
+
+
+def parse_restatement(record):
+    """Check a restatement record.
+
+    Parameters
+    ----------
+    record : object
+        As read from the log.
+
+    Returns
+    -------
+    RestatementRecord
+
+    Raises
+    ------
+    RecordError
+        If it is not a valid restatement.
+    """
+    statement = _convert(record, RestatementRecord)
+    if statement["version"] > statement["as_of"]:
+        raise RecordError("the version is newer than the offset it is stated for")
+    return statement
+
+
+def _convert(record, record_type):
+    try:
+        checked = msgspec.convert(record, record_type)
+        if checked["kind"] not in KINDS:
+            raise RecordError(f"unknown kind {checked['kind']!r}")
+        if checked["body"] is not None:
+            checked["body"] = check_body(checked["kind"], checked["body"])
+    except msgspec.ValidationError as error:
+        raise RecordError(str(error)) from error
+    return checked
--- /dev/null
+++ b/skylarkpost/config/restating.py
@@ -0,0 +1,127 @@
+"""Writes items again before the log forgets them."""
+
+import hashlib
+
+from skylarkpost.config.kinds import item_body
+
+__all__ = ["Restater", "choose_restater"]
+
+RESTATE_AGE_FRACTION = 0.5
+OVERDUE_AGE_FRACTION = 0.75
+PASS_FRACTION = 0.05
+MAX_BATCH_RECORDS = 100
+MIN_SCAN = 200
+
+
+def choose_restater(members):
+    """Return the instance whose turn it is to restate.
+
+    Parameters
+    ----------
+    members : iterable of str
+        Ids of the instances that can be reached, this one included.
+
+    Returns
+    -------
+    str
+        The member with the highest hash. Two instances that see different
+        members may both restate, which does no harm.
+    """
+    return max(members, key=lambda name: hashlib.sha256(name.encode()).digest())
+
+
+class Restater:
+    """Finds the items that have to be restated, a few at a time.
+
+    Parameters
+    ----------
+    writer : str
+        Id of this instance.
+    retention : float
+        Seconds that the log keeps records.
+
+    Notes
+    -----
+    A statement says how an item was after all records before the offset
+    `as_of`. It serves readers that start at `as_of` or before, so what counts
+    is the age of `as_of`, not that of the restatement itself. A late
+    restatement therefore never hides a newer change.
+
+    Tombstones are restated for as long as the log keeps any other record of
+    the item, and then forgotten.
+    """
+
+    def __init__(self, *, writer, retention):
+        self.writer = writer
+        self.retention = retention
+        self._pending = []
+
+    def step(self, store, *, first_offset, log_time, chosen, interval):
+        """Return the records to append now.
+
+        Parameters
+        ----------
+        store : ConfigStore
+            Complete, and read to the end of the log.
+        first_offset : int
+            Oldest offset that the log keeps.
+        log_time : float
+            The present time by the log's wall clock, in seconds.
+        chosen : bool
+            Whether it is this instance's turn. Otherwise it writes only what
+            is overdue.
+        interval : float
+            Seconds between two steps.
+
+        Returns
+        -------
+        list of RestatementRecord
+            At most `MAX_BATCH_RECORDS`.
+        """
+        fraction = RESTATE_AGE_FRACTION if chosen else OVERDUE_AGE_FRACTION
+        store.times.forget_before(log_time - self.retention)
+        old = store.times.offset_at(log_time - fraction * self.retention)
+        old = max(old, first_offset)
+        records = []
+        for kind, name in self._next_names(store, interval):
+            if name not in store.tables[kind]:
+                continue
+            record = self._judge(store, kind, name, old, first_offset)
+            if record is not None:
+                records.append(record)
+            if len(records) >= MAX_BATCH_RECORDS:
+                break
+        return records
+
+    def _next_names(self, store, interval):
+        if not self._pending:
+            self._pending = [
+                (kind, name)
+                for kind, table in store.tables.items()
+                for name in table.names()
+            ]
+            self._pass_size = len(self._pending)
+        share = interval / max(interval, PASS_FRACTION * self.retention)
+        for _ in range(max(MIN_SCAN, int(share * self._pass_size))):
+            if not self._pending:
+                return
+            yield self._pending.pop()
+
+    def _judge(self, store, kind, name, old, first_offset):
+        table = store.tables[kind]
+        version, stated, mentioned = table.header(name)
+        if stated >= old:
+            return None
+        item = table.get(name).item
+        if item is None and mentioned < first_offset:
+            store.forget_tombstone(kind, name)
+            return None
+        return {
+            "type": "restatement",
+            "kind": kind,
+            "name": name,
+            "version": version,
+            "as_of": store.applied_offset + 1,
+            "body": None if item is None else item_body(kind, item),
+            "writer": self.writer,
+        }
--- /dev/null
+++ b/skylarkpost/config/store.py
@@ -0,0 +1,330 @@
+"""The configuration as one instance knows it."""
+
+from collections import deque
+from typing import NamedTuple
+
+from skylarkpost.config.change_ids import ChangeIds
+from skylarkpost.config.items import Key
+from skylarkpost.config.kinds import KINDS, build_item
+from skylarkpost.config.offset_times import OffsetTimes
+from skylarkpost.config.records import RecordError, parse_change, parse_restatement
+from skylarkpost.config.table import Entry, ItemTable
+from skylarkpost.config.verdicts import (
+    Accepted,
+    Conflict,
+    Duplicate,
+    Held,
+    Invalid,
+    Restated,
+    Stale,
+)
+
+__all__ = ["ConfigStore", "ItemChange"]
+
+
+class ItemChange(NamedTuple):
+    """A change of one item, as subscribers see it.
+
+    Attributes
+    ----------
+    kind, name : str
+        The item.
+    version : int
+        Its version from now on.
+    item : NamedTuple or None
+        What it is now; None if it was removed.
+    previous : NamedTuple or None
+        What it was before.
+    """
+
+    kind: str
+    name: str
+    version: int
+    item: tuple | None
+    previous: tuple | None
+
+
+class ConfigStore:
+    """Applies the records of the ``config`` stream, in the order of the log.
+
+    The verdict on a record follows from the records before it alone, so all
+    instances agree. The version of an item is one more than the offset of the
+    change that made it.
+
+    A reader that starts behind the first record of the stream does not know
+    what was there before. It holds all changes back, and takes each item from
+    the newest restatement that is stated for an offset it has read from
+    (`as_of`). When it has read the stream to its end, it applies the held
+    changes that come after each item's statement.
+
+    Parameters
+    ----------
+    first_offset : int
+        Offset of the first record that will be applied. At 0 nothing is
+        missing, and changes are judged at once.
+
+    Attributes
+    ----------
+    applied_offset : int
+        Offset of the last record applied; it only rises.
+    floor : int
+        Restatements as of an offset below this one are not adopted.
+    times : OffsetTimes
+        When which offset was written.
+    """
+
+    def __init__(self, *, first_offset=0):
+        self.applied_offset = first_offset - 1
+        self.floor = first_offset
+        self.tables = {kind: ItemTable(kind=kind) for kind in KINDS}
+        self.change_ids = ChangeIds()
+        self.times = OffsetTimes()
+        self.held = None if first_offset == 0 else {}
+        self._mentions = {}
+        self._subscribers = {kind: [] for kind in KINDS}
+        self._appliers = {
+            "change": self._apply_change,
+            "restatement": self._apply_restatement,
+        }
+
+    @property
+    def complete(self):
+        """Whether the history was read to its end once."""
+        return self.held is None
+
+    def apply(self, *, record, offset, time, now):
+        """Apply one record.
+
+        Parameters
+        ----------
+        record : dict
+            As read from the log.
+        offset : int
+            Its offset.
+        time : float
+            The log's wall-clock time of the record, in seconds.
+        now : float
+            The present time, in seconds of the instance's clock; handed on to
+            subscribers.
+
+        Returns
+        -------
+        Verdict
+            `Stale` if a record with this offset was applied before.
+        """
+        if offset <= self.applied_offset:
+            return Stale()
+        self.applied_offset = offset
+        self.times.note(time=time, offset=offset)
+        applier = self._appliers.get(record.get("type"))
+        if applier is None:
+            return Invalid(problem="unknown type of record")
+        try:
+            return applier(record, offset, time, now)
+        except RecordError as fault:
+            return Invalid(problem=str(fault))
+
+    def finish_history(self, *, time, now):
+        """Judge the held changes: the stream has been read to its end.
+
+        Parameters
+        ----------
+        time : float
+            The log's time of the last record, in seconds.
+        now : float
+            The present time, in seconds.
+        """
+        assert self.held is not None, "the history is finished already"
+        held, self.held = self.held, None
+        for changes in held.values():
+            self._judge_held(changes, now)
+        self._mentions = {}
+        self.change_ids.prune(time=time)
+
+    def replace_by(self, other, *, now):
+        """Take over the state of another store, and tell what is different.
+
+        Parameters
+        ----------
+        other : ConfigStore
+            Complete, and applied at least as far; not used any more.
+        now : float
+            The present time, in seconds; handed on to subscribers.
+        """
+        assert other.complete, "only a complete store may be served"
+        assert other.applied_offset >= self.applied_offset, "applied offset went back"
+        tables, self.tables = self.tables, other.tables
+        self.applied_offset = other.applied_offset
+        self.floor = other.floor
+        self.change_ids = other.change_ids
+        self.times = other.times
+        self.held = None
+        for kind, before in tables.items():
+            self._notify_differences(kind, before, now)
+
+    def forget_tombstone(self, kind, name):
+        """Forget a removed item of which the log keeps no other record.
+
+        Parameters
+        ----------
+        kind, name : str
+            The item.
+        """
+        table = self.tables[kind]
+        entry = table.get(name)
+        assert entry.item is None, "only a tombstone may be forgotten"
+        self.floor = max(self.floor, entry.version)
+        table.remove(name)
+
+    def subscribe(self, kind, callback):
+        """Have a function called for each change of an item of one kind.
+
+        Parameters
+        ----------
+        kind : str
+            A registered kind.
+        callback : callable
+            Called with the `ItemChange` and the present time.
+        """
+        self._subscribers[kind].append(callback)
+
+    def profile(self, name):
+        """Return a profile, or None."""
+        return self.item("profile", name)
+
+    def key(self, key_hash):
+        """Return a key, also a withdrawn one that is still remembered, or None."""
+        entry = self.tables["key"].get(key_hash)
+        if entry is not None and entry.item is None:
+            return Key(key_hash, "", True, "")
+        return None if entry is None else entry.item
+
+    def team(self, name):
+        """Return a team, or None."""
+        return self.item("team", name)
+
+    def route(self, name):
+        """Return a route, or None."""
+        return self.item("route", name)
+
+    def target(self, name):
+        """Return a target, or None."""
+        return self.item("target", name)
+
+    def item(self, kind, name):
+        """Return the item of a kind and name, or None."""
+        entry = self.tables[kind].get(name)
+        return None if entry is None else entry.item
+
+    def items(self, kind):
+        """Yield each item of a kind, without tombstones."""
+        table = self.tables[kind]
+        for name in table.names():
+            item = self.item(kind, name)
+            if item is not None:
+                yield item
+
+    def version(self, kind, name):
+        """Return the version of an item; 0 if there is none."""
+        entry = self.tables[kind].get(name)
+        return 0 if entry is None or entry.item is None else entry.version
+
+    def _apply_change(self, record, offset, time, now):
+        change = parse_change(record)
+        lateness = time - change["made_at"]
+        if abs(lateness) > change["valid_for"]:
+            problem = f"made {lateness:.1f} s before the log took it"
+            return Invalid(problem=f"{problem}; valid for {change['valid_for']:g} s")
+        if self.held is not None:
+            key = (change["kind"], change["name"])
+            self.held.setdefault(key, deque()).append((offset, time, change))
+            return Held()
+        return self._judge(change, offset, time, now)
+
+    def _judge(self, change, offset, time, now):
+        table = self.tables[change["kind"]]
+        entry = table.get(change["name"])
+        if entry is not None:
+            table.touch(change["name"], stated=0, mentioned=offset)
+        known, first = self.change_ids.find(change)
+        if known:
+            return Duplicate(first=first)
+        verdict = self._accept_or_refuse(change, entry, offset, now)
+        self.change_ids.add(change, verdict, time=time)
+        return verdict
+
+    def _accept_or_refuse(self, change, entry, offset, now):
+        present = 0 if entry is None or entry.item is None else entry.version
+        expected = change["expected_version"]
+        if expected is not None and expected != present:
+            return Conflict(expected_version=expected, present_version=present)
+        version = offset + 1
+        kind, name = change["kind"], change["name"]
+        self._put(kind, name, version, offset, offset, change["body"], now)
+        return Accepted(version=version, previous_version=present)
+
+    def _apply_restatement(self, record, offset, time, now):
+        statement = parse_restatement(record)
+        kind, name = statement["kind"], statement["name"]
+        table = self.tables[kind]
+        entry = table.get(name)
+        mentioned = offset if statement["body"] is not None else 0
+        if entry is None:
+            mentioned = max(mentioned, self._mentions.get((kind, name), 0))
+            self._note_mention(kind, name, mentioned)
+        else:
+            table.touch(name, stated=0, mentioned=mentioned)
+        known = 0 if entry is None else entry.version
+        version, as_of = statement["version"], statement["as_of"]
+        if as_of < self.floor or version < known:
+            return Stale()
+        if version == known:
+            table.touch(name, stated=as_of, mentioned=0)
+            return Restated(adopted=False)
+        self._put(kind, name, version, as_of, mentioned, statement["body"], now)
+        return Restated(adopted=True)
+
+    def _note_mention(self, kind, name, mentioned):
+        if self.held is not None and mentioned:
+            self._mentions[(kind, name)] = mentioned
+
+    def _judge_held(self, changes, now):
+        for offset, time, change in changes:
+            entry = self.tables[change["kind"]].get(change["name"])
+            if entry is None or offset >= entry.stated:
+                self._judge(change, offset, time, now)
+                continue
+            accepted = entry.version == offset + 1
+            first = Accepted(version=offset + 1, previous_version=0)
+            self.change_ids.add(change, first if accepted else None, time=time)
+            self.tables[change["kind"]].touch(
+                change["name"], stated=0, mentioned=offset
+            )
+
+    def _put(self, kind, name, version, stated, mentioned, body, now):
+        table = self.tables[kind]
+        before = table.get(name)
+        assert before is None or before.version < version, "a version went back"
+        item = None if body is None else build_item(kind, name, version, body)
+        table.put(name, Entry(version, stated, mentioned, item))
+        previous = None if before is None else before.item
+        self._notify(ItemChange(kind, name, version, item, previous), now)
+
+    def _notify_differences(self, kind, before, now):
+        after = self.tables[kind]
+        for name in after.names():
+            if name not in before or after.header(name)[0] != before.header(name)[0]:
+                entry = after.get(name)
+                old = before.get(name)
+                previous = None if old is None else old.item
+                change = ItemChange(kind, name, entry.version, entry.item, previous)
+                self._notify(change, now)
+        for name in before.names():
+            previous = before.get(name)
+            if name not in after and previous.item is not None:
+                change = ItemChange(kind, name, previous.version, None, previous.item)
+                self._notify(change, now)
+
+    def _notify(self, change, now):
+        for callback in self._subscribers[change.kind]:
+            callback(change, now)
--- /dev/null
+++ b/skylarkpost/config/table.py
@@ -0,0 +1,111 @@
+"""Items of one kind in a compact form."""
+
+import struct
+from typing import NamedTuple
+
+import msgspec
+
+from skylarkpost.config.kinds import KINDS, item_body
+
+__all__ = ["Entry", "ItemTable"]
+
+HEADER = struct.Struct(">QQQ")
+
+
+class Entry(NamedTuple):
+    """What is known about one item.
+
+    Attributes
+    ----------
+    version : int
+        One more than the offset of the change that made it what it is.
+    stated : int
+        A reader that starts at this offset or before learns of the item.
+    mentioned : int
+        Offset of the last record about it other than a restated tombstone.
+    item : NamedTuple or None
+        The item; None for a tombstone.
+    """
+
+    version: int
+    stated: int
+    mentioned: int
+    item: tuple | None
+
+
+class ItemTable:
+    """The entries of one kind by name.
+
+    Each entry is kept as one byte string, since there may be tens of
+    thousands; items are built when they are asked for.
+
+    Parameters
+    ----------
+    kind : str
+        A registered kind.
+    """
+
+    def __init__(self, *, kind):
+        self.kind = kind
+        self._packed = {}
+
+    def __len__(self):
+        return len(self._packed)
+
+    def __contains__(self, name):
+        return name in self._packed
+
+    def names(self):
+        """Return the names of all entries, tombstones included, as a list."""
+        return list(self._packed)
+
+    def get(self, name):
+        """Return the entry of an item, or None."""
+        packed = self._packed.get(name)
+        if packed is None:
+            return None
+        version, stated, mentioned = HEADER.unpack_from(packed)
+        item = _unpack_item(self.kind, name, version, packed)
+        return Entry(version, stated, mentioned, item)
+
+    def header(self, name):
+        """Return version, stated and mentioned offset of a known item."""
+        return HEADER.unpack_from(self._packed[name])
+
+    def put(self, name, entry):
+        """Keep an entry."""
+        values = None
+        if entry.item is not None:
+            values = list(item_body(self.kind, entry.item).values())
+        header = HEADER.pack(entry.version, entry.stated, entry.mentioned)
+        self._packed[name] = header + msgspec.msgpack.encode(values)
+
+    def touch(self, name, *, stated, mentioned):
+        """Raise the offsets of a known item; its content stays."""
+        packed = self._packed[name]
+        version, old_stated, old_mentioned = HEADER.unpack_from(packed)
+        header = HEADER.pack(
+            version, max(stated, old_stated), max(mentioned, old_mentioned)
+        )
+        self._packed[name] = header + packed[HEADER.size :]
+
+    def remove(self, name):
+        """Forget an item."""
+        del self._packed[name]
+
+    def packed(self, name):
+        """Return the entry as it is kept, for a snapshot."""
+        return self._packed[name]
+
+    def put_packed(self, name, packed):
+        """Keep an entry out of a snapshot."""
+        self._packed[name] = packed
+
+
+def _unpack_item(kind, name, version, packed):
+    values = msgspec.msgpack.decode(memoryview(packed)[HEADER.size :])
+    if values is None:
+        return None
+    definition = KINDS[kind]
+    body = dict(zip(definition.body.__annotations__, values, strict=True))
+    return definition.build(name, version, body)
