Quarantine requests that crash targets

Cause: a request that crashes each target that runs it takes the fleet down one target at a time if every retry is blind.

Ruled out: counting observations, since four instances see the same crash and would quarantine the requests beside it at once.

--- /dev/null
+++ b/skylarkpost/quarantine/__init__.py
@@ -0,0 +1,21 @@
+"""Keeps requests that crash targets away from further targets."""
+
+from skylarkpost.quarantine.fingerprint import fingerprint_request
+from skylarkpost.quarantine.suspects import (
+    Clear,
+    Crash,
+    CrashReport,
+    Quarantined,
+    Suspected,
+    SuspectTracker,
+)
+
+__all__ = [
+    "Clear",
+    "Crash",
+    "CrashReport",
+    "Quarantined",
+    "SuspectTracker",
+    "Suspected",
+    "fingerprint_request",
+]
--- /dev/null
+++ b/skylarkpost/quarantine/filter.py
@@ -0,0 +1,51 @@
+"""Refuses requests that have crashed targets."""
+
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.quarantine.fingerprint import fingerprint_request
+from skylarkpost.quarantine.suspects import Quarantined, Suspected
+
+__all__ = ["QuarantineFilter"]
+
+
+@register_filter("quarantine", order=40)
+class QuarantineFilter(Filter):
+    """Sets the request's fingerprint and judges it."""
+
+    async def apply(self, exchange):
+        """Judge one request. See `Filter.apply`."""
+        exchange.fingerprint = fingerprint_request(
+            subject=_subject(exchange), content=exchange.content, body=exchange.body
+        )
+        controller = self.services.controllers["quarantine"]
+        now = self.services.clock()
+        verdict = controller.verdict(exchange.fingerprint, now=now)
+        if isinstance(verdict, Quarantined):
+            return quarantine_refusal(verdict)
+        exchange.suspect = isinstance(verdict, Suspected)
+        return None
+
+
+def quarantine_refusal(verdict):
+    """Return the refusal for a quarantined request.
+
+    Parameters
+    ----------
+    verdict : Quarantined
+        The verdict.
+
+    Returns
+    -------
+    Refused
+    """
+    return Refused(
+        reason=Reason.QUARANTINED,
+        message="Targets crashed while this request ran on them; it is not run.",
+        retry_after=verdict.seconds_left,
+    )
+
+
+def _subject(exchange):
+    if exchange.profile is not None:
+        return f"{exchange.profile.adapter}@{exchange.profile.version}"
+    return f"{exchange.method} {exchange.path}?{exchange.query}"
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -80,6 +80,23 @@
     )
 
 
+class QuarantineSettings(Section):
+    """``[quarantine]``: requests that crash targets."""
+
+    suspect_life: float = Field(
+        default=600.0,
+        ge=1.0,
+        le=86_400.0,
+        description="Seconds for which a crash is held against a request.",
+    )
+    quarantine_life: float = Field(
+        default=900.0,
+        ge=1.0,
+        le=86_400.0,
+        description="Seconds for which a request is quarantined.",
+    )
+
+
 class LogSettings(Section):
     """``[log]``: what the daemon writes about itself."""
 
@@ -97,4 +114,5 @@
     platform: PlatformSettings
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
+    quarantine: QuarantineSettings = QuarantineSettings()
     log: LogSettings = LogSettings()
