--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import logging
+import os
 import pathlib
 import signal
 import sys
+import traceback
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -13,13 +15,16 @@
 from skylarkpost.daemon.instance import Instance
 from skylarkpost.daemon.parts import import_parts
 from skylarkpost.daemon.services import Services
-from skylarkpost.eventlog import configure_logging
+from skylarkpost.eventlog import configure_logging, log_event
 from skylarkpost.platform import LogClient
 from skylarkpost.settings import load_settings
 
 __all__ = ["DaemonCommand", "main"]
 
 EXIT_BAD_SETTINGS = 2
+EXIT_BROKEN_INVARIANT = 70
+
+logger = logging.getLogger(__name__)
 
 
 @dataclass(kw_only=True)
@@ -66,10 +71,27 @@
     )
     instance = Instance(services=services)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_handle_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.stop_requested.set)
     await instance.run()
 
 
+def _handle_loop_error(loop, context):
+    """Stop the process at once if an invariant is broken; log anything else."""
+    error = context.get("exception")
+    broken = isinstance(error, AssertionError)
+    log_event(
+        logger,
+        "invariant-broken" if broken else "loop-error",
+        level=logging.CRITICAL if broken else logging.ERROR,
+        message=context.get("message"),
+        error=repr(error),
+    )
+    if broken:
+        traceback.print_exception(error)
+        os._exit(EXIT_BROKEN_INVARIANT)
+
+
 if __name__ == "__main__":
     main()
--- a/skylarkpost/daemon/parts.py
+++ b/skylarkpost/daemon/parts.py
@@ -4,7 +4,12 @@
 
 __all__ = ["PARTS", "import_parts"]
 
-PARTS = ("skylarkpost.frontend.identify",)
+PARTS = (
+    "skylarkpost.frontend.identify",
+    "skylarkpost.platform.controllers",
+    "skylarkpost.quarantine.controller",
+    "skylarkpost.quarantine.filter",
+)
 
 
 def import_parts():
--- a/skylarkpost/frontend/caller.py
+++ b/skylarkpost/frontend/caller.py
@@ -106,6 +106,8 @@
             response = relayed_response(
                 outcome, request_id=exchange.request_id, body=outcome.body
             )
+        if self.services.draining:
+            response.headers["connection"] = "close"
         await response(scope, receive, send)
 
     async def _run_chain(self, exchange):
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -70,7 +70,7 @@
     """``[shutdown]``: how the daemon leaves."""
 
     notice: float = Field(
-        default=1.0,
+        default=5.0,
         ge=0.0,
         le=60.0,
         description="Seconds between not ready and no new requests.",
