Learn the configuration from peers and restate it before it expires

A rebuild from the log alone waits until every reachable peer has had nothing better. One instance by rendezvous hash restates items at half the retention, the others only what is overdue.

--- a/skylarkpost/config/controller.py
+++ b/skylarkpost/config/controller.py
@@ -3,12 +3,16 @@
 import asyncio
 import logging
 
+from skylarkpost.config.neighbours import Neighbours
+from skylarkpost.config.peers import ConfigService
 from skylarkpost.config.replica import ConfigReplica
+from skylarkpost.config.restating import Restater, choose_restater
 from skylarkpost.config.verdicts import Invalid
 from skylarkpost.config.withdrawals import WithdrawalWatch
 from skylarkpost.daemon.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import BackgroundTask, LogFollower
+from skylarkpost.platform import Appended, BackgroundTask, LogFollower
+from skylarkpost.rpc import config_pb2_grpc
 
 __all__ = ["CONFIG_STREAM", "ConfigController"]
 
@@ -16,11 +20,13 @@
 
 CONFIG_STREAM = "config"
 TICK_S = 0.1
+RESTATE_INTERVAL_S = 1.0
+NEVER_S = float("-inf")
 
 
 @register_controller("config", order=20)
 class ConfigController(Controller):
-    """Follows the ``config`` stream.
+    """Follows the ``config`` stream and learns from peers.
 
     Parameters
     ----------
@@ -33,6 +39,8 @@
         The core.
     follower : LogFollower
         Reads the stream.
+    neighbours : Neighbours
+        The peers.
     """
 
     def __init__(self, *, services):
@@ -46,6 +54,12 @@
             on_gap=self._note_gap,
         )
         self.follower.subscribe(None, self._take)
+        self.neighbours = Neighbours(services=services, replica=self.replica)
+        self.restater = Restater(
+            writer=services.instance,
+            retention=services.settings.platform.log_retention,
+        )
+        self.restated_at = NEVER_S
         self.withdrawals = WithdrawalWatch(services=services)
         self.store.subscribe("key", self.withdrawals.note_key_change)
         self.task = BackgroundTask(name="config")
@@ -55,6 +69,11 @@
         """The configuration that is served; always the same object."""
         return self.replica.store
 
+    def add_to_server(self, server):
+        """Serve the configuration to peers."""
+        service = ConfigService(replica=self.replica)
+        config_pb2_grpc.add_ConfigServicer_to_server(service, server)
+
     async def start(self):
         """Start following the stream."""
         self.follower.start()
@@ -105,6 +124,22 @@
         profiles = self.store.items("profile")
         return sorted(profile.name for profile in profiles if team in profile.teams)
 
+    async def tick(self):
+        """Look after what no record drives; called every `TICK_S`."""
+        now = self.services.clock()
+        if self._at_end() and self.neighbours.may_trust_log(now):
+            self._note_end(now)
+        await self._learn()
+        self.neighbours.announce()
+        if now >= self.restated_at + RESTATE_INTERVAL_S:
+            self.restated_at = now
+            await self._restate(now)
+
+    async def _run(self):
+        while True:
+            await self.tick()
+            await asyncio.sleep(TICK_S)
+
     def _take(self, record, offset, time, now):
         verdict = self.replica.take(record=record, offset=offset, time=time, now=now)
         if isinstance(verdict, Invalid):
@@ -116,21 +151,45 @@
     def _note_gap(self, wanted, first_offset):
         self.replica.note_gap(first_offset)
 
-    async def _run(self):
-        while True:
-            await self.tick()
-            await asyncio.sleep(TICK_S)
-
-    async def tick(self):
-        """Look after what is not driven by a record; called every `TICK_S`."""
+    def _at_end(self):
         follower = self.follower
-        at_end = follower.applied_offset >= follower.end_offset
-        if follower.available and follower.fresh_at is not None and at_end:
-            self._note_end()
-
-    def _note_end(self):
-        first = not self.replica.ready
-        self.replica.note_end(now=self.services.clock())
-        if first:
-            offset = self.replica.applied_offset
-            log_event(logger, "config-ready", applied_offset=offset, source="log")
+        if not follower.available or follower.fresh_at is None:
+            return False
+        return follower.applied_offset >= follower.end_offset
+
+    def _note_end(self, now):
+        was_complete = self.replica.ready and self.replica.building is None
+        self.replica.note_end(now=now)
+        if not was_complete:
+            self._log_complete("log")
+
+    async def _learn(self):
+        before = self.replica.applied_offset
+        peer = await self.neighbours.learn(log_fresh_at=self.follower.fresh_at)
+        if peer is None:
+            return
+        self.follower.skip_to(self.replica.next_offset)
+        self.services.metrics.count_event("config-learned-from-peer")
+        if self.replica.applied_offset > before:
+            self._log_complete(peer)
+
+    def _log_complete(self, source):
+        offset = self.replica.applied_offset
+        log_event(logger, "config-complete", applied_offset=offset, source=source)
+
+    async def _restate(self, now):
+        complete = self.replica.ready and self.replica.building is None
+        if not complete or not self._at_end():
+            return
+        members = [self.services.instance, *self.neighbours.reachable(now)]
+        records = self.restater.step(
+            self.store,
+            first_offset=self.follower.first_offset,
+            log_time=self.services.wall_clock(),
+            chosen=choose_restater(members) == self.services.instance,
+            interval=RESTATE_INTERVAL_S,
+        )
+        if records:
+            answer = await self.services.log.append(CONFIG_STREAM, records)
+            if isinstance(answer, Appended):
+                self.services.metrics.count_event("config-restated")
--- /dev/null
+++ b/skylarkpost/config/snapshot.py
@@ -0,0 +1,82 @@
+"""The whole state of a store as bytes, for a peer that starts cold."""
+
+import msgspec
+
+from skylarkpost.config.kinds import KINDS
+from skylarkpost.config.store import ConfigStore
+
+__all__ = ["decode_snapshot", "encode_snapshot"]
+
+
+class SnapshotOnWire(msgspec.Struct, array_like=True):
+    """A snapshot on the wire.
+
+    Attributes
+    ----------
+    applied_offset, floor : int
+        Of the store.
+    entries : dict
+        Packed entries by name, by kind.
+    change_ids : dict
+        Remembered verdicts by digest.
+    marks : list
+        Log times and offsets.
+    """
+
+    applied_offset: int
+    floor: int
+    entries: dict[str, dict[str, bytes]]
+    change_ids: dict[bytes, tuple[float, bool | None, int, int]]
+    marks: list[tuple[float, int]]
+
+
+def encode_snapshot(store):
+    """Return the state of a store.
+
+    Parameters
+    ----------
+    store : ConfigStore
+        A complete store.
+
+    Returns
+    -------
+    bytes
+    """
+    assert store.complete, "an incomplete store must not be handed on"
+    snapshot = SnapshotOnWire(
+        applied_offset=store.applied_offset,
+        floor=store.floor,
+        entries={kind: table.packed for kind, table in store.tables.items()},
+        change_ids=store.change_ids.verdicts,
+        marks=list(store.times.marks),
+    )
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(data):
+    """Return a store with the state of a snapshot.
+
+    Parameters
+    ----------
+    data : bytes
+        From `encode_snapshot`.
+
+    Returns
+    -------
+    ConfigStore or None
+        None if the data are not a snapshot.
+    """
+    try:
+        snapshot = msgspec.msgpack.decode(data, type=SnapshotOnWire)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    store = ConfigStore()
+    store.applied_offset = snapshot.applied_offset
+    store.floor = snapshot.floor
+    store.change_ids.verdicts = snapshot.change_ids
+    for time, offset in snapshot.marks:
+        store.times.note(time=time, offset=offset)
+    for kind in KINDS:
+        for name, packed in snapshot.entries.get(kind, {}).items():
+            store.tables[kind].packed[name] = packed
+    return store
--- a/skylarkpost/config/table.py
+++ b/skylarkpost/config/table.py
@@ -43,25 +43,30 @@
     ----------
     kind : str
         A registered kind.
+
+    Attributes
+    ----------
+    packed : dict of str to bytes
+        The entries as they are kept and sent, by name.
     """
 
     def __init__(self, *, kind):
         self.kind = kind
-        self._packed = {}
+        self.packed = {}
 
     def __len__(self):
-        return len(self._packed)
+        return len(self.packed)
 
     def __contains__(self, name):
-        return name in self._packed
+        return name in self.packed
 
     def names(self):
         """Return the names of all entries, tombstones included, as a list."""
-        return list(self._packed)
+        return list(self.packed)
 
     def get(self, name):
         """Return the entry of an item, or None."""
-        packed = self._packed.get(name)
+        packed = self.packed.get(name)
         if packed is None:
             return None
         version, stated, mentioned = HEADER.unpack_from(packed)
@@ -70,7 +75,7 @@
 
     def header(self, name):
         """Return version, stated and mentioned offset of a known item."""
-        return HEADER.unpack_from(self._packed[name])
+        return HEADER.unpack_from(self.packed[name])
 
     def put(self, name, entry):
         """Keep an entry."""
@@ -78,28 +83,20 @@
         if entry.item is not None:
             values = list(item_body(self.kind, entry.item).values())
         header = HEADER.pack(entry.version, entry.stated, entry.mentioned)
-        self._packed[name] = header + msgspec.msgpack.encode(values)
+        self.packed[name] = header + msgspec.msgpack.encode(values)
 
     def touch(self, name, *, stated, mentioned):
         """Raise the offsets of a known item; its content stays."""
-        packed = self._packed[name]
+        packed = self.packed[name]
         version, old_stated, old_mentioned = HEADER.unpack_from(packed)
         header = HEADER.pack(
             version, max(stated, old_stated), max(mentioned, old_mentioned)
         )
-        self._packed[name] = header + packed[HEADER.size :]
+        self.packed[name] = header + packed[HEADER.size :]
 
     def remove(self, name):
         """Forget an item."""
-        del self._packed[name]
-
-    def packed(self, name):
-        """Return the entry as it is kept, for a snapshot."""
-        return self._packed[name]
-
-    def put_packed(self, name, packed):
-        """Keep an entry out of a snapshot."""
-        self._packed[name] = packed
+        del self.packed[name]
 
 
 def _unpack_item(kind, name, version, packed):
--- a/tests/config/test_controller.py
+++ b/tests/config/test_controller.py
@@ -1,11 +1,14 @@
+import contextlib
 import random
 import types
 
+import grpc
 import pytest
 
 from skylarkpost.config.controller import ConfigController
 from skylarkpost.metrics import Metrics
 from skylarkpost.platform import Appended, LogRecord, LogUnavailable, Records
+from skylarkpost.rpc import PeerChannels
 
 
 class FakeLog:
@@ -52,22 +55,59 @@
     return FakeLog()
 
 
-def make_controller(log):
+class FakeMembership:
+    """Members that are given by hand."""
+
+    def __init__(self):
+        self.members = []
+        self.published = {}
+        self.callbacks = {}
+
+    def reachable(self, now):
+        return list(self.members)
+
+    def publish(self, topic, payload):
+        self.published[topic] = payload
+
+    def subscribe(self, topic, callback):
+        self.callbacks[topic] = callback
+
+    def deliver(self, sender, instance):
+        member = types.SimpleNamespace(instance=instance)
+        for topic, payload in sender.published.items():
+            self.callbacks[topic](member, payload, 0.0)
+
+
+class Clock:
+    """Virtual time in seconds."""
+
+    def __init__(self):
+        self.now = 10.0
+
+    def __call__(self):
+        return self.now
+
+
+def make_controller(log, *, instance="entry-1", membership=None):
+    clock = Clock()
     services = types.SimpleNamespace(
         log=log,
-        clock=lambda: 0.0,
-        wall_clock=lambda: 0.0,
+        clock=clock,
+        wall_clock=Clock(),
         random=random.Random(1),
         metrics=Metrics(),
         exchanges={},
-        controllers={},
-        instance="entry-1",
+        controllers={"membership": membership} if membership else {},
+        peers=PeerChannels(),
+        instance=instance,
         data_centre="windhoek-a",
         settings=types.SimpleNamespace(
             platform=types.SimpleNamespace(log_retention=100.0)
         ),
     )
-    return ConfigController(services=services)
+    controller = ConfigController(services=services)
+    clock.now += 5.0
+    return controller
 
 
 async def read_to_end(controller):
@@ -120,3 +160,74 @@
         ("depot", True),
     }
     assert store.applied_offset == 4
+
+
+@contextlib.asynccontextmanager
+async def served(controller):
+    """Serve a controller's configuration on loopback; yields its member."""
+    server = grpc.aio.server()
+    controller.add_to_server(server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    yield types.SimpleNamespace(instance="entry-2", address=f"127.0.0.1:{port}")
+    await server.stop(None)
+
+
+@pytest.fixture
+async def pair(log):
+    """A controller that has lost the log, and a peer that still reads it."""
+    peer = make_controller(log, instance="entry-2", membership=FakeMembership())
+    membership = FakeMembership()
+    cut_log = FakeLog()
+    cut_log.down = True
+    controller = make_controller(cut_log, membership=membership)
+    async with served(peer) as member:
+        membership.members = [member]
+        yield controller, peer
+    await controller.services.peers.close()
+
+
+async def test_a_cold_instance_without_the_log_takes_a_snapshot_of_a_peer(log, pair):
+    controller, peer = pair
+    log.publish("depot", {"rate": 10.0, "burst": 100.0})
+    await read_to_end(controller)
+    assert not controller.is_ready()
+    await read_to_end(peer)
+    controller.services.clock.now += 1.0
+    await read_to_end(controller)
+    await read_to_end(controller)
+    controller.services.clock.now += 1.0
+    await read_to_end(controller)
+    assert controller.is_ready()
+    assert controller.store.team("depot").rate == 10.0
+    assert controller.follower.applied_offset == 1
+
+
+async def test_an_instance_cut_from_the_log_learns_changes_from_a_peer(log, pair):
+    controller, peer = pair
+    await read_to_end(peer)
+    await read_to_end(controller)
+    assert controller.is_ready()
+    for number in range(3):
+        log.publish(f"team-{number}", {"rate": 10.0, "burst": 100.0})
+    await read_to_end(peer)
+    membership = controller.services.controllers["membership"]
+    membership.deliver(peer.services.controllers["membership"], "entry-2")
+    controller.services.clock.now += 1.0
+    await read_to_end(controller)
+    assert controller.store.team("team-2") is not None
+    assert controller.replica.applied_offset == 2
+    assert controller.follower.applied_offset == 3
+
+
+async def test_items_are_restated_before_the_log_forgets_them(log):
+    controller = make_controller(log)
+    log.publish("depot", {"rate": 10.0, "burst": 100.0})
+    await read_to_end(controller)
+    assert len(log.records) == 1
+    controller.services.wall_clock.now += 60.0
+    controller.services.clock.now += 60.0
+    await read_to_end(controller)
+    assert log.records[1].data["type"] == "restatement"
+    assert log.records[1].data["version"] == 1
+    assert log.records[1].data["as_of"] == 1
