Add the operators' tool

It reads and publishes on the log directly. A lost answer is published again with the same change ids, which the fold tells apart from a second change; the verdicts come from the tool's own fold of the stream, the same code as in the instances.

--- /dev/null
+++ b/skylarkpost/cli/admin_client.py
@@ -0,0 +1,68 @@
+"""Asks the instances over HTTP."""
+
+import asyncio
+from typing import Any, NamedTuple
+
+import aiohttp
+import msgspec
+
+__all__ = ["InstanceAnswer", "ask_instances"]
+
+TIMEOUT_S = 3.0
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+
+
+class InstanceAnswer(NamedTuple):
+    """What one instance answered.
+
+    Attributes
+    ----------
+    url : str
+        The instance.
+    content : dict or None
+        Its answer; None if it had none.
+    problem : str or None
+        Why there is no answer; None if it answered, also that it knows nothing.
+    """
+
+    url: str
+    content: dict[str, Any] | None
+    problem: str | None
+
+
+async def ask_instances(urls, path):
+    """Ask all instances at once.
+
+    Parameters
+    ----------
+    urls : list of str
+        ``http://IP:PORT`` of each.
+    path : str
+        Path to get.
+
+    Returns
+    -------
+    list of InstanceAnswer
+        In the order of `urls`.
+    """
+    timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        return await asyncio.gather(*(_ask(http, url, path) for url in urls))
+
+
+async def _ask(http, url, path):
+    try:
+        async with http.get(url + path) as response:
+            if response.status == STATUS_NOT_FOUND:
+                return InstanceAnswer(url, None, None)
+            if response.status != STATUS_OK:
+                return InstanceAnswer(url, None, f"status {response.status}")
+            content = msgspec.json.decode(await response.read(), type=dict)
+    except TimeoutError:
+        return InstanceAnswer(url, None, f"no answer within {TIMEOUT_S:g} s")
+    except (aiohttp.ClientError, OSError) as error:
+        return InstanceAnswer(url, None, str(error))
+    except msgspec.DecodeError as error:
+        return InstanceAnswer(url, None, f"answer not understood: {error}")
+    return InstanceAnswer(url, content, None)
--- /dev/null
+++ b/skylarkpost/cli/history.py
@@ -0,0 +1,137 @@
+"""Everything that the log still tells about the configuration."""
+
+from typing import NamedTuple
+
+from skylarkpost.config import ConfigStore
+from skylarkpost.config.verdicts import (
+    Accepted,
+    Conflict,
+    Duplicate,
+    Held,
+    Invalid,
+    Verdict,
+)
+
+__all__ = ["AuditEntry", "History", "describe_verdict"]
+
+
+class AuditEntry(NamedTuple):
+    """One record of a change and what became of it.
+
+    Attributes
+    ----------
+    offset : int
+        Its offset.
+    time : float
+        The log's wall-clock time, in seconds.
+    record : dict
+        The change.
+    verdict : Verdict
+        What became of it.
+    """
+
+    offset: int
+    time: float
+    record: dict
+    verdict: Verdict
+
+
+class History:
+    """Folds the ``config`` stream and keeps the verdict on each change.
+
+    Parameters
+    ----------
+    first_offset : int
+        Oldest offset that the log keeps.
+    """
+
+    def __init__(self, *, first_offset):
+        self.store = ConfigStore(first_offset=first_offset)
+        self.entries = {}
+        self.last_time = 0.0
+
+    @property
+    def next_offset(self):
+        """Offset of the record that comes next."""
+        return self.store.applied_offset + 1
+
+    def add(self, record):
+        """Apply one record.
+
+        Parameters
+        ----------
+        record : skylarkpost.platform.LogRecord
+            The record at `next_offset`.
+        """
+        offset, time, data = record
+        verdict = self.store.apply(record=data, offset=offset, time=time, now=time)
+        self.last_time = max(self.last_time, time)
+        if data.get("type") == "change":
+            self.entries[offset] = AuditEntry(offset, time, data, verdict)
+
+    def finish(self):
+        """Note that the stream was read to its end for the first time."""
+        if self.store.complete:
+            return
+        now = self.last_time
+        verdicts = self.store.finish_history(time=now, now=now)
+        for offset, verdict in verdicts.items():
+            self.entries[offset] = self.entries[offset]._replace(verdict=verdict)
+
+    def verdict_on(self, change_id, *, from_offset):
+        """Return the verdict on a change.
+
+        Parameters
+        ----------
+        change_id : str
+            Its id.
+        from_offset : int
+            Where to begin to look.
+
+        Returns
+        -------
+        Verdict or None
+            None if no valid copy of it was read yet.
+        """
+        for offset in range(from_offset, self.next_offset):
+            entry = self.entries.get(offset)
+            if entry is None or entry.record.get("change_id") != change_id:
+                continue
+            if isinstance(entry.verdict, Duplicate):
+                return entry.verdict.first or entry.verdict
+            return entry.verdict
+        return None
+
+
+def describe_verdict(verdict):
+    """Return a verdict in words.
+
+    Parameters
+    ----------
+    verdict : Verdict
+        On a change.
+
+    Returns
+    -------
+    str
+        A status word.
+    str
+        Details.
+
+    Examples
+    --------
+    >>> describe_verdict(Accepted(version=8, previous_version=3))
+    ('accepted', 'version 3 -> 8')
+    """
+    match verdict:
+        case Accepted(version=version, previous_version=previous):
+            return "accepted", f"version {previous} -> {version}"
+        case Conflict(expected_version=expected, present_version=present):
+            return "conflict", f"expected version {expected}, found {present}"
+        case Duplicate():
+            return "duplicate", "a copy of a change that was judged before"
+        case Invalid(problem=problem):
+            return "invalid", problem
+        case Held():
+            return "unknown", "the records that would tell have expired"
+    raise AssertionError(f"no verdict on a change: {verdict}")
--- /dev/null
+++ b/skylarkpost/cli/options.py
@@ -0,0 +1,124 @@
+"""Options that several commands share."""
+
+import contextlib
+import getpass
+from dataclasses import dataclass
+from typing import Annotated
+
+import aiohttp
+import cappa
+
+from skylarkpost.cli.exit_codes import ExitCode
+from skylarkpost.cli.session import ConfigSession
+from skylarkpost.cli.tool_settings import load_tool_settings
+from skylarkpost.platform import LogClient, LogUnavailable
+
+__all__ = ["ChangeOptions", "CommandFailed", "InstanceOptions", "LogOptions"]
+
+
+class CommandFailed(Exception):  # noqa: N818 - an end of the command, not an error
+    """Ends a command early.
+
+    Parameters
+    ----------
+    code : ExitCode
+        How the program exits.
+    messages : list of str
+        What the operator is told.
+    """
+
+    def __init__(self, code, *messages):
+        super().__init__(*messages)
+        self.code = code
+        self.messages = messages
+
+
+@dataclass(kw_only=True)
+class OutputOptions:
+    """Options of every command."""
+
+    json: Annotated[
+        bool, cappa.Arg(long=True, help="Write one JSON document for programs.")
+    ] = False
+
+
+@dataclass(kw_only=True)
+class LogOptions(OutputOptions):
+    """Options of commands that read the log."""
+
+    log_url: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="The platform's log, http://IP:PORT."),
+    ] = None
+
+    def tool_settings(self):
+        """Return the checked settings, or end the command."""
+        options = {"log_url": self.log_url, "author": getattr(self, "author", None)}
+        return checked_settings(options)
+
+    @contextlib.asynccontextmanager
+    async def open_session(self, output):
+        """Open a session that has read the log to its end.
+
+        Parameters
+        ----------
+        output : Output
+            For progress.
+        """
+        settings = self.tool_settings()
+        if settings.log_url is None:
+            message = "no log: give --log-url or set SKYLARKPOST_LOG_URL"
+            raise CommandFailed(ExitCode.USAGE, message)
+        async with aiohttp.ClientSession() as http:
+            log = LogClient(base_url=settings.log_url, session_source=lambda: http)
+            session = ConfigSession(
+                log=log,
+                author=settings.author or getpass.getuser(),
+                reason=getattr(self, "reason", ""),
+            )
+            try:
+                loaded = await session.load()
+                if isinstance(loaded, LogUnavailable):
+                    message = f"the log did not answer: {loaded.detail}"
+                    raise CommandFailed(ExitCode.UNAVAILABLE, message)
+                yield session
+            finally:
+                await log.close()
+
+
+@dataclass(kw_only=True)
+class ChangeOptions(LogOptions):
+    """Options of commands that publish changes."""
+
+    author: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="Who makes the change; the user's name by default."),
+    ] = None
+    reason: Annotated[str, cappa.Arg(long=True, help="Why, for the audit trail.")] = ""
+
+
+@dataclass(kw_only=True)
+class InstanceOptions(OutputOptions):
+    """Options of commands that ask the instances."""
+
+    instances: Annotated[
+        str | None,
+        cappa.Arg(long=True, help="http://IP:PORT of each instance, with commas."),
+    ] = None
+
+    def urls(self):
+        """Return the instances' URLs, or end the command."""
+        given = self.instances.split(",") if self.instances else []
+        urls = checked_settings({"instances": given}).instances
+        if not urls:
+            message = "no instances: give --instances or set SKYLARKPOST_INSTANCES"
+            raise CommandFailed(ExitCode.USAGE, message)
+        return urls
+
+
+def checked_settings(options):
+    """Return the tool's settings, or end the command with all faults."""
+    settings = load_tool_settings(options=options)
+    if isinstance(settings, list):
+        raise CommandFailed(ExitCode.USAGE, *settings)
+    return settings
--- /dev/null
+++ b/skylarkpost/cli/session.py
@@ -0,0 +1,241 @@
+"""Reads the configuration from the log and publishes changes on it."""
+
+import asyncio
+import time
+import uuid
+from dataclasses import dataclass
+
+from skylarkpost.cli.history import History
+from skylarkpost.config.records import DEFAULT_VALID_FOR_S
+from skylarkpost.config.verdicts import Verdict
+from skylarkpost.platform import Appended, AppendUnknown, LogUnavailable
+
+__all__ = ["ChangeResult", "ConfigSession", "NotPublished", "OutcomeUnknown"]
+
+CONFIG_STREAM = "config"
+READ_WAIT_S = 1.0
+RETRY_PAUSE_S = 0.3
+UNAVAILABLE_AFTER_S = 10.0
+BATCH_RECORDS = 100
+
+
+@dataclass(frozen=True, kw_only=True)
+class NotPublished:
+    """A change that certainly had no effect.
+
+    Parameters
+    ----------
+    detail : str
+        Why it could not be published.
+    """
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class OutcomeUnknown:
+    """A change that was sent, and may have taken effect.
+
+    Parameters
+    ----------
+    detail : str
+        What happened.
+    """
+
+    detail: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ChangeResult:
+    """What became of one change.
+
+    Parameters
+    ----------
+    record : ChangeRecord
+        The change.
+    outcome : Verdict or NotPublished or OutcomeUnknown
+        As judged by all instances alike, or why that is not known.
+    """
+
+    record: dict
+    outcome: Verdict | NotPublished | OutcomeUnknown
+
+
+class ConfigSession:
+    """One run of the tool against the log.
+
+    Parameters
+    ----------
+    log : LogClient
+        The log.
+    author, reason : str
+        Written into each change.
+    wall_clock : callable
+        Returns seconds since the Unix epoch.
+    sleep : callable
+        Async function that waits some seconds.
+    valid_for : float
+        Seconds within which the log has to take a change.
+    """
+
+    def __init__(
+        self,
+        *,
+        log,
+        author,
+        reason,
+        wall_clock=time.time,
+        sleep=asyncio.sleep,
+        valid_for=DEFAULT_VALID_FOR_S,
+    ):
+        self.log = log
+        self.author = author
+        self.reason = reason
+        self.wall_clock = wall_clock
+        self.sleep = sleep
+        self.valid_for = valid_for
+        self.history = None
+
+    @property
+    def store(self):
+        """The configuration as read so far."""
+        return self.history.store
+
+    async def load(self):
+        """Read the stream to its end.
+
+        Returns
+        -------
+        History or LogUnavailable
+        """
+        deadline = self.wall_clock() + UNAVAILABLE_AFTER_S
+        while True:
+            answer = await self.read_once(wait=0.0)
+            if isinstance(answer, LogUnavailable):
+                if self.wall_clock() >= deadline:
+                    return answer
+                await self.sleep(RETRY_PAUSE_S)
+            elif self.history.next_offset >= answer.next_offset:
+                return self.history
+
+    async def read_once(self, *, wait):
+        """Read the next piece of the stream.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds that the log may wait for a record.
+
+        Returns
+        -------
+        Records or LogUnavailable
+        """
+        wanted = 0 if self.history is None else self.history.next_offset
+        answer = await self.log.read(CONFIG_STREAM, from_offset=wanted, wait=wait)
+        if isinstance(answer, LogUnavailable):
+            return answer
+        if self.history is None or answer.first_offset > wanted:
+            self.history = History(first_offset=answer.first_offset)
+        for record in answer.records:
+            self.history.add(record)
+        if self.history.next_offset >= answer.next_offset:
+            self.history.finish()
+        return answer
+
+    def make_change(self, *, kind, name, expected_version, body):
+        """Return a change that is not published yet.
+
+        Parameters
+        ----------
+        kind, name : str
+            The item.
+        expected_version : int or None
+            Version that it must have; None for any.
+        body : dict or None
+            New content; None removes it.
+
+        Returns
+        -------
+        ChangeRecord
+        """
+        return {
+            "type": "change",
+            "change_id": uuid.uuid4().hex,
+            "author": self.author,
+            "reason": self.reason,
+            "kind": kind,
+            "name": name,
+            "expected_version": expected_version,
+            "body": body,
+            "made_at": 0.0,
+            "valid_for": self.valid_for,
+        }
+
+    async def publish(self, records, *, progress=lambda done: None):
+        """Publish changes and wait for the verdict on each.
+
+        Parameters
+        ----------
+        records : list of ChangeRecord
+            From `make_change`.
+        progress : callable
+            Called with the number of changes dealt with so far.
+
+        Returns
+        -------
+        list of ChangeResult
+            In the order of `records`.
+        """
+        results = []
+        for start in range(0, len(records), BATCH_RECORDS):
+            batch = records[start : start + BATCH_RECORDS]
+            results += await self._publish_batch(batch)
+            progress(len(results))
+        return results
+
+    async def _publish_batch(self, batch):
+        made_at = self.wall_clock()
+        batch = [{**record, "made_at": made_at} for record in batch]
+        deadline = made_at + self.valid_for
+        from_offset = self.history.next_offset
+        maybe_sent, detail = await self._append(batch, deadline)
+        if detail is not None and not maybe_sent:
+            outcome = NotPublished(detail=detail)
+            return [ChangeResult(record=r, outcome=outcome) for r in batch]
+        await self._await_verdicts(batch, from_offset, deadline)
+        return [self._result(record, from_offset) for record in batch]
+
+    async def _append(self, batch, deadline):
+        """Append until it is certain, with the same ids; copies do no harm."""
+        maybe_sent = False
+        give_up_at = min(deadline, self.wall_clock() + UNAVAILABLE_AFTER_S)
+        while True:
+            answer = await self.log.append(CONFIG_STREAM, batch)
+            if isinstance(answer, Appended):
+                return True, None
+            maybe_sent = maybe_sent or isinstance(answer, AppendUnknown)
+            if self.wall_clock() >= give_up_at:
+                return maybe_sent, answer.detail
+            await self.sleep(RETRY_PAUSE_S)
+
+    async def _await_verdicts(self, batch, from_offset, deadline):
+        """Read until each change was judged, or none can be judged any more."""
+        while not all(self._verdict(record, from_offset) for record in batch):
+            answer = await self.read_once(wait=READ_WAIT_S)
+            passed = self.wall_clock() > deadline
+            if isinstance(answer, LogUnavailable):
+                if passed:
+                    return
+                await self.sleep(RETRY_PAUSE_S)
+            elif passed and self.history.next_offset >= answer.next_offset:
+                return
+
+    def _verdict(self, record, from_offset):
+        return self.history.verdict_on(record["change_id"], from_offset=from_offset)
+
+    def _result(self, record, from_offset):
+        outcome = self._verdict(record, from_offset)
+        if outcome is None:
+            detail = "sent, but not seen on the log; run 'skylarkpost audit' later"
+            outcome = OutcomeUnknown(detail=detail)
+        return ChangeResult(record=record, outcome=outcome)
--- a/skylarkpost/config/store.py
+++ b/skylarkpost/config/store.py
@@ -1,6 +1,5 @@
 """The configuration as one instance knows it."""
 
-from collections import deque
 from typing import NamedTuple
 
 from skylarkpost.config.change_ids import ChangeIds
@@ -133,13 +132,23 @@
             The log's time of the last record, in seconds.
         now : float
             The present time, in seconds.
+
+        Returns
+        -------
+        dict of int to Verdict
+            Verdict on each held change by its offset; `Held` where the records
+            that would tell are gone.
         """
         assert self.held is not None, "the history is finished already"
         held, self.held = self.held, None
+        verdicts = {}
         for changes in held.values():
-            self._judge_held(changes, now)
+            for offset, change_time, change in changes:
+                verdict = self._judge_held(change, offset, change_time, now)
+                verdicts[offset] = verdict
         self._mentions = {}
         self.change_ids.prune(time=time)
+        return verdicts
 
     def replace_by(self, other, *, now):
         """Take over the state of another store, and tell what is different.
@@ -237,7 +246,7 @@
             return Invalid(problem=f"{problem}; valid for {change['valid_for']:g} s")
         if self.held is not None:
             key = (change["kind"], change["name"])
-            self.held.setdefault(key, deque()).append((offset, time, change))
+            self.held.setdefault(key, []).append((offset, time, change))
             return Held()
         return self._judge(change, offset, time, now)
 
@@ -288,18 +297,19 @@
         if self.held is not None and mentioned:
             self._mentions[(kind, name)] = mentioned
 
-    def _judge_held(self, changes, now):
-        for offset, time, change in changes:
-            entry = self.tables[change["kind"]].get(change["name"])
-            if entry is None or offset >= entry.stated:
-                self._judge(change, offset, time, now)
-                continue
-            accepted = entry.version == offset + 1
-            first = Accepted(version=offset + 1, previous_version=0)
-            self.change_ids.add(change, first if accepted else None, time=time)
-            self.tables[change["kind"]].touch(
-                change["name"], stated=0, mentioned=offset
-            )
+    def _judge_held(self, change, offset, time, now):
+        table = self.tables[change["kind"]]
+        entry = table.get(change["name"])
+        if entry is None or offset >= entry.stated:
+            return self._judge(change, offset, time, now)
+        table.touch(change["name"], stated=0, mentioned=offset)
+        if entry.version != offset + 1:
+            self.change_ids.add(change, None, time=time)
+            return Held()
+        expected = change["expected_version"] or 0
+        verdict = Accepted(version=offset + 1, previous_version=expected)
+        self.change_ids.add(change, verdict, time=time)
+        return verdict
 
     def _put(self, kind, name, version, stated, mentioned, body, now):
         table = self.tables[kind]
