Relay model requests and calls to plain services

Cause: requests passed the filters and went nowhere.

Ruled out: asking engines for whole answers when the caller wants one. A silent connection can then not be told from a long answer, and nothing can be resumed; the answer is always streamed from the engine and put together here.

Not run yet against an engine.

--- a/skylarkpost/daemon/parts.py
+++ b/skylarkpost/daemon/parts.py
@@ -9,6 +9,8 @@
     "skylarkpost.platform.controllers",
     "skylarkpost.quarantine.controller",
     "skylarkpost.quarantine.filter",
+    "skylarkpost.relay.controller",
+    "skylarkpost.relay.filter",
 )
 
 
--- a/skylarkpost/frontend/caller.py
+++ b/skylarkpost/frontend/caller.py
@@ -19,6 +19,7 @@
 
 HISTORY_LIMIT = 5000
 BODY_TIMEOUT_S = 15.0
+SEND_TIMEOUT_S = 20.0
 
 
 class CallerEndpoint:
@@ -108,7 +109,7 @@
             )
         if self.services.draining:
             response.headers["connection"] = "close"
-        await response(scope, receive, send)
+        await response(scope, receive, _bound(send))
 
     async def _run_chain(self, exchange):
         now = self.services.clock()
@@ -186,6 +187,16 @@
     )
 
 
+def _bound(send):
+    """Give each write to the caller a deadline, so that a silent one is dropped."""
+
+    async def bounded_send(message):
+        async with asyncio.timeout(SEND_TIMEOUT_S):
+            await send(message)
+
+    return bounded_send
+
+
 async def _watch_caller(exchange, receive):
     while (await receive())["type"] != "http.disconnect":
         pass
--- /dev/null
+++ b/skylarkpost/relay/controller.py
@@ -0,0 +1,92 @@
+"""Keeps the clients of targets and the retry budget of one instance."""
+
+import asyncio
+
+from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.outcomes import Refused
+from skylarkpost.relay.retry_budget import RetryBudget
+from skylarkpost.targets import EngineClient, ServiceClient
+
+__all__ = ["RelayController"]
+
+RETRY_RATIO = 0.1
+RETRY_RESERVE = 20.0
+
+
+@register_controller("relay", order=70)
+class RelayController(Controller):
+    """Sends requests to targets.
+
+    Attributes
+    ----------
+    engines : skylarkpost.targets.EngineClient
+        For model requests.
+    plain_services : skylarkpost.targets.ServiceClient
+        For calls to plain services.
+    budget : RetryBudget
+        Bounds the retries of this instance.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.engines = EngineClient(
+            session_source=lambda: services.http,
+            clock=services.clock,
+            silence=services.settings.requests.silence,
+        )
+        self.plain_services = ServiceClient(
+            session_source=lambda: services.http, clock=services.clock
+        )
+        self.budget = RetryBudget(ratio=RETRY_RATIO, reserve=RETRY_RESERVE)
+        self.tasks = set()
+
+    async def stop(self):
+        """Close the clients. See `Controller.stop`."""
+        await asyncio.gather(*self.tasks)
+        await self.engines.close()
+        await self.plain_services.close()
+
+    def status(self):
+        """Return the retry budget. See `Controller.status`."""
+        return {"retry_budget": self.budget.balance}
+
+    async def place_again(self, exchange, *, ledger):
+        """Get a ticket for another attempt of a request.
+
+        Parameters
+        ----------
+        exchange : skylarkpost.filters.Exchange
+            The request; its present ticket is given back.
+        ledger : AttemptLedger
+            Its attempts so far.
+
+        Returns
+        -------
+        Refused or None
+            None if ``exchange.ticket`` is the new ticket.
+        """
+        stewardship = self.services.controllers["stewardship"]
+        await stewardship.release(exchange.ticket)
+        now = self.services.clock()
+        placed = await stewardship.acquire(
+            exchange, avoid=frozenset(ledger.avoid), now=now
+        )
+        if isinstance(placed, Refused):
+            return ledger.refusal(placed.reason, placed.message.rstrip("."))
+        exchange.ticket = placed
+        return None
+
+    def cancel_later(self, ticket, request_id):
+        """Cancel a request at its engine, without waiting for it.
+
+        Parameters
+        ----------
+        ticket : object
+            Where it ran.
+        request_id : str
+            Request id and attempt.
+        """
+        call = self.engines.cancel(ticket.address, request_id=request_id)
+        task = asyncio.create_task(call)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/skylarkpost/relay/filter.py
@@ -0,0 +1,69 @@
+"""Last filter: sends the request and hands the answer back."""
+
+import json
+
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.frontend.responses import error_body
+from skylarkpost.outcomes import Relayed
+from skylarkpost.relay.assembly import assemble_answer
+from skylarkpost.relay.model_answer import DONE, ModelAnswer
+from skylarkpost.relay.service_call import ServiceCall
+
+__all__ = ["DispatchFilter"]
+
+STATUS_OK = 200
+EVENT_STREAM = {"content-type": "text/event-stream", "cache-control": "no-cache"}
+JSON = {"content-type": "application/json"}
+
+
+@register_filter("dispatch", order=80)
+class DispatchFilter(Filter):
+    """Dispatches to the target that the placement filter chose."""
+
+    async def apply(self, exchange):
+        """Dispatch one request. See `Filter.apply`."""
+        relay = self.services.controllers["relay"]
+        parts = {"exchange": exchange, "services": self.services, "relay": relay}
+        if not exchange.is_model_request:
+            return await ServiceCall(**parts).run()
+        answer = ModelAnswer(**parts)
+        if exchange.content.get("stream"):
+            return await self._stream(exchange, answer)
+        return await self._whole(exchange, answer)
+
+    async def _whole(self, exchange, answer):
+        async for _ in answer.events():
+            pass
+        if answer.refusal is not None:
+            return answer.refusal
+        await self.services.controllers["quarantine"].answered(exchange)
+        content = assemble_answer(answer.sequence.passed)
+        body = _once(json.dumps(content).encode())
+        return Relayed(status=STATUS_OK, headers=JSON, body=body)
+
+    async def _stream(self, exchange, answer):
+        events = answer.events()
+        first = await anext(events, None)
+        if first is None:
+            return answer.refusal
+        body = self._body(exchange, answer, first, events)
+        return Relayed(status=STATUS_OK, headers=EVENT_STREAM, body=body)
+
+    async def _body(self, exchange, answer, first, events):
+        yield b"data: " + first + b"\n\n"
+        try:
+            async for data in events:
+                yield b"data: " + data + b"\n\n"
+        finally:
+            await events.aclose()
+        if answer.refusal is None:
+            assert answer.sequence.passed[-1] == DONE
+            await self.services.controllers["quarantine"].answered(exchange)
+            return
+        exchange.outcome = answer.refusal
+        content = error_body(answer.refusal, request_id=exchange.request_id)
+        yield b"data: " + json.dumps(content).encode() + b"\n\n"
+
+
+async def _once(body):
+    yield body
--- /dev/null
+++ b/skylarkpost/relay/model_answer.py
@@ -0,0 +1,253 @@
+"""Gets one answer from engines, over as many attempts as it takes."""
+
+import asyncio
+import contextlib
+import logging
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.outcomes import Reason
+from skylarkpost.relay.assembly import count_generated
+from skylarkpost.relay.attempts import AttemptFailed, AttemptLedger, GiveUp
+from skylarkpost.relay.engine_request import engine_body
+from skylarkpost.relay.sequence import AnswerSequence, Diverged, Dropped, Gap, Passed
+from skylarkpost.targets import (
+    Accepted,
+    Answered,
+    NotRun,
+    StreamBroken,
+    StreamEvent,
+    TargetHealth,
+)
+
+__all__ = ["ModelAnswer"]
+
+logger = logging.getLogger(__name__)
+
+DONE = b"[DONE]"
+MAX_RESUMES = 5
+LEASE_MARGIN_S = 0.5
+CLIENT_ERRORS = range(400, 500)
+
+
+class ModelAnswer:
+    """The answer to one model request.
+
+    Parameters
+    ----------
+    exchange : skylarkpost.filters.Exchange
+        The request, with its first ticket.
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    relay : skylarkpost.relay.RelayController
+        Clients and the retry budget.
+
+    Attributes
+    ----------
+    refusal : Refused or None
+        Why the answer is not whole; None until then.
+    sequence : AnswerSequence
+        The events so far.
+    """
+
+    def __init__(self, *, exchange, services, relay):
+        self.exchange = exchange
+        self.services = services
+        self.engines = relay.engines
+        self.ledger = AttemptLedger(repeatable=True, budget=relay.budget)
+        self.sequence = AnswerSequence()
+        self.refusal = None
+        self.complete = False
+        self.failure = None
+        self.stream = None
+        self.broken = ""
+
+    async def events(self):
+        """Yield the events of the answer, each once and in order.
+
+        When the events end, either the last one was ``[DONE]`` or `refusal`
+        says why not.
+
+        Yields
+        ------
+        bytes
+        """
+        watcher = asyncio.create_task(self._watch_cancel())
+        try:
+            while self.refusal is None and not self.complete:
+                async with contextlib.aclosing(self._attempt()) as attempt:
+                    async for data in attempt:
+                        yield data
+                if not self.complete:
+                    await self._decide_next()
+        finally:
+            watcher.cancel()
+            self.exchange.generated_tokens = count_generated(self.sequence.passed)
+
+    async def _watch_cancel(self):
+        await self.exchange.cancel_event.wait()
+        if self.stream is not None:
+            self.stream.close()
+
+    async def _attempt(self):
+        ticket, now = self.exchange.ticket, self.services.clock()
+        self.failure = None
+        if now >= ticket.expires_at - LEASE_MARGIN_S:
+            detail = "the ticket's lease ended"
+            self._fail(Reason.TARGET_TIMEOUT, detail, ran=False, avoid=False)
+            return
+        self.ledger.begin()
+        number = self.sequence.begin_attempt()
+        request_id = f"{self.exchange.request_id}.{number}"
+        quarantine = self.services.controllers["quarantine"]
+        where = {"target": ticket.target, "boot": ticket.boot}
+        quarantine.started(self.exchange, **where)
+        dispatched_before = self.exchange.dispatched
+        self.exchange.dispatched = True
+        try:
+            opened = await self._open(ticket, request_id)
+            if isinstance(opened, NotRun):
+                self.exchange.dispatched = dispatched_before
+                detail, avoid = (
+                    f"target said {opened.code}",
+                    opened.code != "wrong-boot",
+                )
+                self._fail(Reason.TARGET_FAILED, detail, ran=False, avoid=avoid)
+                return
+            async for data in self._follow(opened, ticket, request_id, number):
+                yield data
+        finally:
+            quarantine.ended(self.exchange, **where)
+            if not self.complete and self.exchange.dispatched:
+                self.services.controllers["relay"].cancel_later(ticket, request_id)
+
+    async def _open(self, ticket, request_id):
+        self._note("sent", f"{ticket.target} {ticket.lora_name} attempt {request_id}")
+        return await self.engines.open_stream(
+            ticket.address,
+            path=self.exchange.path,
+            body=engine_body(self.exchange, lora_name=ticket.lora_name),
+            request_id=request_id,
+            fencing_number=ticket.fencing_number,
+            boot=ticket.boot,
+        )
+
+    async def _follow(self, opened, ticket, request_id, number):
+        resumes = 0
+        while True:
+            broken = "no answer in time"
+            if isinstance(opened, Accepted):
+                self.stream = opened.stream
+                async with contextlib.aclosing(self._read(number)) as items:
+                    async for data in items:
+                        yield data
+                broken = self.broken
+            elif isinstance(opened, Answered):
+                self._fail_answered(opened)
+            if self.complete or self.failure is not None or self._stopped():
+                return
+            resumes += 1
+            if resumes > MAX_RESUMES:
+                self._fail(Reason.STREAM_BROKEN, "the stream broke too often", ran=True)
+                return
+            self.services.metrics.count_event("stream-resumed")
+            self._note("resuming", f"after event {self.sequence.received}: {broken}")
+            opened = await self.engines.resume(
+                ticket.address, request_id=request_id, after=self.sequence.received
+            )
+            if not isinstance(opened, Accepted):
+                await self._judge_loss(ticket, broken)
+                return
+
+    async def _read(self, number):
+        self.broken = "the stream ended early"
+        async with contextlib.aclosing(aiter(self.stream)) as items:
+            async for item in items:
+                if isinstance(item, StreamEvent):
+                    verdict = self.sequence.accept(
+                        attempt=number, event_id=item.id, data=item.data
+                    )
+                    if isinstance(verdict, Passed):
+                        self._note_first_byte()
+                        self.complete = item.data == DONE
+                        yield item.data
+                    elif not self._go_on_after(verdict):
+                        return
+                elif isinstance(item, StreamBroken):
+                    self.broken = item.detail
+                if self._stopped():
+                    return
+
+    def _go_on_after(self, verdict):
+        if isinstance(verdict, Dropped):
+            if verdict.reason != "replayed":
+                self.services.metrics.count_event(f"event-dropped-{verdict.reason}")
+            return True
+        if isinstance(verdict, Gap):
+            self.broken = "an event is missing"
+        if isinstance(verdict, Diverged):
+            self._fail(Reason.STREAM_BROKEN, "a repeated answer differs", ran=True)
+            self.refusal = self.ledger.refusal(self.failure.reason, self.failure.detail)
+        return False
+
+    async def _judge_loss(self, ticket, broken):
+        """Find out whether the target crashed, and hold that against the request."""
+        health = await self.engines.health(ticket.address)
+        same_boot = isinstance(health, TargetHealth) and health.boot == ticket.boot
+        unreachable = not isinstance(health, TargetHealth)
+        if same_boot or (unreachable and broken == "silent"):
+            self._fail(Reason.TARGET_TIMEOUT, "the target went silent", ran=True)
+            return
+        self._fail(Reason.TARGET_FAILED, "the target crashed", ran=True)
+        await self.services.controllers["quarantine"].target_crashed(
+            target=ticket.target, boot=ticket.boot
+        )
+
+    async def _decide_next(self):
+        if self.exchange.cancelled is not None:
+            self.refusal = self.exchange.cancelled
+            return
+        if self.refusal is not None:
+            return
+        ticket, now = self.exchange.ticket, self.services.clock()
+        if self.failure is None:
+            self._fail(Reason.DEADLINE_PASSED, "the time for it is over", ran=True)
+        self._note("failed", f"{ticket.target}: {self.failure.detail}")
+        verdict = self.ledger.failed(
+            self.failure, target=ticket.target, now=now, deadline=self.exchange.deadline
+        )
+        if isinstance(verdict, GiveUp):
+            self.refusal = verdict.refusal
+            return
+        relay = self.services.controllers["relay"]
+        self.refusal = await relay.place_again(self.exchange, ledger=self.ledger)
+
+    def _fail_answered(self, answered):
+        detail = f"the target answered with status {answered.status}"
+        self._fail(Reason.TARGET_FAILED, detail, ran=True)
+        if answered.status in CLIENT_ERRORS:
+            self.ledger.may_have_run = True
+            self.refusal = self.ledger.refusal(self.failure.reason, detail)
+
+    def _fail(self, reason, detail, *, ran, avoid=True):
+        self.failure = AttemptFailed(
+            reason=reason, detail=detail, may_have_run=ran, avoid_target=avoid
+        )
+
+    def _stopped(self):
+        late = self.services.clock() >= self.exchange.deadline
+        return late or self.exchange.cancelled is not None
+
+    def _note_first_byte(self):
+        if self.exchange.first_byte_at is None:
+            self.exchange.first_byte_at = self.services.clock()
+
+    def _note(self, decision, detail):
+        now = self.services.clock()
+        self.exchange.note("dispatch", decision, now=now, detail=detail)
+        log_event(
+            logger,
+            f"attempt-{decision}",
+            level=logging.DEBUG,
+            request=self.exchange.request_id,
+            detail=detail,
+        )
--- /dev/null
+++ b/skylarkpost/relay/service_call.py
@@ -0,0 +1,131 @@
+"""Carries out one call to a plain service."""
+
+import asyncio
+
+from skylarkpost.filters import Answer
+from skylarkpost.outcomes import Reason, Relayed
+from skylarkpost.relay.attempts import AttemptFailed, AttemptLedger, GiveUp
+from skylarkpost.targets import Answered, NotRun
+
+__all__ = ["ServiceCall"]
+
+MAX_KEPT_ANSWER_BYTES = 65_536
+TEAM_HEADER = "x-team"
+REQUEST_ID_HEADER = "x-request-id"
+ROUTE_DEPTH = 3
+
+
+class ServiceCall:
+    """One call, over as many attempts as its route allows.
+
+    Parameters
+    ----------
+    exchange : skylarkpost.filters.Exchange
+        The request, with its first ticket.
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    relay : skylarkpost.relay.RelayController
+        Clients and the retry budget.
+    """
+
+    def __init__(self, *, exchange, services, relay):
+        self.exchange = exchange
+        self.services = services
+        self.relay = relay
+        self.ledger = AttemptLedger(
+            repeatable=exchange.route.repeatable, budget=relay.budget
+        )
+
+    async def run(self):
+        """Return what became of the call.
+
+        Returns
+        -------
+        Outcome
+        """
+        while True:
+            answered = await self._attempt()
+            if isinstance(answered, Answered):
+                return self._relay(answered)
+            if self.exchange.cancelled is not None:
+                return self.exchange.cancelled
+            target, now = self.exchange.ticket.target, self.services.clock()
+            verdict = self.ledger.failed(
+                answered, target=target, now=now, deadline=self.exchange.deadline
+            )
+            if isinstance(verdict, GiveUp):
+                return verdict.refusal
+            refusal = await self.relay.place_again(self.exchange, ledger=self.ledger)
+            if refusal is not None:
+                return refusal
+
+    async def _attempt(self):
+        self.ledger.begin()
+        dispatched_before = self.exchange.dispatched
+        self.exchange.dispatched = True
+        ticket, now = self.exchange.ticket, self.services.clock()
+        self.exchange.note("dispatch", "sent", now=now, detail=ticket.target)
+        answered = await self._send(ticket, now)
+        if isinstance(answered, Answered):
+            return answered
+        if isinstance(answered, NotRun):
+            self.exchange.dispatched = dispatched_before
+            return AttemptFailed(
+                reason=Reason.TARGET_FAILED, detail=answered.code, may_have_run=False
+            )
+        return AttemptFailed(
+            reason=Reason.TARGET_TIMEOUT, detail=answered.detail, may_have_run=True
+        )
+
+    async def _send(self, ticket, now):
+        exchange = self.exchange
+        headers = {**exchange.headers, REQUEST_ID_HEADER: exchange.request_id}
+        if exchange.team is not None:
+            headers[TEAM_HEADER] = exchange.team
+        limit = self.services.settings.requests.service_timeout
+        call = self.relay.plain_services.send(
+            ticket.address,
+            method=exchange.method,
+            path=service_path(exchange.path, exchange.query),
+            headers=headers,
+            body=exchange.body or None,
+            timeout=max(0.01, min(limit, exchange.deadline - now)),
+        )
+        # What may not be repeated is not interrupted either: its outcome is
+        # recorded even if nobody waits for it any more.
+        return await asyncio.shield(asyncio.ensure_future(call))
+
+    def _relay(self, answered):
+        self.exchange.first_byte_at = self.services.clock()
+        kept = answered.body if len(answered.body) <= MAX_KEPT_ANSWER_BYTES else None
+        self.exchange.answer = Answer(answered.status, answered.headers, kept)
+        return Relayed(
+            status=answered.status, headers=answered.headers, body=_once(answered.body)
+        )
+
+
+def service_path(path, query):
+    """Return the path at the service.
+
+    Parameters
+    ----------
+    path, query : str
+        Of the caller's request, ``/services/{route}/...``.
+
+    Returns
+    -------
+    str
+        Path and query without the name of the route.
+
+    Examples
+    --------
+    >>> service_path("/services/bookings/slots/7", "day=2")
+    '/slots/7?day=2'
+    """
+    rest = path.split("/", ROUTE_DEPTH)[ROUTE_DEPTH:]
+    target = "/" + "".join(rest)
+    return f"{target}?{query}" if query else target
+
+
+async def _once(body):
+    yield body
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -58,6 +58,12 @@
         le=60.0,
         description="Seconds without a byte after which a stream is probed.",
     )
+    service_timeout: float = Field(
+        default=10.0,
+        ge=0.1,
+        le=600.0,
+        description="Longest call to a plain service, in seconds.",
+    )
     default_max_tokens: int = Field(
         default=256,
         ge=1,
