--- a/standins/common.py
+++ b/standins/common.py
@@ -93,6 +93,8 @@
             self.switches = msgspec.convert(merged, self.switches_type)
         except msgspec.ValidationError as error:
             return JSONResponse({"error": str(error)}, status_code=400)
+        # The connection that changes the switches is spared by them.
+        self.transports.discard(request.scope["transport"])
         self.switched()
         return await self.get_switches(request)
 
--- /dev/null
+++ b/standins/engine_cache.py
@@ -0,0 +1,65 @@
+"""Prefix cache of the stand-in engine, with limited memory."""
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from standins.answers import BLOCK_CHARACTERS, CHARACTERS_PER_TOKEN
+
+__all__ = ["CacheEvent", "PrefixCache"]
+
+MAX_EVENTS = 10_000
+
+
+class CacheEvent(NamedTuple):
+    """One change of the cache; `at` is in seconds of the engine's clock."""
+
+    n: int
+    kind: str
+    prefix: str
+    at: float
+
+
+class PrefixCache:
+    """Blocks of prompts, the least recently used dropped first.
+
+    Parameters
+    ----------
+    capacity : int
+        Most blocks kept.
+    """
+
+    def __init__(self, *, capacity):
+        self.capacity = capacity
+        self.blocks = OrderedDict()
+        self.events = []
+        self.last_event = 0
+        self.hits = 0
+        self.asked_tokens = 0
+
+    def use(self, hashes, prompt_tokens, *, now):
+        """Look a prompt up, keep it, and return how many tokens were cached."""
+        cached = 0
+        while cached < len(hashes) and hashes[cached] in self.blocks:
+            cached += 1
+        for prefix in hashes:
+            self.add(prefix, now=now)
+        tokens = cached * BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+        self.hits += tokens
+        self.asked_tokens += prompt_tokens
+        return tokens
+
+    def add(self, prefix, *, now):
+        """Keep one block."""
+        if prefix not in self.blocks:
+            self.note("cached", prefix, now)
+        self.blocks[prefix] = None
+        self.blocks.move_to_end(prefix)
+        if len(self.blocks) > self.capacity:
+            dropped, _ = self.blocks.popitem(last=False)
+            self.note("dropped", dropped, now)
+
+    def note(self, kind, prefix, now):
+        """Keep one event."""
+        self.last_event += 1
+        self.events.append(CacheEvent(self.last_event, kind, prefix, now))
+        del self.events[:-MAX_EVENTS]
--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,118 @@
+"""Stand-in for a plain service, some of whose calls may not be repeated.
+
+Run it with ``python -m standins.service --port 8201``. It answers on every path.
+"""
+
+import asyncio
+import os
+
+from starlette.responses import JSONResponse
+from starlette.routing import Route
+
+from standins.common import Switches, abort, hold, main
+from standins.recording import RecordingStandIn
+
+__all__ = ["ServiceStandIn", "ServiceSwitches"]
+
+METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class ServiceSwitches(Switches, kw_only=True):
+    """Faults of a plain service.
+
+    Parameters
+    ----------
+    delay : float
+        Seconds between the effect and the answer.
+    silent_after_effect : int
+        The next calls take effect and are never answered.
+    crash_before_effect, crash_after_effect : int
+        The next calls lose their connection before or after the effect; all
+        other connections are lost as well.
+    exit_after_effect : bool
+        End the process after the next effect, without an answer.
+    status : int
+        Status of the answers.
+    """
+
+    delay: float = 0.0
+    silent_after_effect: int = 0
+    crash_before_effect: int = 0
+    crash_after_effect: int = 0
+    exit_after_effect: bool = False
+    status: int = 200
+
+
+class ServiceStandIn(RecordingStandIn):
+    """Counts how often each call had its effect.
+
+    Attributes
+    ----------
+    counts : dict of str to int
+        Effects by ``Idempotency-Key``, or by ``X-Request-Id`` without one.
+    """
+
+    switches_type = ServiceSwitches
+
+    def __init__(self):
+        super().__init__()
+        self.counts = {}
+
+    def routes(self):
+        """Return the routes of the service."""
+        return [
+            *super().routes(),
+            Route("/health", self.get_health),
+            Route("/counts", self.get_counts),
+            Route("/{path:path}", self.serve_call, methods=METHODS),
+        ]
+
+    async def get_health(self, request):
+        """Show that the process answers."""
+        return JSONResponse({})
+
+    async def get_counts(self, request):
+        """Show how often each call had its effect."""
+        return JSONResponse(self.counts)
+
+    async def serve_call(self, request):
+        """Carry out one call, with the faults that are on."""
+        body = await request.body()
+        headers = request.headers
+        key = headers.get("idempotency-key") or headers.get("x-request-id", "none")
+        if self.take("crash_before_effect"):
+            return self.crash(request)
+        self.counts[key] = self.counts.get(key, 0) + 1
+        if self.switches.exit_after_effect:
+            os._exit(1)
+        if self.take("crash_after_effect"):
+            return self.crash(request)
+        if self.take("silent_after_effect"):
+            await hold(request.scope, lambda: True)
+            return abort(request)
+        await asyncio.sleep(self.switches.delay)
+        answer = {
+            "path": request.url.path,
+            "method": request.method,
+            "bytes": len(body),
+            "run": self.counts[key],
+        }
+        return JSONResponse(answer, status_code=self.switches.status)
+
+    def take(self, switch):
+        """Use up one of the calls for which a fault is set."""
+        left = getattr(self.switches, switch)
+        setattr(self.switches, switch, max(left - 1, 0))
+        return left > 0
+
+    def crash(self, request):
+        """Lose every connection."""
+        self.drop_connections()
+        return abort(request)
+
+
+if __name__ == "__main__":
+    main(
+        lambda arguments: ServiceStandIn(),
+        description="Stand-in for a plain service.",
+    )
