Add clients of engines and plain services

Each outcome says whether the request certainly did not run: no connection or a code that engines give before anything runs. Silence or a lost connection after the request was sent is never 'not run', and neither is a duplicate id. Requests, orders and calls to services go out on new connections, since a kept-alive one may be silent; questions do so after one timed out.

Ruled out: a probe on a kept-alive connection before each call, which costs the same round trip and still leaves a moment between probe and call.

The health of an engine now shows its uptime without a lag, so that the moment of a lagging report can be placed on the asker's clock.

--- /dev/null
+++ b/skylarkpost/targets/__init__.py
@@ -0,0 +1,55 @@
+"""HTTP clients of the targets: engines and plain services."""
+
+from skylarkpost.targets.engine_client import EngineClient
+from skylarkpost.targets.engine_stream import EngineStream
+from skylarkpost.targets.outcomes import (
+    Accepted,
+    Alive,
+    Answered,
+    MayHaveRun,
+    NotRun,
+    OrderDone,
+    OrderFailed,
+    OrderRefused,
+    OrderUnknown,
+    StreamBroken,
+    StreamEnded,
+    StreamEvent,
+    StreamUnknown,
+    TargetUnavailable,
+)
+from skylarkpost.targets.reports import (
+    CacheEvent,
+    CacheEvents,
+    LoadReport,
+    ResidentLoad,
+    TargetHealth,
+)
+from skylarkpost.targets.service_client import ServiceClient
+from skylarkpost.targets.sse import EventParser
+
+__all__ = [
+    "Accepted",
+    "Alive",
+    "Answered",
+    "CacheEvent",
+    "CacheEvents",
+    "EngineClient",
+    "EngineStream",
+    "EventParser",
+    "LoadReport",
+    "MayHaveRun",
+    "NotRun",
+    "OrderDone",
+    "OrderFailed",
+    "OrderRefused",
+    "OrderUnknown",
+    "ResidentLoad",
+    "ServiceClient",
+    "StreamBroken",
+    "StreamEnded",
+    "StreamEvent",
+    "StreamUnknown",
+    "TargetHealth",
+    "TargetUnavailable",
+]
--- /dev/null
+++ b/skylarkpost/targets/engine_reports.py
@@ -0,0 +1,87 @@
+"""Questions to engines: load, cache events, health."""
+
+import msgspec
+
+from skylarkpost.targets.calls import perform
+from skylarkpost.targets.engine_calls import STATUS_OK, EngineCalls
+from skylarkpost.targets.outcomes import MayHaveRun, NotRun, TargetUnavailable
+from skylarkpost.targets.reports import (
+    decode_cache_events,
+    decode_health,
+    decode_load,
+)
+
+__all__ = ["EngineReports"]
+
+
+class EngineReports(EngineCalls):
+    """Asks questions that have no effect; see `EngineCalls`.
+
+    They go out on kept-alive connections until one of them went silent.
+    """
+
+    async def load_report(self, address):
+        """Ask an engine for its load.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the engine.
+
+        Returns
+        -------
+        LoadReport or TargetUnavailable
+        """
+        return await self._ask(address, "/load", decode_load)
+
+    async def cache_events(self, address, *, after):
+        """Ask an engine for changes of its prefix cache.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the engine.
+        after : int
+            ``next`` of the answer before, 0 for a new boot.
+
+        Returns
+        -------
+        CacheEvents or TargetUnavailable
+        """
+        return await self._ask(address, f"/events?after={after}", decode_cache_events)
+
+    async def health(self, address):
+        """Ask an engine for its boot id and uptime, on a new connection.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT`` of the engine.
+
+        Returns
+        -------
+        TargetHealth or TargetUnavailable
+        """
+        return await self._ask(address, "/health", decode_health, fresh=True)
+
+    async def _ask(self, address, path, decode, *, fresh=False):
+        asked_at = self.clock()
+        if fresh:
+            session = self.sessions.fresh()
+        else:
+            session = self.sessions.pooled(address, now=asked_at)
+        call = self.build_call("GET", address, path, {}, None)
+        outcome = await perform(session, call)
+        answered_at = self.clock()
+        match outcome:
+            case MayHaveRun(detail=detail):
+                self.sessions.note_silence(address, now=answered_at)
+                return TargetUnavailable(detail=detail)
+            case NotRun(detail=detail):
+                return TargetUnavailable(detail=detail)
+        if outcome.status != STATUS_OK:
+            return TargetUnavailable(detail=f"status {outcome.status}")
+        try:
+            return decode(outcome.body, asked_at=asked_at, answered_at=answered_at)
+        except msgspec.DecodeError as error:
+            return TargetUnavailable(detail=f"answer not understood: {error}")
--- /dev/null
+++ b/skylarkpost/targets/engine_stream.py
@@ -0,0 +1,77 @@
+"""The stream of one answer on one connection to an engine."""
+
+import aiohttp
+
+from skylarkpost.targets.outcomes import (
+    StreamBroken,
+    StreamEnded,
+    StreamEvent,
+)
+from skylarkpost.targets.sse import EventParser
+
+__all__ = ["EngineStream"]
+
+DONE = b"[DONE]"
+
+
+class EngineStream:
+    """Reads the events of an answer.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        Whose headers have come. Its connection ends a silence by a timeout.
+
+    Examples
+    --------
+    ::
+
+        async for item in stream:
+            match item:
+                case StreamEvent(id=number, data=data):
+                    ...
+                case Alive():
+                    ...
+                case StreamEnded():  # nothing comes after it
+                    ...
+                case StreamBroken(detail=detail):  # nothing comes after it
+                    ...
+    """
+
+    def __init__(self, *, response):
+        self.response = response
+
+    def __aiter__(self):
+        return self._items()
+
+    def close(self):
+        """Close the connection; the engine cancels the stream after a while."""
+        self.response.close()
+
+    async def _items(self):
+        parser = EventParser()
+        try:
+            while True:
+                piece = await self._read_piece()
+                if isinstance(piece, StreamBroken):
+                    yield piece
+                    return
+                for item in parser.feed(piece):
+                    yield item
+                    if isinstance(item, StreamEvent) and item.data == DONE:
+                        yield StreamEnded()
+                        return
+                if parser.oversized:
+                    yield StreamBroken("an event is too long")
+                    return
+        finally:
+            self.close()
+
+    async def _read_piece(self):
+        try:
+            piece = await self.response.content.readany()
+        except TimeoutError:
+            return StreamBroken("silent")
+        except (aiohttp.ClientError, OSError) as error:
+            return StreamBroken(f"connection lost: {error!r}")
+        return piece or StreamBroken("ended before its last event")
--- /dev/null
+++ b/skylarkpost/targets/reports.py
@@ -0,0 +1,219 @@
+"""What engines report about themselves."""
+
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "LoadReport",
+    "ResidentLoad",
+    "TargetHealth",
+    "decode_cache_events",
+    "decode_health",
+    "decode_load",
+]
+
+
+class ResidentLoad(NamedTuple):
+    """Requests on one resident adapter.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Numbers of requests.
+    """
+
+    running: int
+    waiting: int
+
+
+class LoadReport(NamedTuple):
+    """Load of an engine; it lags.
+
+    Attributes
+    ----------
+    boot : str
+        Boot id of the engine.
+    taken_at : float
+        When it was taken, in seconds since the engine's boot.
+    asked_at, answered_at : float
+        When it was asked for and came, in seconds of this instance's clock.
+    slots : int
+        Adapters that can be resident at once.
+    resident : dict of str to ResidentLoad
+        By adapter and version, ``A@V``.
+    loading : tuple of str
+        Adapters being loaded.
+    running, waiting : int
+        Numbers of requests.
+    batch_limit : int
+        Requests that run at once.
+    prompt_cache_hits, prompt_cache_tokens : int
+        Prompt tokens since the boot that came from the cache, and all.
+    """
+
+    boot: str
+    taken_at: float
+    asked_at: float
+    answered_at: float
+    slots: int
+    resident: dict[str, ResidentLoad]
+    loading: tuple[str, ...]
+    running: int
+    waiting: int
+    batch_limit: int
+    prompt_cache_hits: int
+    prompt_cache_tokens: int
+
+
+class CacheEvent(NamedTuple):
+    """One change of an engine's prefix cache.
+
+    Attributes
+    ----------
+    n : int
+        Its number, from 1 in each boot.
+    kind : str
+        ``"cached"`` or ``"dropped"``.
+    prefix : str
+        Hash of the prefix.
+    """
+
+    n: int
+    kind: str
+    prefix: str
+
+
+class CacheEvents(NamedTuple):
+    """Some changes of an engine's prefix cache; late and with gaps.
+
+    Attributes
+    ----------
+    boot : str
+        Boot id of the engine.
+    next : int
+        What to ask for next.
+    events : tuple of CacheEvent
+        In order.
+    """
+
+    boot: str
+    next: int
+    events: tuple[CacheEvent, ...]
+
+
+class TargetHealth(NamedTuple):
+    """A target that answers.
+
+    Attributes
+    ----------
+    boot : str or None
+        Boot id, if it is an engine.
+    uptime : float or None
+        Seconds since the boot, without a lag.
+    asked_at, answered_at : float
+        When it was asked and answered, in seconds of this instance's clock.
+    """
+
+    boot: str | None
+    uptime: float | None
+    asked_at: float
+    answered_at: float
+
+
+class ResidentOnWire(msgspec.Struct):
+    """One resident adapter on the wire."""
+
+    lora_name: str
+    running: int
+    waiting: int
+
+
+class LoadOnWire(msgspec.Struct):
+    """A load report on the wire."""
+
+    boot: str
+    taken_at: float
+    slots: int
+    resident: list[ResidentOnWire]
+    loading: list[str]
+    running: int
+    waiting: int
+    batch_limit: int
+    prompt_cache_hits: int = 0
+    prompt_cache_tokens: int = 0
+
+
+class CacheEventOnWire(msgspec.Struct):
+    """One cache event on the wire."""
+
+    n: int
+    kind: str
+    prefix: str
+
+
+class CacheEventsOnWire(msgspec.Struct):
+    """Cache events on the wire."""
+
+    boot: str
+    next: int
+    events: list[CacheEventOnWire]
+
+
+class HealthOnWire(msgspec.Struct):
+    """Health on the wire."""
+
+    boot: str | None = None
+    uptime: float | None = None
+
+
+def decode_load(body, *, asked_at, answered_at):
+    """Decode a load report.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON.
+    asked_at, answered_at : float
+        In seconds of this instance's clock.
+
+    Returns
+    -------
+    LoadReport
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it is not one.
+    """
+    wire = msgspec.json.decode(body, type=LoadOnWire)
+    resident = {r.lora_name: ResidentLoad(r.running, r.waiting) for r in wire.resident}
+    return LoadReport(
+        boot=wire.boot,
+        taken_at=wire.taken_at,
+        asked_at=asked_at,
+        answered_at=answered_at,
+        slots=wire.slots,
+        resident=resident,
+        loading=tuple(wire.loading),
+        running=wire.running,
+        waiting=wire.waiting,
+        batch_limit=wire.batch_limit,
+        prompt_cache_hits=wire.prompt_cache_hits,
+        prompt_cache_tokens=wire.prompt_cache_tokens,
+    )
+
+
+def decode_cache_events(body, *, asked_at, answered_at):
+    """Decode cache events; see `decode_load`."""
+    wire = msgspec.json.decode(body, type=CacheEventsOnWire)
+    events = tuple(CacheEvent(e.n, e.kind, e.prefix) for e in wire.events)
+    return CacheEvents(wire.boot, wire.next, events)
+
+
+def decode_health(body, *, asked_at, answered_at):
+    """Decode the health of an engine or a plain service; see `decode_load`."""
+    wire = msgspec.json.decode(body, type=HealthOnWire)
+    return TargetHealth(wire.boot, wire.uptime, asked_at, answered_at)
--- /dev/null
+++ b/skylarkpost/targets/sse.py
@@ -0,0 +1,82 @@
+"""Parses server-sent events from pieces of any size."""
+
+from skylarkpost.targets.outcomes import Alive, StreamEvent
+
+__all__ = ["EventParser"]
+
+LINE_FEED = b"\n"
+CARRIAGE_RETURN = b"\r"
+MAX_EVENT_BYTES = 1_048_576
+
+
+class EventParser:
+    r"""Turns bytes into events and comments.
+
+    Events without a number as id are skipped. Lines end with a line feed, with
+    or without a carriage return before it.
+
+    Attributes
+    ----------
+    oversized : bool
+        Whether an event was longer than allowed; the parser takes no more.
+
+    Examples
+    --------
+    >>> parser = EventParser()
+    >>> parser.feed(b": alive\n\nid: 1\nda")
+    [Alive()]
+    >>> parser.feed(b"ta: x\n\n")
+    [StreamEvent(id=1, data=b'x')]
+    """
+
+    def __init__(self):
+        self.oversized = False
+        self._rest = b""
+        self._data = []
+        self._id = None
+
+    def feed(self, piece):
+        """Take the next piece.
+
+        Parameters
+        ----------
+        piece : bytes
+            As it came from the network.
+
+        Returns
+        -------
+        list of StreamEvent or Alive
+            What was completed by it.
+        """
+        if self.oversized:
+            return []
+        lines = (self._rest + piece).split(LINE_FEED)
+        self._rest = lines.pop()
+        found = []
+        for line in lines:
+            item = self._take_line(line.removesuffix(CARRIAGE_RETURN))
+            if item is not None:
+                found.append(item)
+        kept = len(self._rest) + sum(len(data) for data in self._data)
+        self.oversized = kept > MAX_EVENT_BYTES
+        return found
+
+    def _take_line(self, line):
+        if not line:
+            return self._end_event()
+        if line.startswith(b":"):
+            return Alive()
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"data":
+            self._data.append(value)
+        elif name == b"id":
+            self._id = int(value) if value.isdigit() else None
+        return None
+
+    def _end_event(self):
+        data, number = self._data, self._id
+        self._data, self._id = [], None
+        if not data or number is None:
+            return None
+        return StreamEvent(number, LINE_FEED.join(data))
--- a/standins/engine_options.py
+++ b/standins/engine_options.py
@@ -16,6 +16,8 @@
         Adapters resident at once.
     batch_limit : int
         Requests running at once.
+    max_waiting : int
+        Requests waiting at once.
     step_time : float
         Seconds of one step.
     tokens_per_step : int
@@ -32,6 +34,7 @@
 
     slots: int = 4
     batch_limit: int = 8
+    max_waiting: int = 256
     step_time: float = 0.02
     tokens_per_step: int = 1
     prefill_tokens: int = 2048
--- /dev/null
+++ b/tests/targets/test_service_client.py
@@ -0,0 +1,88 @@
+import contextlib
+
+import aiohttp
+import pytest
+
+from skylarkpost.targets import (
+    Answered,
+    MayHaveRun,
+    NotRun,
+    ServiceClient,
+    TargetHealth,
+    TargetUnavailable,
+)
+from standins.common import serving
+from standins.service import ServiceStandIn
+
+
+@contextlib.asynccontextmanager
+async def service_pair():
+    stand_in = ServiceStandIn()
+    async with serving(stand_in) as urls, aiohttp.ClientSession() as session:
+        client = ServiceClient(session_source=lambda: session)
+        try:
+            yield stand_in, client, urls[0].removeprefix("http://")
+        finally:
+            await client.close()
+
+
+def reserve(client, address, key="k-1"):
+    return client.send(
+        address,
+        method="POST",
+        path="/reserve%2Fx?section=1%202",
+        headers={"idempotency-key": key, "connection": "x", "host": "elsewhere"},
+        body=b"{}",
+        timeout=0.3,
+    )
+
+
+async def test_path_headers_and_body_go_through_unchanged():
+    async with service_pair() as (stand_in, client, address):
+        outcome = await reserve(client, address)
+        assert isinstance(outcome, Answered)
+        assert outcome.status == 200
+        assert outcome.headers["content-type"] == "application/json"
+        seen = stand_in.seen[-1].decode().lower()
+        assert seen.startswith("/reserve%2fx?section=1%202\n")
+        assert f"host: {address}" in seen
+        assert "user-agent" not in seen
+
+
+@pytest.mark.parametrize(
+    ("switch", "runs"),
+    [
+        ({"silent_after_effect": 1}, 1),
+        ({"crash_after_effect": 1}, 1),
+        ({"crash_before_effect": 1}, 0),
+        ({"delay": 5.0}, 1),
+    ],
+)
+async def test_after_it_was_sent_no_answer_means_may_have_run(switch, runs):
+    async with service_pair() as (stand_in, client, address):
+        for name, value in switch.items():
+            setattr(stand_in.switches, name, value)
+        assert isinstance(await reserve(client, address), MayHaveRun)
+        assert stand_in.counts.get("k-1", 0) == runs
+
+
+async def test_nobody_listening_means_not_run():
+    async with service_pair() as (_, client, _):
+        assert isinstance(await reserve(client, "127.0.0.1:9"), NotRun)
+
+
+async def test_each_call_has_a_connection_that_is_known_to_work():
+    async with service_pair() as (stand_in, client, address):
+        await reserve(client, address)
+        held = set(stand_in.transports)
+        stand_in.is_cut = lambda scope: scope["transport"] in held
+        assert isinstance(await reserve(client, address, "k-2"), Answered)
+
+
+async def test_health_is_asked_without_an_effect():
+    async with service_pair() as (stand_in, client, address):
+        assert isinstance(await client.health(address), TargetHealth)
+        stand_in.switches.silent = True
+        unavailable = await client.health(address, timeout=0.1)
+        assert isinstance(unavailable, TargetUnavailable)
+        assert stand_in.counts == {}
