--- /dev/null
+++ b/skylarkpost/limits/__init__.py
@@ -0,0 +1,49 @@
+"""Rate and burst of teams over all instances together."""
+
+from skylarkpost.limits.bucket import Receipt, TokenBucket
+from skylarkpost.limits.exchange import (
+    Ask,
+    AskAnswer,
+    Return,
+    ShareExchange,
+    TeamGrant,
+    TeamLease,
+)
+from skylarkpost.limits.keeper import (
+    AppendRecord,
+    AskToYield,
+    Neighbour,
+    SlotKeeper,
+)
+from skylarkpost.limits.lender import Grant, ShareLender, SlotShare, TeamLimit
+from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
+from skylarkpost.limits.rendezvous import choose_instance
+from skylarkpost.limits.slots import SlotOwner, SlotState, SlotTable, Succession
+
+__all__ = [
+    "AppendRecord",
+    "Ask",
+    "AskAnswer",
+    "AskToYield",
+    "DrawGranted",
+    "DrawRefused",
+    "Grant",
+    "Neighbour",
+    "NoShares",
+    "PoolHolder",
+    "Receipt",
+    "Return",
+    "ShareExchange",
+    "ShareLender",
+    "SlotKeeper",
+    "SlotOwner",
+    "SlotShare",
+    "SlotState",
+    "SlotTable",
+    "Succession",
+    "TeamGrant",
+    "TeamLease",
+    "TeamLimit",
+    "TokenBucket",
+    "choose_instance",
+]
--- /dev/null
+++ b/skylarkpost/limits/exchange.py
@@ -0,0 +1,339 @@
+"""How instances lend shares of team limits to each other."""
+
+from typing import NamedTuple
+
+from skylarkpost.limits.lender import Grant
+from skylarkpost.limits.rendezvous import choose_instance
+
+__all__ = ["Ask", "AskAnswer", "Return", "ShareExchange", "TeamGrant", "TeamLease"]
+
+
+class TeamLease(NamedTuple):
+    """A lease on a share of one team.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    lease_id : str
+        The lease.
+    """
+
+    team: str
+    lease_id: str
+
+
+class TeamGrant(NamedTuple):
+    """A share of one team as it is lent.
+
+    Attributes
+    ----------
+    team : str
+        Name of the team.
+    grant : Grant
+        What is lent; without tokens if a lease goes on.
+    """
+
+    team: str
+    grant: Grant
+
+
+class Ask(NamedTuple):
+    """Message: a pool holder asks an owner for its shares.
+
+    Attributes
+    ----------
+    holder : SlotOwner
+        Instance and boot of the pool holder.
+    teams : tuple of str
+        Teams whose pools it holds.
+    leases : tuple of TeamLease
+        What it has of this owner, to be renewed.
+    """
+
+    holder: tuple
+    teams: tuple
+    leases: tuple
+
+
+class AskAnswer(NamedTuple):
+    """Message: the owner's answer.
+
+    Attributes
+    ----------
+    lent : tuple of TeamGrant
+        New leases.
+    renewed : tuple of TeamGrant
+        Leases that go on.
+    recalled : tuple of TeamLease
+        Leases that are to be returned at once.
+    """
+
+    lent: tuple = ()
+    renewed: tuple = ()
+    recalled: tuple = ()
+
+
+class Return(NamedTuple):
+    """Message: a pool holder returns a share.
+
+    Attributes
+    ----------
+    lease : TeamLease
+        The lease.
+    tokens : float
+        Tokens that come back with it.
+    """
+
+    lease: TeamLease
+    tokens: float
+
+
+class ShareExchange:
+    """Lends own shares to pool holders, and borrows for own pools.
+
+    Parameters
+    ----------
+    owner : SlotOwner
+        This instance and its boot.
+    keeper : SlotKeeper
+        Which slots this instance may use.
+    lender : ShareLender
+        The shares of those slots.
+    pools : PoolHolder
+        The pools that this instance holds.
+    """
+
+    def __init__(self, *, owner, keeper, lender, pools):
+        self.owner = owner
+        self.keeper = keeper
+        self.lender = lender
+        self.pools = pools
+
+    def holder_of(self, team, members):
+        """Return which instance holds the pool of a team.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        members : iterable of str
+            Ids of the instances that can be reached and stay.
+
+        Returns
+        -------
+        str or None
+        """
+        return choose_instance(team, members)
+
+    def ask_for(self, lender, members):
+        """Return what to ask one owner for.
+
+        Parameters
+        ----------
+        lender : str
+            Id of the owner; may be this instance.
+        members : iterable of str
+            Ids of the instances that can be reached and stay.
+
+        Returns
+        -------
+        Ask or None
+            None if there is nothing to ask for.
+        """
+        me = self.owner.instance
+        teams = tuple(t for t in self.lender.teams if self.holder_of(t, members) == me)
+        leases = tuple(TeamLease(*lease) for lease in self.pools.leases_from(lender))
+        if not teams and not leases:
+            return None
+        return Ask(self.owner, teams, leases)
+
+    def answer(self, ask, members, *, now):
+        """Answer a pool holder that asks for shares.
+
+        Parameters
+        ----------
+        ask : Ask
+            What it asks for.
+        members : iterable of str
+            Ids of the instances that can be reached and stay, seen from here.
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        AskAnswer
+        """
+        may_lend = self._sync(now)
+        renewed, recalled = [], []
+        for team, lease_id in ask.leases:
+            grant = None
+            if may_lend and self._agrees(team, ask, members):
+                grant = self.lender.renew(team, lease_id, ask.holder, now=now)
+            if grant is None:
+                recalled.append(TeamLease(team, lease_id))
+            else:
+                renewed.append(TeamGrant(team, grant))
+        lent = []
+        if may_lend:
+            lent = self._lend_all(ask, members, now)
+        return AskAnswer(tuple(lent), tuple(renewed), tuple(recalled))
+
+    def take_answer(self, lender, answer, *, asked_at, now):
+        """Take an owner's answer into the pools.
+
+        Parameters
+        ----------
+        lender : str
+            Id of the owner.
+        answer : AskAnswer
+            Its answer.
+        asked_at : float
+            When it was asked, in seconds.
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        list of Return
+            Shares that have to be returned to this owner.
+        """
+        for team, grant in answer.renewed:
+            self.pools.renewed(team, grant, asked_at=asked_at, now=now)
+        for team, grant in answer.lent:
+            self.pools.join(team, lender, grant, asked_at=asked_at, now=now)
+        return self._give_back(answer.recalled, now)
+
+    def returns_to(self, lender, members, *, now):
+        """Return the shares of an owner that are no longer held here.
+
+        Parameters
+        ----------
+        lender : str
+            Id of the owner.
+        members : iterable of str
+            Ids of the instances that can be reached and stay.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Return
+            Of teams whose pools another instance holds now.
+        """
+        me = self.owner.instance
+        stale = [
+            TeamLease(team, lease_id)
+            for team, lease_id in self.pools.leases_from(lender)
+            if self.holder_of(team, members) != me
+        ]
+        return self._give_back(stale, now)
+
+    def take_return(self, message, *, now):
+        """Take a returned share back.
+
+        Parameters
+        ----------
+        message : Return
+            The share.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+            False if its lease had ended.
+        """
+        self._sync(now)
+        lease = message.lease
+        return self.lender.take_back(
+            lease.team, lease.lease_id, message.tokens, now=now
+        )
+
+    def draw_pooled(self, team, tokens, *, now):
+        """Charge a request to the pool that this instance holds.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        tokens : float
+            Tokens of the request.
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        DrawAnswer
+        """
+        self.keeper.note_time(now)
+        return self.pools.draw(team, tokens, now=now)
+
+    def draw_at_home(self, team, tokens, *, now):
+        """Charge a request to shares of this instance that are not lent.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        tokens : float
+            Tokens of the request.
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        Receipt or None
+        """
+        if not self._sync(now):
+            return None
+        return self.lender.draw(team, tokens, now=now)
+
+    def refund(self, team, receipt, tokens, *, now):
+        """Put back what a request that was charged here did not use.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        receipt : Receipt
+            Of the charge.
+        tokens : float
+            Tokens that were not used.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Tokens put back.
+        """
+        self._sync(now)
+        returned = self.pools.refund(team, receipt, tokens, now=now)
+        return returned or self.lender.refund(team, receipt, tokens, now=now)
+
+    def _sync(self, now):
+        may_use = self.keeper.may_use(now)
+        self.lender.set_slots(self.keeper.active_slots(), now=now)
+        return may_use
+
+    def _agrees(self, team, ask, members):
+        return self.holder_of(team, members) == ask.holder[0]
+
+    def _lend_all(self, ask, members, now):
+        lent = []
+        for team in ask.teams:
+            if not self._agrees(team, ask, members):
+                continue
+            grant = self.lender.lend(team, ask.holder, now=now)
+            if grant is not None:
+                lent.append(TeamGrant(team, grant))
+        return lent
+
+    def _give_back(self, leases, now):
+        returns = []
+        for lease in leases:
+            tokens = self.pools.give_back(lease.team, lease.lease_id, now=now)
+            if tokens is not None:
+                returns.append(Return(lease, tokens))
+        return returns
--- /dev/null
+++ b/skylarkpost/limits/keeper.py
@@ -0,0 +1,383 @@
+"""Decides which share slots this instance claims, uses and confirms."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from skylarkpost.limits.lender import SlotShare
+from skylarkpost.limits.rendezvous import choose_instance
+from skylarkpost.limits.slots import SlotOwner, Succession
+
+__all__ = ["AppendRecord", "AskToYield", "Neighbour", "SlotKeeper"]
+
+NEVER = float("-inf")
+# An append without an answer is given up on after this long.
+APPEND_PATIENCE_S = 2.0
+# Head start of the instance that should claim a free slot.
+PREFERENCE_S = 2.0
+YIELD_INTERVAL_S = 0.5
+# Part of the retention after which a record is written anew.
+CONFIRM_PART = 1 / 3
+SILENCE_MARGIN_S = 1.0
+
+
+class Neighbour(NamedTuple):
+    """Another instance of the same data centre, as it was last heard of.
+
+    Attributes
+    ----------
+    owner : SlotOwner
+        Instance and boot.
+    last_heard_at : float
+        When its last message came, in seconds.
+    """
+
+    owner: SlotOwner
+    last_heard_at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class AppendRecord:
+    """Command: append a record to the `state` stream.
+
+    Parameters
+    ----------
+    record : SlotRecord
+        The record.
+    """
+
+    record: dict
+
+
+@dataclass(frozen=True, kw_only=True)
+class AskToYield:
+    """Command: tell the former owner that its slot has been claimed.
+
+    Parameters
+    ----------
+    owner : SlotOwner or None
+        The former owner; None stands for all instances of the data centre.
+    slot : str
+        The slot.
+    claim : int
+        Offset of the claim that replaced its own.
+    """
+
+    owner: SlotOwner | None
+    slot: str
+    claim: int
+
+
+@dataclass(kw_only=True)
+class _Pending:
+    """A slot that was claimed while its last owner had not released it."""
+
+    claim: int
+    previous: SlotOwner | None
+    silent_since: float
+    usable_at: float | None = None
+    asked_at: float = NEVER
+
+
+@dataclass(kw_only=True)
+class _Active:
+    share: SlotShare
+    renewed_at: float
+    confirmed_at: float = NEVER
+    appended_at: float = NEVER
+
+
+@dataclass(kw_only=True)
+class _Attempts:
+    claimed_at: dict = field(default_factory=dict)
+    free_since: dict = field(default_factory=dict)
+
+
+class SlotKeeper:
+    """The slots of this instance's data centre, and which of them are its own.
+
+    Parameters
+    ----------
+    owner : SlotOwner
+        This instance and its boot.
+    slots : list of str
+        Slots of its data centre.
+    table : SlotTable
+        What the log says.
+    authority : float
+        Longest pause, in seconds, after which this instance still acts as an
+        owner without having read the log again.
+    lease : float
+        Seconds for which shares are lent.
+    retention : float
+        Seconds that the log keeps a record.
+    now : float
+        The present time, in seconds.
+
+    Notes
+    -----
+    Within a data centre messages arrive. An owner that was silent for longer
+    than `authority` has been paused for longer than that, and reads the log
+    before it does anything once it wakes up. A new owner therefore claims the
+    slot and then waits until the last owner was silent for that long after
+    the claim, or has said that it gave the slot up; and besides until all that
+    the last owner has lent must have ended.
+    """
+
+    def __init__(self, *, owner, slots, table, authority, lease, retention, now):
+        self.owner = owner
+        self.slots = slots
+        self.table = table
+        self.authority = authority
+        self.lend_time = lease * 1.1 + SILENCE_MARGIN_S
+        self.silence = authority + SILENCE_MARGIN_S
+        self.confirm_interval = retention * CONFIRM_PART
+        self.active = {}
+        self.pending = {}
+        self.yielded = {}
+        self.used_claims = set()
+        self.attempts = _Attempts()
+        self.seen_at = now
+        self.listening_since = now
+        self.unconfirmed_since = None
+        self.releasing = False
+
+    def note_time(self, now):
+        """Look for a pause of this process. Comes before every decision.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        if now - self.seen_at > self.authority:
+            self.unconfirmed_since = now
+            self.listening_since = now
+        self.seen_at = max(now, self.seen_at)
+
+    def note_log_read(self, fresh_at, now):
+        """Note how recent the view of the log is.
+
+        Parameters
+        ----------
+        fresh_at : float or None
+            When the last read to the end of the stream was started.
+        now : float
+            The present time, in seconds.
+        """
+        self.note_time(now)
+        if fresh_at is None:
+            return
+        if self.unconfirmed_since is not None and fresh_at > self.unconfirmed_since:
+            self.unconfirmed_since = None
+
+    def may_use(self, now):
+        """Return whether this instance may act as an owner at present.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        bool
+            False after a pause, until the log has been read again.
+        """
+        self.note_time(now)
+        return self.unconfirmed_since is None
+
+    def active_slots(self):
+        """Return the slots that this instance owns and has begun to use.
+
+        Returns
+        -------
+        dict of str to SlotShare
+        """
+        return {
+            slot: active.share
+            for slot, active in self.active.items()
+            if self._owns(slot, active.share.claim)
+        }
+
+    def yield_slot(self, slot, claim):
+        """Give up a slot that another instance has claimed on the log.
+
+        Parameters
+        ----------
+        slot : str
+            The slot.
+        claim : int
+            Offset of the other claim.
+
+        Returns
+        -------
+        bool
+            Always True: this boot will not use the slot under an older claim.
+        """
+        self.yielded[slot] = max(claim, self.yielded.get(slot, claim))
+        return True
+
+    def note_yielded(self, slot, now):
+        """Note that the former owner of a claimed slot has given it up.
+
+        Parameters
+        ----------
+        slot : str
+            The slot.
+        now : float
+            The present time, in seconds.
+        """
+        pending = self.pending.get(slot)
+        if pending is not None and pending.usable_at is None:
+            pending.usable_at = now + self.lend_time
+
+    def tick(self, now, *, log_time, neighbours):
+        """Decide what to do about each slot.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        log_time : float
+            The log's present time as well as it is known, in seconds.
+        neighbours : list of Neighbour
+            Other instances of this data centre that were heard of lately.
+
+        Returns
+        -------
+        list of AppendRecord or AskToYield
+        """
+        self.note_time(now)
+        commands = []
+        for slot in self.slots:
+            state = self.table.states.get(slot)
+            if state is not None and self._owns(slot, state.claim):
+                commands += self._tick_own(slot, state, now, neighbours)
+            else:
+                self._forget(slot)
+                commands += self._tick_other(slot, state, now, log_time, neighbours)
+        return commands
+
+    def release(self, slot, balances):
+        """Return the record that gives a slot up.
+
+        Parameters
+        ----------
+        slot : str
+            An active slot; it is not active afterwards.
+        balances : dict of str to float
+            Tokens by team for the next owner.
+
+        Returns
+        -------
+        AppendRecord
+        """
+        claim = self.active.pop(slot).share.claim
+        self.yield_slot(slot, claim + 1)
+        record = self._record("slot-release", slot, claim=claim, balances=balances)
+        return AppendRecord(record=record)
+
+    def _owns(self, slot, claim):
+        state = self.table.states.get(slot)
+        if state is None or state.released or state.owner != self.owner:
+            return False
+        return state.claim == claim >= self.yielded.get(slot, claim)
+
+    def _tick_own(self, slot, state, now, neighbours):
+        active = self.active.get(slot)
+        if active is not None and active.share.claim == state.claim:
+            return self._confirm(slot, active, state, now)
+        must_wait = state.succession is Succession.TAKEN_OVER
+        if must_wait and state.claim not in self.used_claims:
+            return self._tick_pending(slot, state, now, neighbours)
+        return self._activate(slot, state, now)
+
+    def _tick_pending(self, slot, state, now, neighbours):
+        pending = self.pending.get(slot)
+        if pending is None or pending.claim != state.claim:
+            pending = self.pending[slot] = _Pending(
+                claim=state.claim, previous=state.previous, silent_since=now
+            )
+        heard_at = _last_heard(neighbours, pending.previous)
+        pending.silent_since = max(pending.silent_since, heard_at, self.listening_since)
+        if pending.usable_at is None and now - pending.silent_since > self.silence:
+            pending.usable_at = pending.silent_since + self.silence + self.lend_time
+        if pending.usable_at is not None and now >= pending.usable_at:
+            del self.pending[slot]
+            return self._activate(slot, state, now)
+        if pending.usable_at is None and now - pending.asked_at >= YIELD_INTERVAL_S:
+            pending.asked_at = now
+            return [AskToYield(owner=pending.previous, slot=slot, claim=state.claim)]
+        return []
+
+    def _tick_other(self, slot, state, now, log_time, neighbours):
+        if self.releasing or not self.may_use(now):
+            return []
+        if not self.table.claimable(slot, log_time):
+            return []
+        expected = self.table.expected(slot, log_time)
+        is_free = state is None or state.released
+        if not is_free and self._was_heard(state.owner, now, neighbours):
+            self.attempts.free_since.pop(slot, None)
+            return []
+        free_since = self.attempts.free_since.setdefault(slot, now)
+        if not self._is_preferred(slot, neighbours) and now - free_since < PREFERENCE_S:
+            return []
+        claimed_at = self.attempts.claimed_at.get(slot, NEVER)
+        if now - claimed_at < APPEND_PATIENCE_S:
+            return []
+        self.attempts.claimed_at[slot] = now
+        record = self._record("slot-claim", slot, expects=expected)
+        return [AppendRecord(record=record)]
+
+    def _activate(self, slot, state, now):
+        is_first_use = state.claim not in self.used_claims
+        self.used_claims.add(state.claim)
+        never_used = is_first_use and state.succession is Succession.FIRST
+        share = SlotShare(
+            claim=state.claim,
+            since=NEVER if never_used else now,
+            balances=dict(state.balances) if is_first_use else {},
+        )
+        active = _Active(share=share, renewed_at=state.renewed_at)
+        self.active[slot] = active
+        return self._confirm(slot, active, state, now)
+
+    def _confirm(self, slot, active, state, now):
+        if state.renewed_at != active.renewed_at:
+            active.renewed_at = state.renewed_at
+            active.confirmed_at = now
+        if now - active.confirmed_at < self.confirm_interval:
+            return []
+        if now - active.appended_at < APPEND_PATIENCE_S:
+            return []
+        active.appended_at = now
+        record = self._record("slot-confirm", slot, claim=active.share.claim)
+        return [AppendRecord(record=record)]
+
+    def _forget(self, slot):
+        self.active.pop(slot, None)
+        self.pending.pop(slot, None)
+
+    def _was_heard(self, owner, now, neighbours):
+        heard_at = max(self.listening_since, _last_heard(neighbours, owner))
+        return now - heard_at <= self.silence
+
+    def _is_preferred(self, slot, neighbours):
+        candidates = [neighbour.owner.instance for neighbour in neighbours]
+        candidates.append(self.owner.instance)
+        return choose_instance(slot, candidates) == self.owner.instance
+
+    def _record(self, record_type, slot, **fields):
+        return {
+            "type": record_type,
+            "slot": slot,
+            "instance": self.owner.instance,
+            "boot": self.owner.boot,
+            **fields,
+        }
+
+
+def _last_heard(neighbours, owner):
+    times = [n.last_heard_at for n in neighbours if n.owner == owner]
+    return max(times, default=NEVER)
--- /dev/null
+++ b/skylarkpost/limits/lender.py
@@ -0,0 +1,384 @@
+"""The shares of an instance, and to whom they are lent."""
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from skylarkpost.limits.bucket import TokenBucket
+
+__all__ = ["Grant", "ShareLender", "SlotShare", "TeamLimit"]
+
+# The lender waits longer than the borrower may use the share, in case that
+# their clocks do not run at quite the same speed.
+CLOCK_MARGIN = 1.1
+
+
+class TeamLimit(NamedTuple):
+    """Rate and burst of a team over the whole fleet.
+
+    Attributes
+    ----------
+    rate : float
+        Tokens a second.
+    burst : float
+        Tokens.
+    """
+
+    rate: float
+    burst: float
+
+
+class SlotShare(NamedTuple):
+    """A share slot that this instance may use.
+
+    Attributes
+    ----------
+    claim : int
+        Offset of the record by which this instance got it.
+    since : float
+        Time from which its tokens accrue; minus infinity if nobody ever had
+        the slot before, so that its buckets start full.
+    balances : dict of str to float
+        Tokens by team that the last owner handed over with it.
+    """
+
+    claim: int
+    since: float
+    balances: dict
+
+
+class Grant(NamedTuple):
+    """A share as it is lent.
+
+    Attributes
+    ----------
+    lease_id : str
+        Unique among all leases.
+    rate, burst : float
+        Capacity that is lent.
+    level : float
+        Tokens that are lent with it.
+    """
+
+    lease_id: str
+    rate: float
+    burst: float
+    level: float
+
+
+@dataclass(kw_only=True)
+class _Lent:
+    holder: str
+    slots: set
+    ends_at: float
+    renewable: bool = True
+
+
+@dataclass(kw_only=True)
+class _TeamShare:
+    limit: TeamLimit
+    bucket: TokenBucket
+    home: set = field(default_factory=set)
+    lent: dict = field(default_factory=dict)
+
+
+class ShareLender:
+    """Keeps the buckets of an instance's share slots, one for each team.
+
+    Parameters
+    ----------
+    owner : str
+        Instance and boot, as a prefix of ids.
+    total_slots : int
+        Number of share slots of the whole fleet.
+    lease : float
+        Seconds that a borrower may use a share after it asked.
+
+    Notes
+    -----
+    A slot's share of a team is either at home or lent as a whole. A lease that
+    ends without the share having been returned brings back the capacity, but
+    no tokens.
+    """
+
+    def __init__(self, *, owner, total_slots, lease):
+        self.owner = owner
+        self.total_slots = total_slots
+        self.lease = lease
+        self.slots = {}
+        self.teams = {}
+        self.number = 0
+
+    def set_team(self, team, limit, *, now):
+        """Take over a team's limit, new or changed.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        limit : TeamLimit
+            Its limit over the whole fleet.
+        now : float
+            The present time, in seconds.
+        """
+        share = self.teams.get(team)
+        if share is None:
+            bucket = TokenBucket(bucket_id=self._next_id("home"), now=now)
+            self.teams[team] = _TeamShare(limit=limit, bucket=bucket)
+            for slot in self.slots:
+                self._bring_home(team, slot, now=now, level=None)
+            return
+        if share.limit != limit:
+            share.limit = limit
+            self._fit(share, now=now)
+
+    def set_slots(self, slots, *, now):
+        """Take over which slots this instance may use.
+
+        Parameters
+        ----------
+        slots : dict of str to SlotShare
+            By slot. One with another claim than before counts as new.
+        now : float
+            The present time, in seconds.
+        """
+        for slot, share in list(self.slots.items()):
+            if slot not in slots or slots[slot].claim != share.claim:
+                self._lose(slot, now=now)
+        for slot, share in slots.items():
+            if slot not in self.slots:
+                self.slots[slot] = share
+                for team in self.teams:
+                    self._bring_home(team, slot, now=now, level=None)
+
+    def lend(self, team, holder, *, now):
+        """Lend what is at home of a team's share.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        holder : str
+            Instance and boot of the borrower.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Grant or None
+            None if nothing is at home.
+        """
+        self.advance(now)
+        share = self.teams.get(team)
+        if share is None or not share.home:
+            return None
+        lease_id = self._next_id("lease")
+        rate, burst = share.bucket.rate, share.bucket.burst
+        level = share.bucket.remove(rate=rate, burst=burst, now=now, with_tokens=True)
+        share.lent[lease_id] = _Lent(
+            holder=holder, slots=share.home, ends_at=self._lease_end(now)
+        )
+        share.home = set()
+        self._fit(share, now=now)
+        return Grant(lease_id, rate, burst, level)
+
+    def renew(self, team, lease_id, holder, *, now):
+        """Lengthen a lease.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        lease_id : str
+            The lease.
+        holder : str
+            Instance and boot of the borrower.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Grant or None
+            The capacity that the lease stands for now, without tokens; None
+            if the lease has ended or may not go on.
+        """
+        self.advance(now)
+        share = self.teams.get(team)
+        lent = share.lent.get(lease_id) if share else None
+        if lent is None or lent.holder != holder or not lent.renewable:
+            return None
+        lent.ends_at = self._lease_end(now)
+        rate, burst = self._capacity(share.limit, len(lent.slots))
+        return Grant(lease_id, rate, burst, 0.0)
+
+    def take_back(self, team, lease_id, tokens, *, now):
+        """Take a share back before its lease ends.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        lease_id : str
+            The lease.
+        tokens : float
+            Tokens that come back with it.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+            False if the lease has ended; the tokens are lost then.
+        """
+        self.advance(now)
+        share = self.teams.get(team)
+        lent = share.lent.pop(lease_id, None) if share else None
+        if lent is None:
+            return False
+        for slot in lent.slots:
+            level = tokens / len(lent.slots)
+            self._bring_home(team, slot, now=now, level=level)
+        return True
+
+    def draw(self, team, tokens, *, now):
+        """Charge a request to what is at home of a team's share.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        tokens : float
+            Tokens of the request.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Receipt or None
+            None if there are too few tokens.
+        """
+        self.advance(now)
+        share = self.teams.get(team)
+        return share.bucket.charge(tokens, now=now) if share else None
+
+    def refund(self, team, receipt, tokens, *, now):
+        """Put back what a request charged here did not use.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        receipt : Receipt
+            Of the charge.
+        tokens : float
+            Tokens that were not used.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Tokens put back.
+        """
+        self.advance(now)
+        share = self.teams.get(team)
+        return share.bucket.refund(receipt, tokens, now=now) if share else 0.0
+
+    def advance(self, now):
+        """Bring home the capacity of all leases that have ended.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        for team, share in self.teams.items():
+            ended = [key for key, lent in share.lent.items() if now >= lent.ends_at]
+            for lease_id in ended:
+                for slot in share.lent.pop(lease_id).slots:
+                    self._bring_home(team, slot, now=now, level=0.0)
+
+    def surrender(self, slot, *, now):
+        """Give up a slot for good, with its tokens.
+
+        Parameters
+        ----------
+        slot : str
+            The slot; none of its shares may be lent.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        dict of str to float
+            Tokens by team, for the next owner.
+        """
+        assert not self.is_lent(slot), "a lent share cannot be released"
+        balances = {}
+        for team, share in self.teams.items():
+            rate, burst = self._capacity(share.limit, 1)
+            bucket = share.bucket
+            balances[team] = bucket.remove(
+                rate=rate, burst=burst, now=now, with_tokens=True
+            )
+        self._lose(slot, now=now)
+        return balances
+
+    def is_lent(self, slot):
+        """Return whether any team's share of a slot is lent.
+
+        Parameters
+        ----------
+        slot : str
+            The slot.
+
+        Returns
+        -------
+        bool
+        """
+        return any(
+            slot in lent.slots
+            for share in self.teams.values()
+            for lent in share.lent.values()
+        )
+
+    def _bring_home(self, team, slot, *, now, level):
+        share = self.teams[team]
+        rate, burst = self._capacity(share.limit, 1)
+        if level is None:
+            level = self._first_level(team, slot, rate, burst, now)
+        share.home.add(slot)
+        share.bucket.add(rate=rate, burst=burst, level=min(level, burst), now=now)
+        self._fit(share, now=now)
+
+    def _first_level(self, team, slot, rate, burst, now):
+        # As if the team had been known since the slot's tokens began to accrue.
+        slot_share = self.slots[slot]
+        since = slot_share.since
+        if since == float("-inf"):
+            return burst
+        return min(burst, slot_share.balances.get(team, 0.0) + rate * (now - since))
+
+    def _lose(self, slot, *, now):
+        del self.slots[slot]
+        for share in self.teams.values():
+            share.home.discard(slot)
+            for lent in share.lent.values():
+                if slot in lent.slots:
+                    lent.slots.discard(slot)
+                    lent.renewable = False
+            self._fit(share, now=now)
+
+    def _fit(self, share, *, now):
+        rate, burst = self._capacity(share.limit, len(share.home))
+        share.bucket.set_limits(rate=rate, burst=burst, now=now)
+
+    def _capacity(self, limit, slots):
+        part = slots / self.total_slots
+        return limit.rate * part, limit.burst * part
+
+    def _lease_end(self, now):
+        return now + self.lease * CLOCK_MARGIN
+
+    def _next_id(self, kind):
+        self.number += 1
+        return f"{self.owner}/{kind}-{self.number}"
--- /dev/null
+++ b/skylarkpost/limits/slots.py
@@ -0,0 +1,272 @@
+"""Who owns the share slots: a fold of the records on the `state` stream."""
+
+import enum
+from dataclasses import dataclass, field, replace
+from typing import NamedTuple, TypedDict
+
+__all__ = ["SlotOwner", "SlotRecord", "SlotState", "SlotTable", "Succession"]
+
+
+class Succession(enum.StrEnum):
+    """How a slot came to its owner."""
+
+    FIRST = "first"
+    RELEASED = "released"
+    TAKEN_OVER = "taken-over"
+
+
+class SlotRecord(TypedDict, total=False):
+    """A record about a slot, as it stands on the log.
+
+    Attributes
+    ----------
+    type : str
+        ``slot-claim``, ``slot-confirm`` or ``slot-release``.
+    slot : str
+        Id of the slot.
+    instance, boot : str
+        Who wrote it.
+    expects : int or None
+        Of a claim: offset of the claim that it replaces.
+    claim : int
+        Of the other records: offset of the writer's own claim.
+    balances : dict of str to float
+        Of a release: the tokens by team that go to the next owner.
+    """
+
+    type: str
+    slot: str
+    instance: str
+    boot: str
+    expects: int | None
+    claim: int
+    balances: dict
+
+
+class SlotOwner(NamedTuple):
+    """One run of one instance.
+
+    Attributes
+    ----------
+    instance : str
+        Its id.
+    boot : str
+        Id of the run.
+    """
+
+    instance: str
+    boot: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class SlotState:
+    """What the log says about one slot.
+
+    Parameters
+    ----------
+    claim : int
+        Offset of the accepted claim, which is its fencing number.
+    owner : SlotOwner
+        Who wrote it.
+    renewed_at : float
+        Log time of the owner's last record, in seconds.
+    released : bool
+        Whether the owner has given the slot up.
+    balances : dict of str to float
+        Tokens that were handed over with the slot: by a release to the next
+        owner, or by the last owner to this one.
+    succession : Succession
+        How it came to its owner; ``FIRST`` only if nobody ever had it before.
+    previous : SlotOwner or None
+        The owner from whom it was taken over, if known.
+    """
+
+    claim: int
+    owner: SlotOwner
+    renewed_at: float
+    released: bool = False
+    balances: dict = field(default_factory=dict)
+    succession: Succession = Succession.TAKEN_OVER
+    previous: SlotOwner | None = None
+
+
+class SlotTable:
+    """Folds slot records; all readers come to the same owners.
+
+    Parameters
+    ----------
+    retention : float
+        Seconds that the log keeps a record.
+
+    Attributes
+    ----------
+    states : dict of str to SlotState
+        By slot, as far as known.
+    undetermined : dict of str to float
+        Slots with claims that cannot be judged, since older records have
+        expired unread; with the log time at which the last one expires.
+    complete : bool
+        Whether every record ever written has been read.
+
+    Notes
+    -----
+    A claim names the claim that it replaces and is accepted only if that is
+    the present one: the first by offset wins. An owner confirms its claim once
+    it has read it back as accepted, and again before the record expires. A
+    reader that missed the beginning goes by confirmations, since a claim alone
+    may be one that lost; of two confirmations the one of the later claim
+    counts.
+    """
+
+    def __init__(self, *, retention):
+        self.retention = retention
+        self.states = {}
+        self.undetermined = {}
+        self.complete = True
+        self.caught_up = False
+
+    def note_gap(self):
+        """Note that records expired before they were read."""
+        self.complete = False
+        self.caught_up = False
+        self.states.clear()
+
+    def note_caught_up(self):
+        """Note that the end of the stream has been reached."""
+        self.caught_up = True
+
+    def apply(self, record, offset, time):
+        """Apply one record.
+
+        Parameters
+        ----------
+        record : SlotRecord
+            The record.
+        offset : int
+            Its offset.
+        time : float
+            When it was appended, on the log's clock in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was accepted.
+        """
+        if not _is_well_formed(record):
+            return False
+        if record["type"] == "slot-claim":
+            return self._apply_claim(record, offset, time)
+        return self._apply_owner_record(record, time)
+
+    def claimable(self, slot, time):
+        """Return whether a claim of a slot could be judged by all readers.
+
+        Parameters
+        ----------
+        slot : str
+            The slot.
+        time : float
+            The log's present time as well as it is known, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        known = slot in self.states
+        return known or (
+            (self.complete or self.caught_up) and not self._is_undetermined(slot, time)
+        )
+
+    def expected(self, slot, time):
+        """Return what a claim of a slot has to name as replaced.
+
+        Parameters
+        ----------
+        slot : str
+            The slot.
+        time : float
+            The log's present time as well as it is known, in seconds.
+
+        Returns
+        -------
+        int or None
+        """
+        state = self.states.get(slot)
+        if state is None or self._is_expired(state, time):
+            return None
+        return state.claim
+
+    def _apply_claim(self, record, offset, time):
+        slot = record["slot"]
+        state = self.states.get(slot)
+        expects = record.get("expects")
+        expired = state is None or self._is_expired(state, time)
+        if state is None and self._is_beyond_judgement(slot, expects, time):
+            self.undetermined[slot] = time + self.retention
+            return False
+        if expects != (None if expired else state.claim):
+            return False
+        succession = self._succession(state)
+        handed_over = succession is Succession.RELEASED and not expired
+        self.states[slot] = SlotState(
+            claim=offset,
+            owner=_owner(record),
+            renewed_at=time,
+            balances=state.balances if handed_over else {},
+            succession=succession,
+            previous=state.owner if state else None,
+        )
+        return True
+
+    def _succession(self, state):
+        if state is None:
+            return Succession.FIRST if self.complete else Succession.TAKEN_OVER
+        return Succession.RELEASED if state.released else Succession.TAKEN_OVER
+
+    def _is_beyond_judgement(self, slot, expects, time):
+        if self.complete:
+            return False
+        return expects is not None or not self.claimable(slot, time)
+
+    def _apply_owner_record(self, record, time):
+        slot = record["slot"]
+        state = self.states.get(slot)
+        claim = record["claim"]
+        if state is not None and not _follows(record, state):
+            return False
+        released = record["type"] == "slot-release"
+        if state is None or state.claim != claim:
+            state = SlotState(claim=claim, owner=_owner(record), renewed_at=time)
+        self.states[slot] = replace(
+            state,
+            renewed_at=time,
+            released=released,
+            balances=record.get("balances", {}) if released else state.balances,
+        )
+        self.undetermined.pop(slot, None)
+        return True
+
+    def _is_expired(self, state, time):
+        return time >= state.renewed_at + self.retention
+
+    def _is_undetermined(self, slot, time):
+        return time < self.undetermined.get(slot, float("-inf"))
+
+
+def _owner(record):
+    return SlotOwner(record["instance"], record["boot"])
+
+
+def _follows(record, state):
+    if record["claim"] != state.claim:
+        return record["claim"] > state.claim
+    return not state.released and _owner(record) == state.owner
+
+
+def _is_well_formed(record):
+    words = ("slot", "instance", "boot")
+    if not all(isinstance(record.get(word), str) for word in words):
+        return False
+    if record["type"] == "slot-claim":
+        return isinstance(record.get("expects"), int | None)
+    return isinstance(record.get("claim"), int)
--- /dev/null
+++ b/tests/limits/fleet.py
@@ -0,0 +1,322 @@
+"""Several instances of the limits core over a lossy network in virtual time."""
+
+import collections
+import heapq
+import itertools
+import random
+
+from skylarkpost.limits import (
+    AppendRecord,
+    DrawGranted,
+    Neighbour,
+    PoolHolder,
+    ShareExchange,
+    ShareLender,
+    SlotKeeper,
+    SlotOwner,
+    SlotTable,
+)
+
+LEASE_S = 2.0
+AUTHORITY_S = 3.0
+DRAW_DEADLINE_S = 0.25
+HEARD_S = 1.0
+INSTANCES = {"e1": "a", "e2": "a", "e3": "b", "e4": "c"}
+SLOTS = {"a": ["a/0", "a/1"], "b": ["b/0"], "c": ["c/0"]}
+
+
+class Node:
+    def __init__(self, fleet, name, boot):
+        self.fleet, self.name, self.dc = fleet, name, INSTANCES[name]
+        self.owner = SlotOwner(name, f"boot{boot}")
+        self.paused_until = 0.0
+        self.dead = False
+        self.heard = {}
+        self.applied = 0
+        ids = f"{name}-{boot}"
+        self.table = SlotTable(retention=fleet.retention)
+        self.keeper = SlotKeeper(
+            owner=self.owner,
+            slots=SLOTS[self.dc],
+            table=self.table,
+            authority=AUTHORITY_S,
+            lease=LEASE_S,
+            retention=fleet.retention,
+            now=fleet.now,
+        )
+        lender = ShareLender(owner=ids, total_slots=4, lease=LEASE_S)
+        pools = PoolHolder(holder=ids, lease=LEASE_S)
+        self.core = ShareExchange(
+            owner=self.owner, keeper=self.keeper, lender=lender, pools=pools
+        )
+        for team, limit in fleet.limits.items():
+            lender.set_team(team, limit, now=fleet.now)
+        for period, job in (
+            (0.1, self.tick),
+            (0.05, self.read_log),
+            (0.25, self.beat),
+            (0.5, self.ask_all),
+        ):
+            self.every(period, job)
+
+    def every(self, period, job):
+        def again():
+            job()
+            self.fleet.at(self.fleet.now + period, self, again)
+
+        self.fleet.at(self.fleet.now + self.fleet.random.random() * period, self, again)
+
+    def members(self):
+        now = self.fleet.now
+        names = {n for (n, _), at in self.heard.items() if now - at <= HEARD_S}
+        return sorted(names | {self.name})
+
+    def beat(self):
+        for other in list(self.fleet.nodes.values()):
+            if other is not self:
+                self.fleet.send(self, other, self._hear_at(other))
+
+    def _hear_at(self, other):
+        return lambda: other.heard.update({self.owner: self.fleet.now})
+
+    def tick(self):
+        fleet = self.fleet
+        neighbours = [
+            Neighbour(owner, at)
+            for owner, at in self.heard.items()
+            if INSTANCES[owner.instance] == self.dc
+        ]
+        commands = self.keeper.tick(
+            fleet.now, log_time=fleet.now, neighbours=neighbours
+        )
+        for command in commands:
+            if isinstance(command, AppendRecord):
+                fleet.append(self, command.record)
+            else:
+                self.ask_to_yield(command)
+
+    def ask_to_yield(self, command):
+        for other in list(self.fleet.nodes.values()):
+            if other.owner == command.owner:
+                self.fleet.send(self, other, lambda o=other: self._yield_at(o, command))
+
+    def _yield_at(self, other, command):
+        other.keeper.yield_slot(command.slot, command.claim)
+        self.fleet.send(
+            other, self, lambda: self.keeper.note_yielded(command.slot, self.fleet.now)
+        )
+
+    def read_log(self):
+        fleet, started = self.fleet, self.fleet.now
+        if fleet.log_reachable(self):
+            fleet.at(fleet.now + fleet.delay(), self, lambda: self._apply(started))
+
+    def _apply(self, started):
+        fleet = self.fleet
+        first = fleet.first_offset()
+        if first > self.applied:
+            self.applied = first
+            self.table.note_gap()
+        while self.applied < len(fleet.log):
+            time, record = fleet.log[self.applied]
+            self.table.apply(record, self.applied, time)
+            self.applied += 1
+        self.table.note_caught_up()
+        self.keeper.note_log_read(started, fleet.now)
+
+    def ask_all(self):
+        members = self.members()
+        for name in members:
+            other = self.fleet.nodes[name]
+            for message in self.core.returns_to(name, members, now=self.fleet.now):
+                self.give_back(other, message)
+            ask = self.core.ask_for(name, members)
+            if ask is not None:
+                asked_at = self.fleet.now
+                self.fleet.send(self, other, self._answer_at(other, ask, asked_at))
+
+    def _answer_at(self, other, ask, asked_at):
+        def answer():
+            reply = other.core.answer(ask, other.members(), now=self.fleet.now)
+            self.fleet.send(other, self, lambda: self._take(other, reply, asked_at))
+
+        return answer
+
+    def _take(self, other, reply, asked_at):
+        returns = self.core.take_answer(
+            other.name, reply, asked_at=asked_at, now=self.fleet.now
+        )
+        for message in returns:
+            self.give_back(other, message)
+
+    def give_back(self, other, message):
+        self.fleet.send(
+            self, other, lambda: other.core.take_return(message, now=self.fleet.now)
+        )
+
+    def request(self, team, tokens):
+        asked_at, done = self.fleet.now, []
+        holder = self.fleet.nodes[self.core.holder_of(team, self.members())]
+
+        def finish(answer, at):
+            if not done and self.fleet.now - asked_at <= DRAW_DEADLINE_S:
+                done.append(1)
+                if isinstance(answer, DrawGranted):
+                    self.fleet.admit(team, at, tokens, holder, answer.receipt)
+                else:
+                    self.draw_at_home(team, tokens)
+
+        def draw():
+            answer = holder.core.draw_pooled(team, tokens, now=self.fleet.now)
+            at = self.fleet.now
+            self.fleet.send(holder, self, lambda: finish(answer, at))
+
+        def give_up():
+            if not done:
+                done.append(1)
+                self.draw_at_home(team, tokens)
+
+        self.fleet.send(self, holder, draw)
+        self.fleet.at(asked_at + DRAW_DEADLINE_S, self, give_up)
+
+    def draw_at_home(self, team, tokens):
+        now = self.fleet.now
+        receipt = self.core.draw_at_home(team, tokens, now=now)
+        if receipt is None:
+            self.fleet.refused[team].append((now, tokens))
+        else:
+            self.fleet.admit(team, now, tokens, self, receipt)
+
+
+class Fleet:
+    def __init__(self, *, seed, limits, retention=3600.0, faults=()):
+        self.random = random.Random(seed)
+        self.now = 1000.0
+        self.limits = limits
+        self.retention = retention
+        self.heap, self.numbers = [], itertools.count()
+        self.log, self.log_down_until = [], 0.0
+        self.cuts, self.loss, self.late = {}, 0.0, 0.0
+        self.admitted = {team: [] for team in limits}
+        self.refused = {team: [] for team in limits}
+        self.nodes, self.boots = {}, itertools.count()
+        self.faults = collections.Counter()
+        for name in INSTANCES:
+            self.start(name)
+        for kind in faults:
+            self._plan(kind)
+
+    def start(self, name):
+        self.nodes[name] = Node(self, name, next(self.boots))
+
+    def at(self, time, node, job):
+        heapq.heappush(self.heap, (time, next(self.numbers), node, job))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            time, _, node, job = heapq.heappop(self.heap)
+            self.now = max(self.now, time)
+            if node is not None and node.dead:
+                continue
+            if node is not None and node.paused_until > self.now:
+                self.at(node.paused_until, node, job)
+                continue
+            job()
+        self.now = end
+
+    def delay(self):
+        if self.random.random() < self.late:
+            return self.random.uniform(0.1, 4.0)
+        return self.random.uniform(0.0005, 0.003)
+
+    def send(self, source, target, job):
+        if source is target:
+            return self.at(self.now, target, job)
+        apart = source.dc != target.dc
+        if apart and {source.dc, target.dc} & self.active_cuts():
+            return None
+        # Within a data centre messages arrive, at once or late.
+        if apart and self.random.random() < self.loss:
+            return None
+        return self.at(self.now + self.delay(), target, job)
+
+    def active_cuts(self):
+        return {dc for dc, until in self.cuts.items() if until > self.now}
+
+    def log_reachable(self, node):
+        cut = self.active_cuts() | {
+            dc[4:] for dc in self.active_cuts() if dc.startswith("log-")
+        }
+        return node.dc not in cut and self.log_down_until <= self.now
+
+    def append(self, node, record):
+        if self.log_reachable(node):
+            self.at(
+                self.now + self.delay(),
+                None,
+                lambda: self.log.append((self.now, record)),
+            )
+
+    def first_offset(self):
+        oldest = self.now - self.retention
+        return next(
+            (i for i, (t, _) in enumerate(self.log) if t > oldest), len(self.log)
+        )
+
+    def admit(self, team, at, tokens, node, receipt):
+        entry = [at, tokens]
+        self.admitted[team].append(entry)
+        unused = tokens * self.random.random()
+
+        def refund():
+            if not node.dead:
+                entry[1] -= node.core.refund(team, receipt, unused, now=self.now)
+
+        if self.random.random() < 0.7:
+            self.at(self.now + self.random.expovariate(0.5), node, refund)
+
+    def traffic(self, team, *, names, interval, tokens, seconds):
+        def one():
+            node = self.nodes[self.random.choice(names(self.now))]
+            if not node.dead and node.paused_until <= self.now:
+                node.request(team, self.random.uniform(*tokens))
+            if self.now < end:
+                self.at(self.now + interval, None, one)
+
+        end = self.now + seconds
+        self.at(self.now + interval, None, one)
+
+    def check(self, team, limit):
+        """Check every interval of the history in one pass."""
+        total, lowest = 0.0, float("inf")
+        for at, tokens in sorted(self.admitted[team], key=lambda entry: entry[0]):
+            lowest = min(lowest, total - limit.rate * at)
+            total += tokens
+            over = total - limit.rate * at - lowest - limit.burst
+            assert over <= 1e-3, f"{over:.1f} tokens too many up to {at:.2f}"
+
+    def _plan(self, kind):
+        self.at(self.now + self.random.expovariate(1 / 8), None, lambda: self._do(kind))
+
+    def _do(self, kind):
+        self.faults[kind] += 1
+        name = self.random.choice(sorted(self.nodes))
+        node, until = self.nodes[name], self.now + self.random.uniform(0.3, 15)
+        if kind == "pause":
+            node.paused_until = max(node.paused_until, until)
+        elif kind in ("restart", "restarts in a row"):
+            node.dead = True
+            gap = 0.05 if kind != "restart" else self.random.uniform(0, 12)
+            self.at(self.now + gap, None, lambda: self.start(name))
+        elif kind == "cut":
+            self.cuts[node.dc] = until
+        elif kind == "platform cut":
+            self.cuts["log-" + node.dc] = until
+        elif kind == "log outage":
+            self.log_down_until = until
+        elif kind == "loss":
+            self.loss = self.random.choice([0.0, 0.3])
+        elif kind == "late":
+            self.late = self.random.choice([0.0, 0.05])
+        self._plan(kind)
