Draw on pooled team limits in the filter chain

Cause: four instances must admit no team beyond its rate and burst, while a team may spend all of it through any one of them. Ruled out: a fixed share per instance (refuses a team within its rate when its traffic comes in at one place) and a counter on the log (a round trip a request, and nothing in an outage).

--- /dev/null
+++ b/skylarkpost/limits/controller.py
@@ -0,0 +1,334 @@
+"""Joins the limits core to the log, the configuration and the peers."""
+
+import asyncio
+import logging
+
+from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.limits.exchange import ShareExchange
+from skylarkpost.limits.keeper import AppendRecord, Neighbour, SlotKeeper
+from skylarkpost.limits.lender import ShareLender, TeamLimit
+from skylarkpost.limits.messages import decode_answer, encode_ask, encode_return
+from skylarkpost.limits.pool import PoolHolder
+from skylarkpost.limits.service import LimitsServicer
+from skylarkpost.limits.slots import SlotOwner, SlotTable
+from skylarkpost.platform import BackgroundTask
+from skylarkpost.rpc import CallFailed, call_peer, limits_pb2, limits_pb2_grpc
+
+__all__ = ["LimitsController"]
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+PEER_TIMEOUT_S = 0.5
+MAX_TASKS = 2000
+RECORD_TYPES = ("slot-claim", "slot-confirm", "slot-release")
+LEAVING = "leaving"
+
+
+@register_controller("limits", order=30)
+class LimitsController(Controller):
+    """Keeps shares of team limits, and the pools that are held here.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    keeper : SlotKeeper
+        Which share slots this instance may use.
+    core : ShareExchange
+        Lends, borrows and charges.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.settings = services.settings.limits
+        self.owner = SlotOwner(services.instance, services.boot)
+        self.table = SlotTable(retention=services.settings.platform.log_retention)
+        total = sum(self.settings.slots.values())
+        own = self.settings.slots.get(services.data_centre, 0)
+        self.keeper = SlotKeeper(
+            owner=self.owner,
+            slots=[f"{services.data_centre}/{index}" for index in range(own)],
+            table=self.table,
+            authority=self.settings.authority,
+            lease=self.settings.lease,
+            retention=services.settings.platform.log_retention,
+            now=services.clock(),
+        )
+        prefix = f"{services.instance}/{services.boot}"
+        self.core = ShareExchange(
+            owner=self.owner,
+            keeper=self.keeper,
+            lender=ShareLender(
+                owner=prefix, total_slots=max(1, total), lease=self.settings.lease
+            ),
+            pools=PoolHolder(holder=prefix, lease=self.settings.lease),
+        )
+        self.asked_members = ()
+        self.asked_at = float("-inf")
+        self.logged_slots = frozenset()
+        self.task = BackgroundTask(name="limits")
+        self.tasks = set()
+        self._follow()
+
+    def add_to_server(self, server):
+        """Serve peers. See `Controller.add_to_server`."""
+        servicer = LimitsServicer(controller=self)
+        limits_pb2_grpc.add_LimitsServicer_to_server(servicer, server)
+
+    async def start(self):
+        """Start claiming slots and borrowing shares. See `Controller.start`."""
+        self.task.start(self._run())
+
+    async def leave(self):
+        """Return the pools and release the slots. See `Controller.leave`."""
+        self.keeper.releasing = True
+        self.core.leaving = True
+        self._return_shares()
+        deadline = self.services.clock() + self.settings.lease * 2
+        while self._is_lending() and self.services.clock() < deadline:
+            await asyncio.sleep(TICK_S)
+        now = self.services.clock()
+        for slot in list(self.keeper.active_slots()):
+            if not self.core.lender.is_lent(slot):
+                balances = self.core.lender.surrender(slot, now=now)
+                await self._append(self.keeper.release(slot, balances))
+
+    async def stop(self):
+        """End the background work. See `Controller.stop`."""
+        await self.task.stop()
+        for task in self.tasks:
+            task.cancel()
+
+    def degraded(self):
+        """Return what does not work. See `Controller.degraded`."""
+        found = []
+        if not self.settings.slots:
+            found.append("No share slots are set; requests of teams are refused.")
+        if not self.keeper.may_use(self.services.clock()):
+            found.append("After a pause, own share slots wait for the log.")
+        return found
+
+    def status(self):
+        """Return slots, leases and pools. See `Controller.status`."""
+        now = self.services.clock()
+        pools = {}
+        for team, pool in self.core.pools.pools.items():
+            self.core.pools.advance(team, now=now)
+            pools[team] = {
+                "shares": len(pool.leases),
+                "tokens": round(pool.bucket.level, 1),
+                "burst": round(pool.bucket.burst, 1),
+                "rate": round(pool.bucket.rate, 3),
+            }
+        owners = {
+            slot: state.owner.instance
+            for slot, state in self.table.states.items()
+            if not state.released
+        }
+        return {
+            "own_slots": sorted(self.keeper.active_slots()),
+            "waiting_for_slots": sorted(self.keeper.pending),
+            "slot_owners": owners,
+            "pools": pools,
+        }
+
+    def candidates(self):
+        """Return the ids of the instances that may hold pools.
+
+        Returns
+        -------
+        list of str
+            Those that can be reached and are not leaving.
+        """
+        members = self._reachable()
+        return sorted(m.instance for m in members if m.state != LEAVING)
+
+    def address_of(self, instance):
+        """Return the peer address of a reachable instance.
+
+        Parameters
+        ----------
+        instance : str
+            Its id.
+
+        Returns
+        -------
+        str or None
+        """
+        for member in self._reachable():
+            if member.instance == instance:
+                return member.address
+        return None
+
+    def keep_task(self, coroutine):
+        """Run something in the background until the instance stops.
+
+        Parameters
+        ----------
+        coroutine : coroutine
+            Dropped and counted if too many run already.
+        """
+        if len(self.tasks) >= MAX_TASKS:
+            coroutine.close()
+            self.services.metrics.count_event("limit-task-dropped")
+            return
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def _follow(self):
+        store = self.services.controllers["config"].store
+        store.subscribe("team", lambda change, now: self._set_team(change.item, now))
+        follower = self.services.state_log
+        for record_type in RECORD_TYPES:
+            follower.subscribe(record_type, self._read_record)
+        earlier = follower.on_gap
+
+        def note_gap(wanted, first_offset):
+            self.table.note_gap()
+            if earlier is not None:
+                earlier(wanted, first_offset)
+
+        follower.on_gap = note_gap
+
+    async def _run(self):
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self):
+        now = self.services.clock()
+        follower = self.services.state_log
+        if follower.fresh_at is not None:
+            if follower.applied_offset >= follower.end_offset:
+                self.table.note_caught_up()
+            self.keeper.note_log_read(follower.fresh_at, now)
+        commands = self.keeper.tick(
+            now, log_time=self.services.wall_clock(), neighbours=self._neighbours()
+        )
+        for command in commands:
+            self._carry_out(command)
+        self._log_slots()
+        candidates = tuple(self.candidates())
+        is_due = now - self.asked_at >= self.settings.renewal
+        if is_due or candidates != self.asked_members:
+            self.asked_at = now
+            self.asked_members = candidates
+            self._return_shares()
+            self._ask_all(candidates)
+
+    def _carry_out(self, command):
+        if isinstance(command, AppendRecord):
+            self.keep_task(self._append(command))
+            return
+        for member in self._reachable():
+            if command.owner is None or command.owner.instance == member.instance:
+                self.keep_task(self._ask_to_yield(member, command))
+
+    async def _append(self, command):
+        outcome = await self.services.state_log.append(command.record)
+        log_event(
+            logger,
+            command.record["type"],
+            slot=command.record["slot"],
+            outcome=type(outcome).__name__,
+        )
+
+    async def _ask_to_yield(self, member, command):
+        boot = command.owner.boot if command.owner else ""
+        request = limits_pb2.YieldSlotRequest(
+            slot=command.slot, claim=command.claim, boot=boot
+        )
+        stub = self._stub(member.address)
+        reply = await call_peer(stub.YieldSlot, request, timeout=PEER_TIMEOUT_S)
+        if command.owner and not isinstance(reply, CallFailed) and reply.yielded:
+            self.keeper.note_yielded(command.slot, self.services.clock())
+
+    def _ask_all(self, candidates):
+        for member in self._reachable():
+            ask = self.core.ask_for(member.instance, candidates)
+            if ask is None:
+                continue
+            if member.instance == self.services.instance:
+                self._ask_self(ask, candidates)
+            else:
+                self.keep_task(self._ask_peer(member, ask))
+
+    def _ask_self(self, ask, candidates):
+        now = self.services.clock()
+        answer = self.core.answer(ask, candidates, now=now)
+        for returned in self.core.take_answer(
+            self.services.instance, answer, asked_at=now, now=now
+        ):
+            self.core.take_return(returned, now=now)
+
+    async def _ask_peer(self, member, ask):
+        asked_at = self.services.clock()
+        stub = self._stub(member.address)
+        reply = await call_peer(stub.Lend, encode_ask(ask), timeout=PEER_TIMEOUT_S)
+        if isinstance(reply, CallFailed):
+            self.services.metrics.count_event("limit-lend-failed")
+            return
+        returns = self.core.take_answer(
+            member.instance,
+            decode_answer(reply),
+            asked_at=asked_at,
+            now=self.services.clock(),
+        )
+        for returned in returns:
+            self.keep_task(self._send_return(member.address, returned))
+
+    def _return_shares(self):
+        candidates = self.candidates()
+        for member in self._reachable():
+            now = self.services.clock()
+            for returned in self.core.returns_to(member.instance, candidates, now=now):
+                if member.instance == self.services.instance:
+                    self.core.take_return(returned, now=now)
+                else:
+                    self.keep_task(self._send_return(member.address, returned))
+
+    async def _send_return(self, address, returned):
+        request = encode_return(returned)
+        stub = self._stub(address)
+        await call_peer(stub.ReturnShare, request, timeout=PEER_TIMEOUT_S)
+
+    def _set_team(self, team, now):
+        if team is not None:
+            limit = TeamLimit(team.rate, team.burst)
+            self.core.lender.set_team(team.name, limit, now=now)
+
+    def _read_record(self, record, offset, time, now):
+        self.table.apply(record, offset, time)
+
+    def _is_lending(self):
+        lender = self.core.lender
+        lender.advance(self.services.clock())
+        return any(lender.is_lent(slot) for slot in lender.slots)
+
+    def _log_slots(self):
+        slots = frozenset(self.keeper.active_slots())
+        if slots != self.logged_slots:
+            self.logged_slots = slots
+            log_event(logger, "slots-changed", slots=",".join(sorted(slots)) or "none")
+
+    def _neighbours(self):
+        now = self.services.clock()
+        membership = self.services.controllers["membership"]
+        return [
+            Neighbour(SlotOwner(m.instance, m.boot), m.last_heard_at)
+            for m in membership.neighbours(now)
+            if m.instance != self.services.instance
+        ]
+
+    def _reachable(self):
+        membership = self.services.controllers["membership"]
+        return membership.reachable(self.services.clock())
+
+    def _stub(self, address):
+        return limits_pb2_grpc.LimitsStub(self.services.peers.get(address))
--- a/skylarkpost/limits/exchange.py
+++ b/skylarkpost/limits/exchange.py
@@ -2,7 +2,9 @@
 
 from typing import NamedTuple
 
+from skylarkpost.limits.entitlement import EntitlementMeter
 from skylarkpost.limits.lender import Grant
+from skylarkpost.limits.pool import DrawGranted, DrawRefused
 from skylarkpost.limits.rendezvous import choose_instance
 
 __all__ = ["Ask", "AskAnswer", "Return", "ShareExchange", "TeamGrant", "TeamLease"]
@@ -102,6 +104,13 @@
         The shares of those slots.
     pools : PoolHolder
         The pools that this instance holds.
+
+    Attributes
+    ----------
+    meter : EntitlementMeter
+        What each team would have, were all its shares in one place.
+    leaving : bool
+        Whether this instance lends nothing any more.
     """
 
     def __init__(self, *, owner, keeper, lender, pools):
@@ -109,6 +118,8 @@
         self.keeper = keeper
         self.lender = lender
         self.pools = pools
+        self.meter = EntitlementMeter()
+        self.leaving = False
 
     def holder_of(self, team, members):
         """Return which instance holds the pool of a team.
@@ -164,7 +175,7 @@
         -------
         AskAnswer
         """
-        may_lend = self._sync(now)
+        may_lend = self._sync(now) and not self.leaving
         renewed, recalled = [], []
         for team, lease_id in ask.leases:
             grant = None
@@ -267,7 +278,13 @@
         DrawAnswer
         """
         self.keeper.note_time(now)
-        return self.pools.draw(team, tokens, now=now)
+        answer = self.pools.draw(team, tokens, now=now)
+        if isinstance(answer, DrawGranted):
+            self._meter_spent(team, tokens, now)
+        if isinstance(answer, DrawRefused):
+            within_rate = self.is_within_rate(team, tokens, now=now)
+            return DrawRefused(retry_after=answer.retry_after, within_rate=within_rate)
+        return answer
 
     def draw_at_home(self, team, tokens, *, now):
         """Charge a request to shares of this instance that are not lent.
@@ -287,7 +304,46 @@
         """
         if not self._sync(now):
             return None
-        return self.lender.draw(team, tokens, now=now)
+        receipt = self.lender.draw(team, tokens, now=now)
+        if receipt is not None:
+            self._meter_spent(team, tokens, now)
+        return receipt
+
+    def is_within_rate(self, team, tokens, *, now):
+        """Return whether a team is within its limit, as far as is known here.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        tokens : float
+            Tokens of a request that was refused.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        limit = self.limit_of(team)
+        if limit is None:
+            return False
+        return self.meter.allows(team, limit, tokens, now=now)
+
+    def limit_of(self, team):
+        """Return the limit of a team over all instances, if it is known.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+
+        Returns
+        -------
+        TeamLimit or None
+        """
+        share = self.lender.teams.get(team)
+        return share.limit if share else None
 
     def refund(self, team, receipt, tokens, *, now):
         """Put back what a request that was charged here did not use.
@@ -309,6 +365,9 @@
             Tokens put back.
         """
         self._sync(now)
+        limit = self.limit_of(team)
+        if limit is not None:
+            self.meter.refund(team, limit, tokens, now=now)
         returned = self.pools.refund(team, receipt, tokens, now=now)
         return returned or self.lender.refund(team, receipt, tokens, now=now)
 
@@ -317,6 +376,11 @@
         self.lender.set_slots(self.keeper.active_slots(), now=now)
         return may_use
 
+    def _meter_spent(self, team, tokens, now):
+        limit = self.limit_of(team)
+        if limit is not None:
+            self.meter.spend(team, limit, tokens, now=now)
+
     def _agrees(self, team, ask, members):
         return self.holder_of(team, members) == ask.holder[0]
 
--- /dev/null
+++ b/skylarkpost/limits/messages.py
@@ -0,0 +1,117 @@
+"""Turns the messages of the limits core into protobuf and back."""
+
+from skylarkpost.limits.bucket import Receipt
+from skylarkpost.limits.exchange import Ask, AskAnswer, Return, TeamGrant, TeamLease
+from skylarkpost.limits.lender import Grant
+from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares
+from skylarkpost.limits.slots import SlotOwner
+from skylarkpost.rpc import limits_pb2
+
+__all__ = [
+    "decode_answer",
+    "decode_ask",
+    "decode_draw",
+    "decode_receipt",
+    "decode_return",
+    "encode_answer",
+    "encode_ask",
+    "encode_draw",
+    "encode_receipt",
+    "encode_return",
+]
+
+
+def encode_ask(ask):
+    """Return an `Ask` as a ``LendRequest``."""
+    return limits_pb2.LendRequest(
+        instance=ask.holder.instance,
+        boot=ask.holder.boot,
+        teams=ask.teams,
+        leases=_encode_leases(ask.leases),
+    )
+
+
+def decode_ask(message):
+    """Return a ``LendRequest`` as an `Ask`."""
+    holder = SlotOwner(message.instance, message.boot)
+    return Ask(holder, tuple(message.teams), _decode_leases(message.leases))
+
+
+def encode_answer(answer):
+    """Return an `AskAnswer` as a ``LendReply``."""
+    return limits_pb2.LendReply(
+        lent=[_encode_grant(item) for item in answer.lent],
+        renewed=[_encode_grant(item) for item in answer.renewed],
+        recalled=_encode_leases(answer.recalled),
+    )
+
+
+def decode_answer(message):
+    """Return a ``LendReply`` as an `AskAnswer`."""
+    return AskAnswer(
+        tuple(_decode_grant(item) for item in message.lent),
+        tuple(_decode_grant(item) for item in message.renewed),
+        _decode_leases(message.recalled),
+    )
+
+
+def encode_return(returned):
+    """Return a `Return` as a ``ReturnShareRequest``."""
+    return limits_pb2.ReturnShareRequest(
+        lease=limits_pb2.TeamLease(**returned.lease._asdict()), tokens=returned.tokens
+    )
+
+
+def decode_return(message):
+    """Return a ``ReturnShareRequest`` as a `Return`."""
+    lease = TeamLease(message.lease.team, message.lease.lease_id)
+    return Return(lease, message.tokens)
+
+
+def encode_draw(answer):
+    """Return a `DrawAnswer` as a ``DrawReply``."""
+    if isinstance(answer, DrawGranted):
+        receipt = encode_receipt(answer.receipt)
+        return limits_pb2.DrawReply(receipt=receipt, has_shares=True)
+    if isinstance(answer, NoShares):
+        return limits_pb2.DrawReply(has_shares=False)
+    return limits_pb2.DrawReply(
+        has_shares=True, retry_after=answer.retry_after, within_rate=answer.within_rate
+    )
+
+
+def decode_draw(message):
+    """Return a ``DrawReply`` as a `DrawAnswer`."""
+    if message.HasField("receipt"):
+        return DrawGranted(receipt=decode_receipt(message.receipt))
+    if not message.has_shares:
+        return NoShares()
+    retry_after = message.retry_after if message.HasField("retry_after") else None
+    return DrawRefused(retry_after=retry_after, within_rate=message.within_rate)
+
+
+def encode_receipt(receipt):
+    """Return a `Receipt` as its message."""
+    return limits_pb2.Receipt(**receipt._asdict())
+
+
+def decode_receipt(message):
+    """Return a `Receipt` from its message."""
+    return Receipt(message.bucket, message.sequence, message.tokens)
+
+
+def _encode_leases(leases):
+    return [limits_pb2.TeamLease(**lease._asdict()) for lease in leases]
+
+
+def _decode_leases(messages):
+    return tuple(TeamLease(item.team, item.lease_id) for item in messages)
+
+
+def _encode_grant(item):
+    return limits_pb2.TeamGrant(team=item.team, **item.grant._asdict())
+
+
+def _decode_grant(item):
+    grant = Grant(item.lease_id, item.rate, item.burst, item.level)
+    return TeamGrant(item.team, grant)
--- a/skylarkpost/limits/pool.py
+++ b/skylarkpost/limits/pool.py
@@ -30,9 +30,12 @@
     retry_after : float or None
         Seconds after which there can be enough; None if the pool never holds
         that many.
+    within_rate : bool
+        Whether the team would have had enough, had all its shares been here.
     """
 
     retry_after: float | None
+    within_rate: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/skylarkpost/limits/service.py
@@ -0,0 +1,63 @@
+"""Serves peers that borrow shares, draw on pools and return shares."""
+
+from skylarkpost.limits.messages import (
+    decode_ask,
+    decode_receipt,
+    decode_return,
+    encode_answer,
+    encode_draw,
+)
+from skylarkpost.rpc import limits_pb2, limits_pb2_grpc
+
+__all__ = ["LimitsServicer"]
+
+
+class LimitsServicer(limits_pb2_grpc.LimitsServicer):
+    """Takes the calls of peers.
+
+    Parameters
+    ----------
+    controller : LimitsController
+        Whose cores answer.
+    """
+
+    def __init__(self, *, controller):
+        self.controller = controller
+        self.clock = controller.services.clock
+
+    async def Lend(self, request, context):  # noqa: N802
+        """Lend shares to a pool holder, and renew what it has."""
+        members = self.controller.candidates()
+        ask = decode_ask(request)
+        answer = self.controller.core.answer(ask, members, now=self.clock())
+        return encode_answer(answer)
+
+    async def Draw(self, request, context):  # noqa: N802
+        """Charge a request of a peer to a pool."""
+        answer = self.controller.core.draw_pooled(
+            request.team, request.tokens, now=self.clock()
+        )
+        return encode_draw(answer)
+
+    async def Refund(self, request, context):  # noqa: N802
+        """Put back what a request did not use."""
+        receipt = decode_receipt(request.receipt)
+        tokens = self.controller.core.refund(
+            request.team, receipt, request.tokens, now=self.clock()
+        )
+        return limits_pb2.RefundReply(tokens=tokens)
+
+    async def ReturnShare(self, request, context):  # noqa: N802
+        """Take a share back."""
+        message = decode_return(request)
+        taken = self.controller.core.take_return(message, now=self.clock())
+        if not taken:
+            self.controller.services.metrics.count_event("limit-return-too-late")
+        return limits_pb2.ReturnShareReply(taken=taken)
+
+    async def YieldSlot(self, request, context):  # noqa: N802
+        """Give up a slot that a peer has claimed."""
+        if request.boot not in ("", self.controller.services.boot):
+            return limits_pb2.YieldSlotReply(yielded=False)
+        self.controller.keeper.yield_slot(request.slot, request.claim)
+        return limits_pb2.YieldSlotReply(yielded=True)
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress
+from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress, model_validator
 
 __all__ = ["Settings"]
 
@@ -97,6 +97,65 @@
     )
 
 
+class LimitSettings(Section):
+    """``[limits]``: how the instances share the limits of teams."""
+
+    slots: dict[Name, Annotated[int, Field(ge=1, le=64)]] = Field(
+        default={},
+        description="Share slots by data centre; the same on all instances. "
+        "Each slot stands for an equal part of every limit.",
+    )
+    lease: float = Field(
+        default=2.0,
+        ge=0.2,
+        le=30.0,
+        description="Seconds for which a share is lent to a pool.",
+    )
+    renewal: float = Field(
+        default=0.5,
+        ge=0.05,
+        le=10.0,
+        description="Seconds between renewals of lent shares.",
+    )
+    authority: float = Field(
+        default=3.0,
+        ge=0.5,
+        le=60.0,
+        description="Longest pause, in seconds, after which an owner of a slot "
+        "goes on without having read the log again.",
+    )
+    draw_deadline: float = Field(
+        default=0.25,
+        ge=0.01,
+        le=5.0,
+        description="Seconds until a pool holder that does not answer is given up.",
+    )
+    service_call: int = Field(
+        default=50,
+        ge=0,
+        le=1_000_000,
+        description="Tokens charged for a call to a plain service.",
+    )
+    loads_per_second: float = Field(
+        default=3.0,
+        gt=0.0,
+        le=10_000.0,
+        description="Adapter loads a second that the weight store allows.",
+    )
+    loads_in_transit: int = Field(
+        default=8,
+        ge=1,
+        le=100_000,
+        description="Adapter loads at once that the weight store serves well.",
+    )
+
+    @model_validator(mode="after")
+    def _check_renewal(self):
+        if self.renewal * 2 > self.lease:
+            raise ValueError("renewal has to be at most half of lease")
+        return self
+
+
 class LogSettings(Section):
     """``[log]``: what the daemon writes about itself."""
 
@@ -115,4 +174,5 @@
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -189,11 +189,11 @@
 
 
 class Fleet:
-    def __init__(self, *, seed, limits, retention=3600.0, faults=()):
+    def __init__(self, *, seed, limits, retention=3600.0, faults=(), fault_interval=8):
         self.random = random.Random(seed)
         self.now = 1000.0
         self.limits = limits
-        self.retention = retention
+        self.retention, self.fault_interval = retention, fault_interval
         self.heap, self.numbers = [], itertools.count()
         self.log, self.log_down_until = [], 0.0
         self.cuts, self.loss, self.late = {}, 0.0, 0.0
@@ -204,7 +204,8 @@
         for name in INSTANCES:
             self.start(name)
         for kind in faults:
-            self._plan(kind)
+            # Each kind strikes at least once in a run of two minutes.
+            self.at(self.now + self.random.uniform(5, 100), None, self._striker(kind))
 
     def start(self, name):
         self.nodes[name] = Node(self, name, next(self.boots))
@@ -296,10 +297,10 @@
             over = total - limit.rate * at - lowest - limit.burst
             assert over <= 1e-3, f"{over:.1f} tokens too many up to {at:.2f}"
 
-    def _plan(self, kind):
-        self.at(self.now + self.random.expovariate(1 / 8), None, lambda: self._do(kind))
+    def _striker(self, kind):
+        return lambda: self._strike(kind)
 
-    def _do(self, kind):
+    def _strike(self, kind):
         self.faults[kind] += 1
         name = self.random.choice(sorted(self.nodes))
         node, until = self.nodes[name], self.now + self.random.uniform(0.3, 15)
@@ -319,4 +320,5 @@
             self.loss = self.random.choice([0.0, 0.3])
         elif kind == "late":
             self.late = self.random.choice([0.0, 0.05])
-        self._plan(kind)
+        wait = self.random.expovariate(1 / self.fault_interval)
+        self.at(self.now + wait, None, self._striker(kind))
--- /dev/null
+++ b/tests/limits/test_controller.py
@@ -0,0 +1,215 @@
+import asyncio
+from types import SimpleNamespace
+from typing import NamedTuple
+
+import grpc
+import pytest
+
+from skylarkpost.daemon import Services
+from skylarkpost.filters import Exchange
+from skylarkpost.limits.controller import LimitsController
+from skylarkpost.limits.filter import TeamLimitFilter
+from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.platform import Appended
+from skylarkpost.settings import Settings
+
+TEAM = SimpleNamespace(name="depot", rate=100.0, burst=1000.0)
+
+
+class Member(NamedTuple):
+    instance: str
+    boot: str
+    address: str
+    data_centre: str
+    state: str
+    last_heard_at: float
+
+
+class FakeLog:
+    """Hands each record on at once, like a follower that is never behind."""
+
+    def __init__(self, clock):
+        self.clock, self.records, self.handlers = clock, [], []
+        self.on_gap = None
+        self.applied_offset = self.end_offset = 0
+
+    @property
+    def fresh_at(self):
+        return self.clock()
+
+    def subscribe(self, record_type, handler):
+        self.handlers.append((record_type, handler))
+
+    async def append(self, record):
+        offset = len(self.records)
+        self.records.append(record)
+        for record_type, handler in self.handlers:
+            if record_type == record["type"]:
+                handler(record, offset, self.clock(), self.clock())
+        return Appended(first_offset=offset)
+
+
+class FakeStore:
+    def __init__(self):
+        self.callbacks = []
+
+    def subscribe(self, kind, callback):
+        self.callbacks.append(callback)
+
+    def team(self, name):
+        return TEAM if name == TEAM.name else None
+
+
+class FakeMembership:
+    def __init__(self):
+        self.members = []
+
+    def reachable(self, now):
+        return self.members
+
+    neighbours = reachable
+
+
+class Fleet:
+    def __init__(self, ports):
+        self.now = 1000.0
+        self.log = FakeLog(lambda: self.now)
+        self.membership = FakeMembership()
+        self.parts = [self.build(f"e{i}", port) for i, port in enumerate(ports)]
+
+    def build(self, name, port):
+        settings = Settings.model_validate(
+            {
+                "instance": {
+                    "id": name,
+                    "data_centre": f"dc-{name}",
+                    "address": "127.0.0.1",
+                    "http_port": 1,
+                    "peer_port": port,
+                },
+                "platform": {
+                    "log_url": "http://127.0.0.1:1",
+                    "instance_list_url": "http://127.0.0.1:1",
+                },
+                "limits": {"slots": {"dc-e0": 1, "dc-e1": 1}, "draw_deadline": 5},
+            }
+        )
+        services = Services(
+            settings=settings,
+            clock=lambda: self.now,
+            wall_clock=lambda: self.now,
+            seed=1,
+        )
+        services.state_log = self.log
+        store = FakeStore()
+        services.controllers["config"] = SimpleNamespace(store=store)
+        services.controllers["membership"] = self.membership
+        part = services.controllers["limits"] = LimitsController(services=services)
+        store.callbacks[0](SimpleNamespace(item=TEAM), self.now)
+        self.membership.members.append(
+            Member(name, services.boot, f"127.0.0.1:{port}", "dc", "live", self.now)
+        )
+        return part
+
+    async def settle(self):
+        """Let every part tick until nothing is left to do."""
+        for _ in range(12):
+            self.now += 0.5
+            for part in self.parts:
+                part._tick()
+            while any(part.tasks for part in self.parts):
+                await asyncio.sleep(0.005)
+
+
+@pytest.fixture
+async def fleet():
+    servers = [grpc.aio.server() for _ in range(2)]
+    ports = [server.add_insecure_port("127.0.0.1:0") for server in servers]
+    fleet = Fleet(ports)
+    for server, part in zip(servers, fleet.parts, strict=True):
+        part.add_to_server(server)
+        await server.start()
+    await fleet.settle()
+    parts = list(fleet.parts)
+    yield fleet
+    for server, part in zip(servers, parts, strict=True):
+        await part.services.close()
+        await server.stop(0)
+
+
+def request(fleet, tokens, team="depot"):
+    exchange = Exchange(
+        request_id="r",
+        method="POST",
+        path="/v1/completions",
+        query="",
+        headers={},
+        body=b"",
+        key_hash=None,
+        received_at=fleet.now,
+        deadline=fleet.now + 10,
+    )
+    exchange.team, exchange.content = team, {}
+    exchange.prompt_tokens, exchange.output_tokens = tokens // 2, tokens - tokens // 2
+    return exchange
+
+
+def filter_of(part):
+    return TeamLimitFilter(services=part.services)
+
+
+async def test_the_whole_burst_can_be_spent_through_either_instance(fleet):
+    for part in fleet.parts:
+        assert await filter_of(part).apply(request(fleet, 500)) is None
+    refusal = await filter_of(fleet.parts[0]).apply(request(fleet, 500))
+    assert refusal.reason == Reason.OVER_RATE
+    assert refusal.retry_after == pytest.approx(5.0)
+
+
+async def test_what_was_not_generated_is_refunded_through_either_instance(fleet):
+    for part in fleet.parts:
+        exchange = request(fleet, 1000)
+        assert await filter_of(part).apply(exchange) is None
+        exchange.outcome = Refused(reason=Reason.NO_TARGET, message="")
+        await exchange.finish()
+        while part.tasks:
+            await asyncio.sleep(0.005)
+
+
+async def test_a_request_larger_than_the_burst_is_refused_as_such(fleet):
+    refusal = await filter_of(fleet.parts[0]).apply(request(fleet, 1002))
+    assert refusal.reason == Reason.OVER_RATE
+    assert refusal.retry_after is None
+
+
+async def test_an_unknown_team_is_refused_and_an_open_route_passes(fleet):
+    step = filter_of(fleet.parts[0])
+    assert (await step.apply(request(fleet, 1, "other"))).reason == Reason.TEAM_UNKNOWN
+    assert await step.apply(request(fleet, 1, None)) is None
+
+
+async def test_with_its_holder_dead_a_team_gets_the_rest_once_the_lease_has_ended(
+    fleet,
+):
+    holder = fleet.parts[0].core.holder_of("depot", ["e0", "e1"])
+    other = next(part for part in fleet.parts if part.services.instance != holder)
+    fleet.membership.members = [
+        member for member in fleet.membership.members if member.instance != holder
+    ]
+    refusal = await filter_of(other).apply(request(fleet, 100))
+    assert refusal.reason == Reason.LIMIT_UNREACHABLE
+    fleet.parts = [other]
+    await fleet.settle()
+    assert await filter_of(other).apply(request(fleet, 100)) is None
+
+
+async def test_a_leaving_instance_hands_its_tokens_over_with_its_slot(fleet):
+    leaving = fleet.parts[0]
+    # The test's clock stands still: what is lent has to be back at once.
+    leaving.core.leaving = True
+    await fleet.settle()
+    await leaving.leave()
+    release = fleet.log.records[-1]
+    assert release["type"] == "slot-release"
+    assert release["balances"]["depot"] == pytest.approx(500.0)
+    assert leaving.status()["own_slots"] == []
