--- /dev/null
+++ b/skylarkpost/placement/__init__.py
@@ -0,0 +1,16 @@
+"""Placement: which target a request asks for a ticket."""
+
+from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
+from skylarkpost.placement.preamble import preamble_hash
+from skylarkpost.placement.rendezvous import rendezvous_order
+from skylarkpost.placement.scores import TargetView, register_score
+
+__all__ = [
+    "PlacementPolicy",
+    "PlacementRequest",
+    "Placer",
+    "TargetView",
+    "preamble_hash",
+    "register_score",
+    "rendezvous_order",
+]
--- /dev/null
+++ b/skylarkpost/placement/placer.py
@@ -0,0 +1,260 @@
+"""Chooses the target that a request asks for a ticket."""
+
+from typing import NamedTuple
+
+from skylarkpost.placement.rendezvous import rendezvous_order
+from skylarkpost.placement.scores import TargetView, placement_score
+from skylarkpost.stewardship.loads import LoadBackoff
+from skylarkpost.stewardship.summary import adapter_hash
+
+__all__ = ["PlacementPolicy", "PlacementRequest", "Placer"]
+
+
+class PlacementPolicy(NamedTuple):
+    """Numbers of the placement.
+
+    Attributes
+    ----------
+    score : str
+        Name of a registered score.
+    summary_patience : float
+        Seconds after which a summary is too old to go by.
+    summary_lag : float
+        Seconds for which a request that was sent is not yet in the summaries.
+    far_distance : float
+        Seconds of the round trip to another data centre.
+    prefill_rate : float
+        Tokens of a prompt that an engine works through in a second.
+    preamble_share : float
+        Part of a prompt that is the shared preamble.
+    preamble_memory : float
+        Seconds for which an engine is taken to keep a preamble.
+    load_wait : float
+        Seconds for a load where no summary says how long it takes.
+    joined_load : float
+        Part of a load that is left, on average, when others wait for it.
+    """
+
+    score: str = "first-token"
+    summary_patience: float = 5.0
+    summary_lag: float = 1.0
+    far_distance: float = 0.003
+    prefill_rate: float = 8000.0
+    preamble_share: float = 0.8
+    preamble_memory: float = 120.0
+    load_wait: float = 0.6
+    joined_load: float = 0.5
+
+
+class PlacementRequest(NamedTuple):
+    """What placement needs to know of a request.
+
+    Attributes
+    ----------
+    lora_name : str
+        ``ADAPTER@VERSION``.
+    needs_adapter : bool
+        False if the base model itself answers.
+    urgency : int
+        From 0 to 9; 9 is the most urgent.
+    prompt_tokens : int
+        Tokens of the prompt.
+    preamble : int
+        Hash of its first part.
+    """
+
+    lora_name: str
+    needs_adapter: bool
+    urgency: int
+    prompt_tokens: int
+    preamble: int
+
+
+class _Sent:
+    __slots__ = ("at", "lora_name")
+
+    def __init__(self, at, lora_name):
+        self.at = at
+        self.lora_name = lora_name
+
+
+MAX_PREAMBLES = 4096
+
+
+class Placer:
+    """Ranks targets by what this instance knows of them.
+
+    Summaries lag; what this instance has sent since they were made is added,
+    so that one stale report of an idle target does not draw every request.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this instance.
+    policy : PlacementPolicy
+        Numbers and the name of the score.
+    """
+
+    def __init__(self, *, data_centre, policy=None):
+        self.data_centre = data_centre
+        self.policy = policy or PlacementPolicy()
+        self.score = placement_score(self.policy.score)
+        self.summaries = {}
+        self.heard_at = {}
+        self.sent = {}
+        self.preambles = {}
+        self.failures = LoadBackoff(first=1.0, most=60.0)
+
+    def note_summary(self, summary, now):
+        """Take in the summary of a target.
+
+        Parameters
+        ----------
+        summary : skylarkpost.stewardship.TargetSummary
+            The summary. One of an older steward is dropped.
+        now : float
+            The present time, in seconds.
+        """
+        known = self.summaries.get(summary.target)
+        if known is not None and self._is_older(summary, known, now):
+            return
+        self.summaries[summary.target] = summary
+        self.heard_at[summary.target] = now
+        sent = self.sent.get(summary.target, {})
+        horizon = now - self.policy.summary_lag
+        for ticket_id, each in list(sent.items()):
+            if each.at < horizon:
+                del sent[ticket_id]
+
+    def note_sent(self, target, ticket_id, request, now):
+        """Note that a ticket was asked for.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        ticket_id : str
+            The ticket.
+        request : PlacementRequest
+            The request.
+        now : float
+            The present time, in seconds.
+        """
+        sent = self.sent.setdefault(target, {})
+        sent[ticket_id] = _Sent(now, request.lora_name)
+        self.preambles[(target, request.preamble)] = now
+        if len(self.preambles) > MAX_PREAMBLES:
+            del self.preambles[next(iter(self.preambles))]
+
+    def note_ended(self, target, ticket_id):
+        """Note that a request has left a target.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        ticket_id : str
+            The ticket.
+        """
+        self.sent.get(target, {}).pop(ticket_id, None)
+
+    def rank(self, request, targets, now, *, avoid=frozenset()):
+        """Order the targets for a request.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            The request.
+        targets : list of skylarkpost.config.Target
+            The targets that hold its base model and are not leaving.
+        now : float
+            The present time, in seconds.
+        avoid : frozenset of str
+            Targets that have failed it; they come last.
+
+        Returns
+        -------
+        list of (str, TargetView)
+            The best first.
+        """
+        names = [target.name for target in targets]
+        homes = rendezvous_order(request.lora_name, names)
+        views = [self.view(request, t, homes.index(t.name), now) for t in targets]
+        views.sort(key=lambda view: (view.target in avoid, self.score(view)))
+        return [(view.target, view) for view in views]
+
+    def view(self, request, target, home_rank, now):
+        """Return what is known of one target for a request.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            The request.
+        target : skylarkpost.config.Target
+            The target.
+        home_rank : int
+            Its rank by rendezvous hash for the adapter.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        TargetView
+        """
+        summary = self._fresh_summary(target.name, now)
+        sent = self.sent.get(target.name, {})
+        is_far = target.data_centre != self.data_centre
+        load_wait, is_resident = self._load_wait(request, summary, sent)
+        return TargetView(
+            target=target.name,
+            queue_wait=self._queue_wait(request, target, summary, sent),
+            load_wait=load_wait,
+            prefill=self._prefill(request, target.name, now),
+            distance=self.policy.far_distance if is_far else 0.0,
+            outstanding=self._outstanding(summary, sent),
+            is_resident=is_resident,
+            home_rank=home_rank,
+        )
+
+    def _is_older(self, summary, known, now):
+        if now - self.heard_at[known.target] > self.policy.summary_patience:
+            return False
+        older = summary.fencing_number < known.fencing_number
+        same = summary.fencing_number == known.fencing_number
+        return older or (same and summary.made_at < known.made_at)
+
+    def _fresh_summary(self, name, now):
+        if now - self.heard_at.get(name, -1e9) > self.policy.summary_patience:
+            return None
+        return self.summaries[name]
+
+    def _load_wait(self, request, summary, sent):
+        if not request.needs_adapter:
+            return 0.0, True
+        expected = self.policy.load_wait if summary is None else summary.load_wait
+        if summary is not None and adapter_hash(request.lora_name) in summary.resident:
+            return 0.0, True
+        if any(each.lora_name == request.lora_name for each in sent.values()):
+            return expected * self.policy.joined_load, True
+        return expected, False
+
+    def _queue_wait(self, request, target, summary, sent):
+        if summary is None:
+            return len(sent) / max(1, target.batch_limit)
+        ahead = summary.queued_urgent[request.urgency] + len(sent) + 1 - summary.room
+        if ahead <= 0:
+            return 0.0
+        return ahead * summary.service_time / summary.batch_limit
+
+    def _prefill(self, request, name, now):
+        tokens = request.prompt_tokens
+        seen_at = self.preambles.get((name, request.preamble))
+        if seen_at is not None and now - seen_at < self.policy.preamble_memory:
+            tokens *= 1.0 - self.policy.preamble_share
+        return tokens / self.policy.prefill_rate
+
+    def _outstanding(self, summary, sent):
+        if summary is None:
+            return len(sent)
+        out = summary.batch_limit - summary.room
+        return out + summary.queued + len(sent)
--- /dev/null
+++ b/skylarkpost/stewardship/authority.py
@@ -0,0 +1,129 @@
+"""Whether an instance may still act as a steward."""
+
+import math
+
+__all__ = ["Authority", "StandingAuthority"]
+
+
+class StandingAuthority:
+    """Authority that never ends, for use without other instances."""
+
+    gained_at = -math.inf
+
+    def is_valid(self, now):
+        """Return True.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return True
+
+
+class Authority:
+    """The lease on which an instance acts for all of its targets.
+
+    It is confirmed by a fresh read of the log, since a newer claim would have
+    been seen, or by having heard every live neighbour in the same data centre,
+    since only these can have claimed without the instance knowing. After a
+    pause nothing from before counts.
+
+    Parameters
+    ----------
+    lease : float
+        Seconds for which one confirmation lasts.
+    settle : float
+        Seconds after a pause within which any neighbour would be heard.
+    gap : float
+        Seconds between two ticks that count as a pause.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Time up to which nobody else can have taken over.
+    gained_at : float
+        When the authority was last gained after it had been lost.
+    resumed_at : float
+        When the instance last came back from a pause.
+    """
+
+    def __init__(self, *, lease, settle, gap):
+        self.lease = lease
+        self.settle = settle
+        self.gap = gap
+        self.confirmed_at = -math.inf
+        self.gained_at = -math.inf
+        self.resumed_at = -math.inf
+        self._ticked_at = None
+
+    def is_valid(self, now):
+        """Return whether the instance may act as a steward.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        self._note_time(now)
+        return now - self.confirmed_at <= self.lease
+
+    def resumed(self, now):
+        """Note that the instance was paused: it has to confirm first.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        self.resumed_at = now
+        self.confirmed_at = -math.inf
+
+    def log_read(self, fresh_at, now):
+        """Note a read of the log up to its end, without a newer claim in it.
+
+        Parameters
+        ----------
+        fresh_at : float
+            When the read began, in seconds.
+        now : float
+            The present time, in seconds.
+        """
+        self._note_time(now)
+        if fresh_at > self.resumed_at:
+            self._confirm(fresh_at, now)
+
+    def neighbours_heard(self, heard_at, now):
+        """Note when the live instances of the data centre were last heard.
+
+        Parameters
+        ----------
+        heard_at : list of float
+            For each live neighbour, when it was last heard, in seconds.
+        now : float
+            The present time, in seconds.
+        """
+        self._note_time(now)
+        if now - self.resumed_at < self.settle:
+            return
+        confirmed = min(heard_at, default=now)
+        if confirmed > self.resumed_at:
+            self._confirm(confirmed, now)
+
+    def _confirm(self, at, now):
+        if now - self.confirmed_at > self.lease:
+            self.gained_at = now
+        self.confirmed_at = max(self.confirmed_at, at)
+
+    def _note_time(self, now):
+        if self._ticked_at is not None and now - self._ticked_at > self.gap:
+            self.resumed(now)
+        self._ticked_at = now
--- /dev/null
+++ b/skylarkpost/stewardship/book.py
@@ -0,0 +1,219 @@
+"""The tickets that a steward has granted."""
+
+__all__ = ["TicketBook"]
+
+MAX_RETURNED = 4096
+
+
+class TicketBook:
+    """Tickets that are out, and when each adapter was last in use.
+
+    Parameters
+    ----------
+    lease : float
+        Seconds that a ticket lives without a renewal.
+    margin : float
+        Seconds beyond the lease before it counts as lapsed.
+
+    Attributes
+    ----------
+    tickets : dict of str to HeldTicket
+        Live tickets by id.
+    lapsed : dict of str to HeldTicket
+        Tickets whose lease lapsed while the engine may still run them.
+    last_end : dict of str to float
+        By adapter: when its last ticket came back or lapsed.
+    doubt_at : dict of str to float
+        By adapter: when a ticket last ended while the engine might go on
+        with its request.
+    """
+
+    def __init__(self, *, lease, margin):
+        self.lease = lease
+        self.margin = margin
+        self.tickets = {}
+        self.lapsed = {}
+        self.last_end = {}
+        self.doubt_at = {}
+        self._by_adapter = {}
+        self._returned = {}
+
+    def __len__(self):
+        return len(self.tickets)
+
+    def occupied(self):
+        """Return how many requests may run on the engine.
+
+        Returns
+        -------
+        int
+        """
+        return len(self.tickets) + len(self.lapsed)
+
+    def in_use(self, lora_name):
+        """Return whether a ticket for an adapter is live.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        bool
+        """
+        return bool(self._by_adapter.get(lora_name))
+
+    def was_returned(self, ticket_id):
+        """Return whether a ticket has come back, perhaps before its request.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+
+        Returns
+        -------
+        bool
+        """
+        return ticket_id in self._returned
+
+    def add(self, ticket):
+        """Add a ticket that was granted or that a holder reported.
+
+        Parameters
+        ----------
+        ticket : HeldTicket
+            The ticket.
+        """
+        self.lapsed.pop(ticket.ticket_id, None)
+        self.tickets[ticket.ticket_id] = ticket
+        self._by_adapter.setdefault(ticket.lora_name, set()).add(ticket.ticket_id)
+
+    def renew(self, ticket_id, now):
+        """Renew the lease of a live ticket.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it was live.
+        """
+        ticket = self.tickets.get(ticket_id)
+        if ticket is None:
+            return False
+        expires_at = max(ticket.expires_at, now + self.lease)
+        self.tickets[ticket_id] = ticket._replace(expires_at=expires_at)
+        return True
+
+    def end(self, ticket_id, now, *, certain=True):
+        """Take back a ticket.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+        now : float
+            The present time, in seconds.
+        certain : bool
+            Whether the holder knows that the engine has ended the request.
+
+        Returns
+        -------
+        HeldTicket or None
+            The ticket, if it was out.
+        """
+        self._note_returned(ticket_id)
+        lapsed = self.lapsed.pop(ticket_id, None)
+        ticket = self.tickets.pop(ticket_id, None)
+        if ticket is not None:
+            self._drop(ticket, now)
+            if not certain:
+                self.lapsed[ticket_id] = ticket
+                self.doubt_at[ticket.lora_name] = now
+        return ticket or lapsed
+
+    def lapse(self, now):
+        """Move the tickets whose lease has lapsed to `lapsed`.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of HeldTicket
+            The tickets that lapsed.
+        """
+        limit = now - self.margin
+        due = [t for t in self.tickets.values() if t.expires_at <= limit]
+        for ticket in due:
+            del self.tickets[ticket.ticket_id]
+            self._drop(ticket, now)
+            self.lapsed[ticket.ticket_id] = ticket
+            self.doubt_at[ticket.lora_name] = now
+        return due
+
+    def forget_lapsed(self, lora_name, *, idle_at):
+        """Drop the lapsed tickets of an adapter that was seen idle later.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        idle_at : float
+            A time at which nothing ran or waited on it, in seconds.
+        """
+        if idle_at < self.doubt_at.get(lora_name, idle_at):
+            return
+        for ticket_id, ticket in list(self.lapsed.items()):
+            if ticket.lora_name == lora_name:
+                del self.lapsed[ticket_id]
+
+    def forget_adapter(self, lora_name):
+        """Drop what is known of an adapter that has left the engine.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        """
+        if self.in_use(lora_name):
+            return
+        self.last_end.pop(lora_name, None)
+        self.doubt_at.pop(lora_name, None)
+
+    def clear(self):
+        """Drop all tickets, since the engine that ran them is gone.
+
+        Returns
+        -------
+        list of HeldTicket
+            The tickets that were live.
+        """
+        dropped = list(self.tickets.values())
+        self.tickets = {}
+        self.lapsed = {}
+        self.last_end = {}
+        self.doubt_at = {}
+        self._by_adapter = {}
+        return dropped
+
+    def _drop(self, ticket, now):
+        ids = self._by_adapter[ticket.lora_name]
+        ids.discard(ticket.ticket_id)
+        if not ids:
+            del self._by_adapter[ticket.lora_name]
+            self.last_end[ticket.lora_name] = now
+
+    def _note_returned(self, ticket_id):
+        self._returned[ticket_id] = None
+        if len(self._returned) > MAX_RETURNED:
+            del self._returned[next(iter(self._returned))]
--- /dev/null
+++ b/skylarkpost/stewardship/demand.py
@@ -0,0 +1,62 @@
+"""Decayed demand for adapters."""
+
+__all__ = ["Demand"]
+
+
+class Demand:
+    """Counts that decay exponentially, by name, within a bound.
+
+    Parameters
+    ----------
+    half_life : float
+        Seconds in which a count decays to its half.
+    limit : int
+        Most names kept; the ones with the least demand go first.
+    """
+
+    def __init__(self, *, half_life, limit=4096):
+        self.half_life = half_life
+        self.limit = limit
+        self.counts = {}
+
+    def __len__(self):
+        return len(self.counts)
+
+    def add(self, name, *, now, amount=1.0):
+        """Add to the demand for a name.
+
+        Parameters
+        ----------
+        name : str
+            The name.
+        now : float
+            The present time, in seconds.
+        amount : float
+            What to add.
+        """
+        self.counts[name] = (self.value(name, now) + amount, now)
+        if len(self.counts) > self.limit:
+            self._shrink(now)
+
+    def value(self, name, now):
+        """Return the demand for a name.
+
+        Parameters
+        ----------
+        name : str
+            The name.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            The decayed count.
+        """
+        count, at = self.counts.get(name, (0.0, now))
+        return count * 0.5 ** (max(0.0, now - at) / self.half_life)
+
+    def _shrink(self, now):
+        by_demand = sorted(self.counts, key=lambda name: self.value(name, now))
+        for name in by_demand[: self.limit // 4]:
+            del self.counts[name]
--- /dev/null
+++ b/skylarkpost/stewardship/orders.py
@@ -0,0 +1,79 @@
+"""Registry of queue orders: which waiting request goes next."""
+
+__all__ = ["effective_urgency", "queue_order", "register_queue_order"]
+
+MOST_URGENT = 9
+
+_orders = {}
+
+
+def register_queue_order(name):
+    """Register a queue order.
+
+    Parameters
+    ----------
+    name : str
+        Its name in the settings.
+
+    Returns
+    -------
+    callable
+        Decorator of a function that takes a `QueueEntry`, the `FairShares` of
+        the teams, the ageing time and ``now``, and returns a sort key. The
+        entry with the lowest key goes next.
+    """
+
+    def decorate(function):
+        assert name not in _orders, f"queue order {name} is registered twice"
+        _orders[name] = function
+        return function
+
+    return decorate
+
+
+def queue_order(name):
+    """Return a registered queue order.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+
+    Returns
+    -------
+    callable
+    """
+    return _orders[name]
+
+
+def effective_urgency(entry, *, ageing, now):
+    """Return the urgency of an entry, raised by the time that it has waited.
+
+    Parameters
+    ----------
+    entry : QueueEntry
+        The entry.
+    ageing : float
+        Seconds of waiting that raise the urgency by one.
+    now : float
+        The present time, in seconds.
+
+    Returns
+    -------
+    int
+    """
+    raised = entry.request.urgency + int((now - entry.queued_at) / ageing)
+    return min(MOST_URGENT, raised)
+
+
+@register_queue_order("fair")
+def fair(entry, *, shares, ageing, now):
+    """Order by urgency, and within an urgency by weighted fair shares of teams."""
+    urgency = effective_urgency(entry, ageing=ageing, now=now)
+    return (-urgency, shares.start_tag(entry.request.team), entry.sequence)
+
+
+@register_queue_order("first-come")
+def first_come(entry, *, shares, ageing, now):
+    """Order by arrival."""
+    return (entry.sequence,)
--- /dev/null
+++ b/skylarkpost/stewardship/policy.py
@@ -0,0 +1,66 @@
+"""Numbers that govern the stewardship of a target."""
+
+from typing import NamedTuple
+
+__all__ = ["StewardPolicy"]
+
+
+class StewardPolicy(NamedTuple):
+    """Leases, bounds and names of the policies of a steward.
+
+    Attributes
+    ----------
+    ticket_lease : float
+        Seconds that a ticket lives without a renewal.
+    lease_margin : float
+        Seconds that the steward waits beyond the end of a lease. It covers
+        the drift of clocks and a request that was sent at the last moment.
+    authority_lease : float
+        Seconds that a steward may act after it last confirmed its authority.
+    order_deadline : float
+        Seconds after which an unanswered unload order is given up.
+    order_linger : float
+        Longest time, in seconds, after which an order that its sender has
+        given up, or did not outlive, may still reach the engine.
+    report_lag : float
+        Greatest age, in seconds, of a load report when it is handed out.
+    queue_limit : int
+        Most requests that wait for one target.
+    batch_slack : int
+        Tickets beyond the engine's batch limit.
+    loads_at_once : int
+        Most loads in progress on one target.
+    ageing : float
+        Seconds of waiting that raise the urgency of a request by one.
+    drain_after : float
+        Seconds that a request waits for a slot before a resident adapter in
+        use is drained for it.
+    least_residence : float
+        Seconds that an adapter stays before it may be drained.
+    demand_half_life : float
+        Seconds in which the demand for an adapter decays to its half.
+    backoff_first, backoff_most : float
+        Shortest and longest pause, in seconds, after a failed load.
+    queue_order : str
+        Name in the registry of queue orders.
+    eviction : str
+        Name in the registry of eviction policies.
+    """
+
+    ticket_lease: float = 10.0
+    lease_margin: float = 2.0
+    authority_lease: float = 3.0
+    order_deadline: float = 2.0
+    order_linger: float = 5.0
+    report_lag: float = 1.0
+    queue_limit: int = 512
+    batch_slack: int = 1
+    loads_at_once: int = 2
+    ageing: float = 2.0
+    drain_after: float = 0.5
+    least_residence: float = 1.0
+    demand_half_life: float = 300.0
+    backoff_first: float = 1.0
+    backoff_most: float = 60.0
+    queue_order: str = "fair"
+    eviction: str = "worth"
--- /dev/null
+++ b/skylarkpost/stewardship/residency.py
@@ -0,0 +1,297 @@
+"""Which adapters an engine holds, from orders and from its reports."""
+
+import enum
+from typing import NamedTuple
+
+from skylarkpost.stewardship.reports import ReportClock
+
+__all__ = ["HOLDS_COPY", "AdapterState", "Residency", "ResidencyChange"]
+
+MAX_OLD_BOOTS = 16
+
+
+class AdapterState(enum.StrEnum):
+    """What the steward knows of one adapter on the engine."""
+
+    LOADING = "loading"
+    RESIDENT = "resident"
+    DRAINING = "draining"
+    UNLOADING = "unloading"
+
+
+HOLDS_COPY = (AdapterState.RESIDENT, AdapterState.DRAINING)
+
+
+class ResidencyChange(NamedTuple):
+    """What a report changed.
+
+    Attributes
+    ----------
+    restarted : bool
+        Whether the engine runs anew, so that everything before is void.
+    gained, lost : tuple of str
+        Adapters that have come or gone without a known order.
+    failed : tuple of str
+        Adapters whose load had an unknown end and did not succeed.
+    kept : tuple of str
+        Adapters whose unload had an unknown end and did not succeed.
+    """
+
+    restarted: bool = False
+    gained: tuple = ()
+    lost: tuple = ()
+    failed: tuple = ()
+    kept: tuple = ()
+
+
+class _Adapter:
+    __slots__ = ("changed_at", "idle_at", "pending", "since", "state", "used_at")
+
+    def __init__(self, *, state, now, pending):
+        self.state = state
+        self.since = now
+        self.changed_at = now
+        self.idle_at = None
+        self.used_at = None
+        self.pending = pending
+
+
+class Residency:
+    """The adapters in an engine's slots.
+
+    Parameters
+    ----------
+    slots : int
+        Adapters that fit at once, until a report says otherwise.
+    report_lag : float
+        Greatest age of a report when it is handed out, in seconds.
+
+    Attributes
+    ----------
+    boot : str or None
+        Run of the engine; None until the first report.
+    adapters : dict of str to object
+        By ``ADAPTER@VERSION``.
+    report_at : float or None
+        When the latest report came.
+    """
+
+    def __init__(self, *, slots, report_lag):
+        self.slots = slots
+        self.report_lag = report_lag
+        self.boot = None
+        self.old_boots = []
+        self.adapters = {}
+        self.report_at = None
+        self.total = 0
+        self.gone_at = {}
+        self.last_taken_at = None
+        self._clock = ReportClock(report_lag=report_lag)
+
+    def state(self, lora_name):
+        """Return the state of an adapter.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        AdapterState or None
+            None if it takes no slot.
+        """
+        adapter = self.adapters.get(lora_name)
+        return None if adapter is None else adapter.state
+
+    def is_usable(self, lora_name):
+        """Return whether new requests may go to an adapter.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        bool
+        """
+        return self.state(lora_name) is AdapterState.RESIDENT
+
+    def usable(self):
+        """Return the adapters that new requests may go to.
+
+        Returns
+        -------
+        list of str
+        """
+        return [name for name in self.adapters if self.is_usable(name)]
+
+    def free_slots(self):
+        """Return the number of slots that nothing takes.
+
+        Returns
+        -------
+        int
+        """
+        return max(0, self.slots - len(self.adapters))
+
+    def count(self, state):
+        """Return the number of adapters in a state.
+
+        Parameters
+        ----------
+        state : AdapterState
+            The state.
+
+        Returns
+        -------
+        int
+        """
+        return sum(each.state is state for each in self.adapters.values())
+
+    def set_state(self, lora_name, state, *, now, pending=False):
+        """Note that an order was given or has ended.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        state : AdapterState or None
+            The new state; None if it is gone.
+        now : float
+            The present time, in seconds.
+        pending : bool
+            Whether an order is in flight, so that reports decide nothing.
+        """
+        if state is None:
+            self.adapters.pop(lora_name, None)
+            self.gone_at[lora_name] = now
+            return
+        adapter = self.adapters.get(lora_name)
+        if adapter is None:
+            self.adapters[lora_name] = _Adapter(state=state, now=now, pending=pending)
+            return
+        if state is AdapterState.RESIDENT and adapter.state not in HOLDS_COPY:
+            adapter.since = now
+        adapter.state = state
+        adapter.pending = pending
+        adapter.changed_at = now
+
+    def used_at(self, lora_name):
+        """Return a time at which an adapter was in use, by a report.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        float or None
+            None if the latest report shows that nothing runs or waits on it.
+        """
+        adapter = self.adapters.get(lora_name)
+        return None if adapter is None else adapter.used_at
+
+    def idle_at(self, lora_name):
+        """Return a time at which nothing ran or waited on an adapter.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        float or None
+            The latest time for which a report shows it; None if the latest
+            report shows that it is used.
+        """
+        adapter = self.adapters.get(lora_name)
+        return None if adapter is None else adapter.idle_at
+
+    def apply_report(self, report, *, now):
+        """Take in a load report.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report.
+        now : float
+            When it came, in seconds.
+
+        Returns
+        -------
+        ResidencyChange or None
+            None if the report is older than one that came before.
+        """
+        if report.boot in self.old_boots:
+            return None
+        restarted = self._note_boot(report.boot)
+        if self.last_taken_at is not None and report.taken_at < self.last_taken_at:
+            return None
+        self.last_taken_at = report.taken_at
+        taken = self._clock.taken_no_earlier_than(report.taken_at, received_at=now)
+        self.slots = report.slots
+        self.report_at = now
+        self.total = report.running + report.waiting
+        gained = self._adopt(report, taken, now)
+        lost, failed, kept = self._settle(report, taken)
+        self.gone_at = {n: at for n, at in self.gone_at.items() if at >= taken}
+        return ResidencyChange(restarted, gained, lost, failed, kept)
+
+    def _adopt(self, report, taken, now):
+        gained = []
+        for name, load in report.resident.items():
+            if self._is_gained(name, taken):
+                self.set_state(name, AdapterState.RESIDENT, now=now)
+                gained.append(name)
+            if name in self.adapters:
+                self._note_use(name, load, taken)
+        return tuple(gained)
+
+    def _settle(self, report, taken):
+        lost, failed, kept = [], [], []
+        for name, adapter in list(self.adapters.items()):
+            if adapter.pending or taken <= adapter.changed_at:
+                continue
+            if name in report.resident:
+                if adapter.state is AdapterState.UNLOADING:
+                    kept.append(name)
+            elif name not in report.loading:
+                del self.adapters[name]
+                is_load = adapter.state is AdapterState.LOADING
+                (failed if is_load else lost).append(name)
+        return tuple(lost), tuple(failed), tuple(kept)
+
+    def _note_boot(self, boot):
+        if boot == self.boot:
+            return False
+        restarted = self.boot is not None
+        if restarted:
+            self.old_boots.append(self.boot)
+            del self.old_boots[:-MAX_OLD_BOOTS]
+        self.boot = boot
+        self.adapters = {}
+        self.gone_at = {}
+        self.last_taken_at = None
+        self._clock = ReportClock(report_lag=self.report_lag)
+        return restarted
+
+    def _is_gained(self, name, taken):
+        adapter = self.adapters.get(name)
+        if adapter is None:
+            return name not in self.gone_at or taken > self.gone_at[name]
+        settled = not adapter.pending and taken > adapter.changed_at
+        return adapter.state is AdapterState.LOADING and settled
+
+    def _note_use(self, name, load, taken):
+        adapter = self.adapters[name]
+        if load.running + load.waiting:
+            adapter.used_at = taken
+            adapter.idle_at = None
+            return
+        adapter.used_at = None
+        if adapter.idle_at is None or taken > adapter.idle_at:
+            adapter.idle_at = taken
--- /dev/null
+++ b/skylarkpost/stewardship/slots.py
@@ -0,0 +1,510 @@
+"""Decides what an engine's adapter slots hold: loads, evictions, drains."""
+
+import itertools
+import math
+
+from skylarkpost.outcomes import Reason
+from skylarkpost.stewardship.demand import Demand
+from skylarkpost.stewardship.eviction import AdapterUsage, eviction_policy
+from skylarkpost.stewardship.fairness import FairShares
+from skylarkpost.stewardship.loads import LoadBackoff
+from skylarkpost.stewardship.messages import (
+    LoadAdapter,
+    RefuseTicket,
+    RequestLoadPermit,
+    ReturnLoadPermit,
+    UnloadAdapter,
+)
+from skylarkpost.stewardship.residency import HOLDS_COPY, AdapterState, Residency
+
+__all__ = ["SlotPlanner"]
+
+FIRST_LOAD_COST_S = 0.5
+COST_SMOOTHING = 0.2
+PERMIT_PATIENCE_S = 2.0
+
+
+class SlotPlanner:
+    """Loads what requests wait for, and makes room without harming any.
+
+    Parameters
+    ----------
+    target : skylarkpost.config.Target
+        The target.
+    fencing_number : int
+        Number of the steward.
+    policy : StewardPolicy
+        Bounds and names of policies.
+    queue : FairQueue
+        Requests that wait.
+    book : TicketBook
+        Tickets that are out.
+
+    Attributes
+    ----------
+    copies : dict of str to int
+        Targets that hold an adapter, as far as known; set from outside.
+    pinned : set of str
+        Adapters that are never evicted.
+    barred : dict of str to float
+        Adapters that an earlier unload order may still reach, and until when;
+        they are not used on this target.
+    load_cost : float
+        Smoothed seconds between the order to load and its end.
+    evictions : int
+        Unload orders given.
+    """
+
+    def __init__(self, *, target, fencing_number, policy, queue, book):
+        self.base_model = target.pool
+        self.fencing_number = fencing_number
+        self.policy = policy
+        self.queue = queue
+        self.book = book
+        self.residency = Residency(slots=target.slots, report_lag=policy.report_lag)
+        self.demand = Demand(half_life=policy.demand_half_life)
+        self.backoff = LoadBackoff(first=policy.backoff_first, most=policy.backoff_most)
+        self.load_shares = FairShares()
+        self.evict_order = eviction_policy(policy.eviction)
+        self.copies = {}
+        self.pinned = set()
+        self.barred = {}
+        self.wanted = []
+        self.load_cost = FIRST_LOAD_COST_S
+        self.evictions = 0
+        self._orders = {}
+        self._order_numbers = itertools.count(1)
+        self._permits = 0
+        self._permit_at = None
+        self._permit_asked = False
+        self._adopted = set()
+        self._kept = set()
+
+    def is_usable(self, lora_name):
+        """Return whether a request for an adapter may go to the engine now.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter, or the base model, which is always there.
+
+        Returns
+        -------
+        bool
+        """
+        if lora_name in self.barred:
+            return False
+        return lora_name == self.base_model or self.residency.is_usable(lora_name)
+
+    def holds(self, lora_name):
+        """Return whether the engine holds an adapter and no order removes it.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter, or the base model.
+
+        Returns
+        -------
+        bool
+        """
+        state = self.residency.state(lora_name)
+        return lora_name == self.base_model or state in HOLDS_COPY
+
+    def usable_since(self, lora_name):
+        """Return when an adapter became resident.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter, or the base model.
+
+        Returns
+        -------
+        float
+            Seconds; minus infinity for the base model.
+        """
+        adapter = self.residency.adapters.get(lora_name)
+        return -math.inf if adapter is None else adapter.since
+
+    def advance(self, now, *, evicts_from):
+        """Decide which orders to give.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        evicts_from : float or None
+            Time from which adapters may be evicted; None if never.
+
+        Returns
+        -------
+        list of Command
+        """
+        if self.residency.boot is None:
+            return []
+        self._lift_bars(now)
+        may_evict = evicts_from is not None and now >= evicts_from
+        candidates = self._candidates(now)
+        needs_room = may_evict and candidates
+        victims = self._victims(evicts_from, now) if needs_room else []
+        commands = self._repeat_unloads(now)
+        commands += self._use_permits(candidates, victims, now)
+        commands += self._ask_permit(candidates, victims)
+        if may_evict:
+            self._plan_drains(candidates, victims, now)
+        return commands
+
+    def permit_granted(self, now):
+        """Note that one load is permitted.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        self._permit_asked = False
+        self._permits += 1
+        self._permit_at = now
+
+    def permit_denied(self):
+        """Note that no permit was given; it is asked for again."""
+        self._permit_asked = False
+
+    def order_ended(self, order, lora_name, *, succeeded, certain, now):
+        """Note the answer to an order, or that none came.
+
+        Parameters
+        ----------
+        order : int
+            Number of the order.
+        lora_name : str
+            Adapter that it was about.
+        succeeded : bool
+            Whether the engine carried it out.
+        certain : bool
+            Whether it is known what the engine did; if not, the order may
+            still arrive.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Command
+            Refusals of the requests that waited for a failed load.
+        """
+        if self._orders.get(lora_name) != order:
+            return []
+        del self._orders[lora_name]
+        if self.residency.state(lora_name) is AdapterState.LOADING:
+            return self._load_ended(lora_name, succeeded, certain, now)
+        self._unload_ended(lora_name, succeeded, certain, now)
+        return []
+
+    def apply_report(self, report, now):
+        """Take in a load report.
+
+        Parameters
+        ----------
+        report : LoadReport
+            The report.
+        now : float
+            When it came, in seconds.
+
+        Returns
+        -------
+        ResidencyChange or None
+            What changed; None if the report is old.
+        list of Command
+            Refusals of the requests that waited for a failed load.
+        """
+        before = self.residency.usable()
+        change = self.residency.apply_report(report, now=now)
+        if change is None:
+            return None, []
+        if change.restarted:
+            self._restart(before, now)
+        for name in change.lost:
+            self.queue.set_ready(name, ready=False)
+            self._adopted.discard(name)
+        for name in change.gained:
+            self._adopt(name, now)
+        refusals = []
+        for name in change.failed:
+            refusals += self._refuse_waiters(name, now)
+        self._kept.update(change.kept)
+        for name in report.resident:
+            idle_at = self.residency.idle_at(name)
+            if idle_at is not None:
+                self.book.forget_lapsed(name, idle_at=idle_at)
+        return change, refusals
+
+    def prefetch(self, lora_names):
+        """Have adapters loaded into slots that nothing else needs.
+
+        Parameters
+        ----------
+        lora_names : list of str
+            The adapters, the most wanted first.
+        """
+        self.wanted = list(lora_names)[: self.residency.slots]
+
+    def usage(self, lora_name, now):
+        """Return what the eviction policy knows of an adapter.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        AdapterUsage
+        """
+        since = self.residency.adapters[lora_name].since
+        idle_since = self.book.last_end.get(lora_name, since)
+        return AdapterUsage(
+            lora_name=lora_name,
+            demand=self.demand.value(lora_name, now),
+            idle_for=0.0 if self.book.in_use(lora_name) else now - idle_since,
+            load_cost=self.load_cost,
+            copies=max(1, self.copies.get(lora_name, 1)),
+        )
+
+    def _candidates(self, now):
+        blocked = [
+            waiters
+            for waiters in self.queue.blocked_adapters(now)
+            if self.residency.state(waiters.lora_name) is None
+            and waiters.lora_name not in self.barred
+            and not self.backoff.remaining(waiters.lora_name, now)
+        ]
+        blocked.sort(key=self._load_order)
+        return blocked
+
+    def _load_order(self, waiters):
+        team = waiters.oldest.request.team
+        share = self.load_shares.start_tag(team)
+        return (-waiters.urgency, share, -waiters.count, waiters.oldest.sequence)
+
+    def _victims(self, evicts_from, now):
+        idle = [
+            name
+            for name in self.residency.adapters
+            if self._is_evictable(name, evicts_from)
+        ]
+        waited_for = self.queue.ready_adapters()
+        idle = [name for name in idle if name not in waited_for]
+        return sorted(idle, key=lambda name: self._evict_key(name, now))
+
+    def _evict_key(self, name, now):
+        is_draining = self.residency.state(name) is AdapterState.DRAINING
+        return (not is_draining, self.evict_order(self.usage(name, now)), name)
+
+    def _is_evictable(self, name, evicts_from):
+        if not self.holds(name) or name in self.pinned:
+            return False
+        if self.book.in_use(name):
+            return False
+        used_at = self.residency.used_at(name)
+        if used_at is not None and used_at > self.book.last_end.get(name, 0.0):
+            return False
+        doubt = self._doubt_at(name, evicts_from)
+        idle_at = self.residency.idle_at(name)
+        if doubt is None:
+            return True
+        return idle_at is not None and idle_at > doubt
+
+    def _doubt_at(self, name, evicts_from):
+        since = self.residency.adapters[name].since
+        times = [self.book.doubt_at.get(name)]
+        if name in self._adopted:
+            times.append(since)
+        if since <= evicts_from:
+            times.append(evicts_from)
+        return max((each for each in times if each is not None), default=None)
+
+    def _use_permits(self, candidates, victims, now):
+        commands = []
+        while self._permits and candidates and self.residency.free_slots():
+            commands.append(self._order_load(candidates.pop(0), now))
+        while self._permits and not candidates and self._next_wanted(now):
+            commands.append(self._order_wanted(now))
+        unloading = self.residency.count(AdapterState.UNLOADING)
+        needed = min(self._permits, len(candidates)) - unloading
+        for _ in range(min(needed, len(victims))):
+            commands.append(self._order_unload(victims.pop(0), now))
+        has_use = candidates or self._next_wanted(now)
+        expired = self._permits and now - self._permit_at > PERMIT_PATIENCE_S
+        if self._permits and (not has_use or expired):
+            commands += [ReturnLoadPermit()] * self._permits
+            self._permits = 0
+        return commands
+
+    def _order_load(self, waiters, now):
+        request = waiters.oldest.request
+        self.load_shares.charge(request.team, weight=request.weight, cost=1.0)
+        return self._give_load(waiters.lora_name, now)
+
+    def _order_wanted(self, now):
+        name = self._next_wanted(now)
+        self.wanted.remove(name)
+        return self._give_load(name, now)
+
+    def _give_load(self, name, now):
+        assert self.residency.state(name) is None
+        self._permits -= 1
+        self.residency.set_state(name, AdapterState.LOADING, now=now, pending=True)
+        self._adopted.discard(name)
+        return LoadAdapter(
+            self._next_order(name), name, self.residency.boot, self.fencing_number
+        )
+
+    def _order_unload(self, name, now):
+        assert not self.book.in_use(name), f"unload of {name}, which is in use"
+        assert name not in self.pinned
+        self.residency.set_state(name, AdapterState.UNLOADING, now=now, pending=True)
+        self.queue.set_ready(name, ready=False)
+        self.evictions += 1
+        return UnloadAdapter(
+            self._next_order(name), name, self.residency.boot, self.fencing_number
+        )
+
+    def _next_order(self, name):
+        self._orders[name] = next(self._order_numbers)
+        return self._orders[name]
+
+    def _next_wanted(self, now):
+        if not self.residency.free_slots():
+            return None
+        for name in self.wanted:
+            is_absent = self.residency.state(name) is None
+            if is_absent and not self.backoff.remaining(name, now):
+                return name
+        return None
+
+    def _ask_permit(self, candidates, victims):
+        if self._permit_asked:
+            return []
+        in_progress = self.residency.count(AdapterState.LOADING) + self._permits
+        if in_progress >= self.policy.loads_at_once:
+            return []
+        room = self.residency.free_slots() + len(victims) - self._permits
+        if candidates and room > 0:
+            self._permit_asked = True
+            first = candidates[0]
+            return [RequestLoadPermit(first.urgency, len(candidates))]
+        if not candidates and self.wanted and self.residency.free_slots() > 0:
+            self._permit_asked = True
+            return [RequestLoadPermit(0, 0)]
+        return []
+
+    def _plan_drains(self, candidates, victims, now):
+        draining = self.residency.count(AdapterState.DRAINING)
+        freed = self.residency.free_slots() + len(victims)
+        freed += self.residency.count(AdapterState.UNLOADING)
+        impatient = [
+            waiters
+            for waiters in candidates
+            if now - waiters.oldest.queued_at > self.policy.drain_after
+        ]
+        needed = min(len(impatient), self.policy.loads_at_once) - freed
+        if draining < needed:
+            self._drain_one(now)
+        elif draining and not candidates:
+            self._undrain(now)
+
+    def _drain_one(self, now):
+        oldest = now - self.policy.least_residence
+        names = [
+            name
+            for name, adapter in self.residency.adapters.items()
+            if adapter.state is AdapterState.RESIDENT
+            and adapter.since <= oldest
+            and name not in self.pinned
+        ]
+        if names:
+            name = min(names, key=lambda each: self._evict_key(each, now))
+            self.residency.set_state(name, AdapterState.DRAINING, now=now)
+            self.queue.set_ready(name, ready=False)
+
+    def _undrain(self, now):
+        for name, adapter in self.residency.adapters.items():
+            if adapter.state is AdapterState.DRAINING:
+                self.residency.set_state(name, AdapterState.RESIDENT, now=now)
+                self.queue.set_ready(name, ready=True)
+
+    def _load_ended(self, name, succeeded, certain, now):
+        if succeeded:
+            started_at = self.residency.adapters[name].changed_at
+            self.load_cost += COST_SMOOTHING * (now - started_at - self.load_cost)
+            self.residency.set_state(name, AdapterState.RESIDENT, now=now)
+            self.backoff.succeeded(name)
+            self.book.forget_adapter(name)
+            self.queue.set_ready(name, ready=True)
+            return []
+        if not certain:
+            self.residency.set_state(name, AdapterState.LOADING, now=now)
+            return []
+        self.residency.set_state(name, None, now=now)
+        return self._refuse_waiters(name, now)
+
+    def _unload_ended(self, name, succeeded, certain, now):
+        if succeeded:
+            self.residency.set_state(name, None, now=now)
+            self.book.forget_adapter(name)
+            return
+        if certain and name not in self.barred:
+            self.residency.set_state(name, AdapterState.RESIDENT, now=now)
+            self.queue.set_ready(name, ready=True)
+            return
+        if not certain:
+            self.barred[name] = now + self.policy.order_linger
+        self.residency.set_state(name, AdapterState.UNLOADING, now=now)
+
+    def _refuse_waiters(self, name, now):
+        until = self.backoff.failed(name, now)
+        refusals = []
+        for entry in self.queue.of_adapter(name):
+            request = entry.request
+            self.queue.remove(request.ticket_id)
+            refusals.append(
+                RefuseTicket(
+                    request.ticket_id, request.holder, Reason.LOAD_FAILED, until - now
+                )
+            )
+        return refusals
+
+    def _adopt(self, name, now):
+        self._adopted.add(name)
+        if name in self.barred:
+            self.residency.set_state(name, AdapterState.UNLOADING, now=now)
+        else:
+            self.queue.set_ready(name, ready=True)
+
+    def _lift_bars(self, now):
+        for name, until in list(self.barred.items()):
+            if until <= now:
+                del self.barred[name]
+
+    def _repeat_unloads(self, now):
+        kept, self._kept = self._kept, set()
+        return [
+            self._order_unload(name, now)
+            for name in sorted(kept)
+            if self.residency.state(name) is AdapterState.UNLOADING
+            and name not in self._orders
+            and not self.book.in_use(name)
+        ]
+
+    def _restart(self, before, now):
+        self._orders = {}
+        self._adopted = set()
+        self._kept = set()
+        self.barred = {}
+        for name in before:
+            self.queue.set_ready(name, ready=False)
+        known = [name for name in self.demand.counts if name != self.base_model]
+        self.prefetch(sorted(known, key=lambda name: -self.demand.value(name, now)))
--- /dev/null
+++ b/tests/stewardship/test_steward.py
@@ -0,0 +1,238 @@
+import pytest
+
+from skylarkpost.outcomes import Reason
+from skylarkpost.stewardship import (
+    FenceTarget,
+    GrantTicket,
+    LoadAdapter,
+    Powers,
+    RefuseTicket,
+    RequestLoadPermit,
+    StewardPolicy,
+    TargetSteward,
+    TicketRequest,
+    UnloadAdapter,
+)
+from tests.stewardship.fakes import FakeEngine, FakeTarget
+
+
+class Bench:
+    """A steward and its engine; carries out all commands at once."""
+
+    def __init__(self, *, target=FakeTarget(), failing=(), **options):  # noqa: B008
+        self.engine = FakeEngine(target, report_lag=0.0)
+        self.failing = set(failing)
+        self.steward = TargetSteward(
+            target=target, fencing_number=7, instance="i-1", now=0.0, **options
+        )
+        self.granted, self.refused, self.orders = {}, {}, []
+        self.report(0.0)
+
+    def carry_out(self, commands, now):
+        pending = list(commands)
+        while pending:
+            command = pending.pop(0)
+            pending += self.carry_out_one(command, now)
+
+    def carry_out_one(self, command, now):
+        steward = self.steward
+        self.orders.append(command)
+        if isinstance(command, GrantTicket):
+            self.granted[command.ticket_id] = command
+            assert command.lora_name in self.engine.resident
+        elif isinstance(command, RefuseTicket):
+            self.refused[command.ticket_id] = command
+        elif isinstance(command, RequestLoadPermit):
+            return steward.permit_granted(now)
+        elif isinstance(command, LoadAdapter):
+            done = command.lora_name not in self.failing
+            done = done and self.engine.load(command.lora_name, command.boot, 7)
+            return steward.order_ended(command, now, succeeded=done)
+        elif isinstance(command, UnloadAdapter):
+            done = self.engine.unload(command.lora_name, command.boot, 7)
+            return steward.order_ended(command, now, succeeded=done)
+        elif isinstance(command, FenceTarget):
+            return steward.fence_ended(command, now, succeeded=True)
+        return []
+
+    def report(self, now):
+        self.engine.reports = []
+        self.carry_out(self.steward.report(self.engine.report(now), now), now)
+
+    def ask(self, ticket_id, lora_name, now, **changes):
+        values = {"team": "t", "weight": 1.0, "urgency": 5, "tokens": 100}
+        values |= {"holder": "i-1", "deadline": now + 60.0} | changes
+        request = TicketRequest(ticket_id=ticket_id, lora_name=lora_name, **values)
+        self.carry_out(self.steward.request(request, now), now)
+
+    def give_back(self, ticket_id, now, **options):
+        self.carry_out(self.steward.return_ticket(ticket_id, now, **options), now)
+
+    def tick(self, now):
+        self.carry_out(self.steward.tick(now), now)
+
+
+def test_a_request_waits_for_its_adapter_and_versions_are_different_adapters():
+    bench = Bench()
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r2", "a@2", 1.0)
+    assert bench.granted["r1"].lora_name == "a@1"
+    assert bench.granted["r2"].lora_name == "a@2"
+    assert bench.engine.resident == {"a@1", "a@2"}
+
+
+def test_an_adapter_with_a_ticket_out_stays_and_leaves_after_the_last_return():
+    bench = Bench()
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r2", "b@1", 1.0)
+    bench.ask("r3", "c@1", 1.0)
+    assert "r3" not in bench.granted
+    for step in range(10):
+        bench.report(1.0 + step)
+        bench.carry_out(bench.steward.renew([_held(bench, "r1")], 1.0 + step), 0.0)
+        bench.steward.book.renew("r2", 1.0 + step)
+    assert "r3" not in bench.granted
+    bench.give_back("r2", 11.0)
+    bench.report(11.2)
+    assert bench.granted["r3"].lora_name == "c@1"
+    assert bench.engine.resident == {"a@1", "c@1"}
+
+
+def _held(bench, ticket_id):
+    bench.steward.book.renew(ticket_id, 0.0)
+    return (bench.steward.book.tickets[ticket_id], "another boot")
+
+
+def test_a_lapsed_ticket_needs_a_report_that_was_taken_afterwards():
+    bench = Bench(target=FakeTarget(slots=1))
+    bench.ask("r1", "a@1", 1.0)
+    bench.engine.run("r1", "a@1", bench.engine.boot, 7)
+    bench.ask("r2", "b@1", 1.5)
+    for second in range(2, 30):
+        bench.report(float(second))
+    assert bench.engine.resident == {"a@1"}
+    old_report = bench.engine.report(29.0)
+    bench.engine.end("r1")
+    bench.carry_out(bench.steward.report(old_report, 30.0), 30.0)
+    assert bench.engine.resident == {"a@1"}
+    bench.report(31.5)
+    bench.report(33.0)
+    assert bench.granted["r2"].lora_name == "b@1"
+    assert bench.engine.evicted_in_use == 0
+
+
+def test_an_uncertain_end_counts_as_use_until_a_report_shows_none():
+    bench = Bench(target=FakeTarget(slots=1))
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r2", "b@1", 1.5)
+    bench.give_back("r1", 2.0, certain=False)
+    assert "r2" not in bench.granted
+    bench.report(3.5)
+    assert "r2" in bench.granted
+
+
+def test_a_failing_adapter_backs_off_and_leaves_the_load_slots_to_others():
+    bench = Bench(failing={"bad@1"})
+    bench.ask("r1", "bad@1", 1.0)
+    bench.ask("r2", "bad@1", 1.1)
+    bench.ask("r3", "good@1", 1.1)
+    assert bench.refused["r1"].reason is Reason.LOAD_FAILED
+    assert bench.refused["r2"].reason is Reason.LOAD_FAILED
+    assert bench.refused["r2"].retry_after > 0.5
+    assert "r3" in bench.granted
+    bench.ask("r4", "bad@1", 2.1)
+    bench.ask("r5", "bad@1", 3.5)
+    loads = [o for o in bench.orders if isinstance(o, LoadAdapter)]
+    assert [o.lora_name for o in loads].count("bad@1") == 2
+
+
+def test_a_restart_voids_residency_and_loads_by_popularity():
+    bench = Bench()
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r2", "a@1", 1.1)
+    bench.ask("r3", "b@1", 1.2)
+    first_boot = bench.granted["r1"].boot
+    bench.engine.restart(5.0)
+    bench.report(5.5)
+    assert not bench.steward.book.tickets
+    assert bench.engine.resident == {"a@1", "b@1"}
+    loads = [o for o in bench.orders if isinstance(o, LoadAdapter)]
+    assert [o.lora_name for o in loads][-2:] == ["a@1", "b@1"]
+    assert bench.granted["r1"].boot == first_boot != bench.engine.boot
+
+
+def test_a_full_queue_refuses_the_team_that_holds_most_of_it():
+    bench = Bench(policy=StewardPolicy(queue_limit=4, batch_slack=0))
+    for n in range(8):
+        bench.ask(f"large-{n}", "a@1", 1.0, team="large")
+    bench.ask("small", "a@1", 1.1, team="small")
+    assert "small" not in bench.refused
+    assert bench.refused["large-7"].reason is Reason.QUEUE_FULL
+    assert bench.refused["large-7"].retry_after > 0
+    bench.give_back("large-0", 2.0)
+    assert "small" in bench.granted
+
+
+def test_a_limited_steward_uses_free_slots_and_never_evicts():
+    bench = Bench(powers=Powers.LIMITED)
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r2", "b@1", 1.0)
+    bench.give_back("r1", 2.0)
+    bench.report(5.0)
+    bench.ask("r3", "c@1", 20.0)
+    bench.report(40.0)
+    assert bench.refused["r3"].reason is Reason.NO_TARGET
+    assert bench.engine.resident == {"a@1", "b@1"}
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_a_new_steward_waits_for_the_one_before(fencing):
+    bench = Bench(target=FakeTarget(fencing=fencing), predecessor=True)
+    bench.engine.resident = {"a@1", "b@1"}
+    bench.report(0.1)
+    bench.ask("r1", "a@1", 0.2)
+    bench.ask("r2", "c@1", 0.2)
+    assert ("r1" in bench.granted) == fencing
+    assert bench.engine.resident == {"a@1", "b@1"}
+    for step in range(1, 200):
+        bench.report(step * 0.1)
+        if not fencing and step * 0.1 < 20.0:
+            assert "r2" not in bench.granted
+    for step in range(200, 300):
+        bench.report(step * 0.1)
+    assert "r2" in bench.granted
+    assert ("r1" in bench.granted) and bench.engine.evicted_in_use == 0
+
+
+def test_an_unload_without_an_answer_bars_the_adapter_while_it_may_arrive():
+    bench = Bench(target=FakeTarget(slots=1))
+    bench.ask("r1", "a@1", 1.0)
+    bench.give_back("r1", 1.1)
+    request = TicketRequest("r2", "i-1", "b@1", "t", 1.0, 5, 100, 90.0)
+    steward = bench.steward
+    (permit,) = steward.request(request, 2.0)
+    assert isinstance(permit, RequestLoadPermit)
+    (unload,) = steward.permit_granted(2.0)
+    assert isinstance(unload, UnloadAdapter)
+    assert steward.order_ended(unload, 4.0, succeeded=False, certain=False) == []
+    bench.ask("r3", "a@1", 4.1)
+    assert bench.refused["r3"].reason is Reason.NO_TARGET
+    bench.report(4.5)
+    bench.report(5.5)
+    assert "r2" in bench.granted
+    assert bench.engine.resident == {"b@1"}
+
+
+def test_a_return_that_overtakes_its_request_is_remembered():
+    bench = Bench()
+    bench.give_back("r1", 1.0)
+    bench.ask("r1", "a@1", 1.1)
+    assert bench.refused["r1"].reason is Reason.NO_TARGET
+    assert not bench.steward.book.tickets
+
+
+def test_a_repeated_request_gets_the_same_ticket():
+    bench = Bench()
+    bench.ask("r1", "a@1", 1.0)
+    bench.ask("r1", "a@1", 1.1)
+    assert len(bench.steward.book) == 1
