--- /dev/null
+++ b/skylarkpost/stewardship/holder.py
@@ -0,0 +1,255 @@
+"""The tickets that the requests of this instance hold."""
+
+from typing import NamedTuple
+
+__all__ = ["Ticket", "TicketHolder", "TicketReturn"]
+
+RENEWAL_FRACTION = 1.0 / 3.0
+RENEWAL_PAUSE_S = 0.5
+MAX_RETURNS = 8192
+
+
+class Ticket(NamedTuple):
+    """Leave to run one request on one target.
+
+    Attributes
+    ----------
+    ticket_id : str
+        Id of the request and of its attempt.
+    kind : str
+        ``"engine"`` or ``"service"``.
+    target, address : str
+        Where the request runs.
+    boot : str
+        Run of the engine; another run refuses the request.
+    lora_name : str
+        ``ADAPTER@VERSION``, or the name of the base model.
+    fencing_number : int
+        Number of the steward.
+    expires_at : float
+        End of the lease, in seconds of the own clock. A request is not sent
+        after it; one that runs goes on.
+    waited, load_wait : float
+        Seconds of waiting, and those of them for a load.
+    steward : str
+        Instance that granted it; empty if it came from no steward.
+    team : str
+        Team that was charged.
+    weight : float
+        Weight of the team.
+    tokens : int
+        Tokens that were charged.
+    """
+
+    ticket_id: str
+    kind: str
+    target: str
+    address: str
+    boot: str
+    lora_name: str
+    fencing_number: int
+    expires_at: float
+    waited: float = 0.0
+    load_wait: float = 0.0
+    steward: str = ""
+    team: str = ""
+    weight: float = 1.0
+    tokens: int = 0
+
+
+class TicketReturn(NamedTuple):
+    """A ticket on its way back.
+
+    Attributes
+    ----------
+    ticket_id, target : str
+        Which ticket.
+    unused_tokens : int
+        Tokens that were charged and not used.
+    certain : bool
+        Whether the engine has certainly ended the request.
+    expires_at : float
+        When the steward forgets it anyway, in seconds of the own clock.
+    """
+
+    ticket_id: str
+    target: str
+    unused_tokens: int
+    certain: bool
+    expires_at: float
+
+
+class TicketHolder:
+    """Renews tickets in time and gives them back.
+
+    Parameters
+    ----------
+    lease : float
+        Seconds that a ticket lives without a renewal.
+    dispatch_margin : float
+        Seconds before the end of a lease from which no request is sent.
+    """
+
+    def __init__(self, *, lease, dispatch_margin):
+        self.lease = lease
+        self.dispatch_margin = dispatch_margin
+        self.tickets = {}
+        self.returns = {}
+        self._renewed_at = {}
+
+    def add(self, ticket):
+        """Keep a ticket that was granted.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The ticket.
+        """
+        assert ticket.ticket_id not in self.tickets
+        self.tickets[ticket.ticket_id] = ticket
+
+    def may_dispatch(self, ticket_id, now):
+        """Return whether a request may be sent on a ticket now.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+        now : float
+            The present time, in seconds; taken right before sending.
+
+        Returns
+        -------
+        bool
+        """
+        ticket = self.tickets.get(ticket_id)
+        if ticket is None:
+            return False
+        return now + self.dispatch_margin < ticket.expires_at
+
+    def due_renewals(self, now):
+        """Return the tickets that should be renewed now, by target.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        dict of str to list of Ticket
+        """
+        due = {}
+        for ticket in self.tickets.values():
+            left = ticket.expires_at - now
+            tried_at = self._renewed_at.get(ticket.ticket_id, -1e9)
+            if left > self.lease * (1.0 - RENEWAL_FRACTION):
+                continue
+            if now - tried_at < RENEWAL_PAUSE_S:
+                continue
+            self._renewed_at[ticket.ticket_id] = now
+            due.setdefault(ticket.target, []).append(ticket)
+        return due
+
+    def renewed(self, ticket_ids, *, sent_at, steward, fencing_number):
+        """Note that a steward has renewed tickets.
+
+        Parameters
+        ----------
+        ticket_ids : list of str
+            The tickets that live on.
+        sent_at : float
+            When it was asked, in seconds; the lease counts from here.
+        steward : str
+            Who renewed them.
+        fencing_number : int
+            Its number.
+        """
+        for ticket_id in ticket_ids:
+            ticket = self.tickets.get(ticket_id)
+            if ticket is not None:
+                self.tickets[ticket_id] = ticket._replace(
+                    expires_at=max(ticket.expires_at, sent_at + self.lease),
+                    steward=steward,
+                    fencing_number=max(fencing_number, ticket.fencing_number),
+                )
+
+    def end(self, ticket_id, *, unused_tokens, certain, now):
+        """Note that a request has ended; its ticket goes back.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+        unused_tokens : int
+            Tokens that were charged and not used.
+        certain : bool
+            Whether the engine has certainly ended the request.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Ticket or None
+            The ticket, if it was held.
+        """
+        ticket = self.tickets.pop(ticket_id, None)
+        self._renewed_at.pop(ticket_id, None)
+        if ticket is not None:
+            self.give_back(
+                ticket_id, ticket.target, unused_tokens, certain=certain, now=now
+            )
+        return ticket
+
+    def give_back(self, ticket_id, target, unused_tokens, *, certain, now):
+        """Send a ticket back, also one whose grant has not been seen.
+
+        Parameters
+        ----------
+        ticket_id, target : str
+            Which ticket.
+        unused_tokens : int
+            Tokens that were charged and not used.
+        certain : bool
+            Whether the engine has certainly ended the request.
+        now : float
+            The present time, in seconds.
+        """
+        expires_at = now + 2 * self.lease
+        self.returns[ticket_id] = TicketReturn(
+            ticket_id, target, unused_tokens, certain, expires_at
+        )
+        if len(self.returns) > MAX_RETURNS:
+            del self.returns[next(iter(self.returns))]
+
+    def due_returns(self, now):
+        """Return the tickets to give back, by target.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        dict of str to list of TicketReturn
+            Each stays due until `returned` is called, or it has lapsed.
+        """
+        due = {}
+        for each in list(self.returns.values()):
+            if each.expires_at <= now:
+                del self.returns[each.ticket_id]
+            else:
+                due.setdefault(each.target, []).append(each)
+        return due
+
+    def returned(self, ticket_ids):
+        """Note that a steward has taken tickets back.
+
+        Parameters
+        ----------
+        ticket_ids : list of str
+            The tickets.
+        """
+        for ticket_id in ticket_ids:
+            self.returns.pop(ticket_id, None)
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -239,6 +239,15 @@
                 self.book.forget_lapsed(name, idle_at=idle_at)
         return change, refusals
 
+    def has_orders(self):
+        """Return whether an order is in flight.
+
+        Returns
+        -------
+        bool
+        """
+        return bool(self._orders)
+
     def prefetch(self, lora_names):
         """Have adapters loaded into slots that nothing else needs.
 
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -67,6 +67,8 @@
         Residency, loads and evictions.
     closed : bool
         Whether new requests are turned away, since the target leaves.
+    retired : bool
+        Whether another instance takes over; no order follows.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         self.authority = authority or StandingAuthority()
         self.powers = powers
         self.closed = False
+        self.retired = False
         self.batch_limit = target.batch_limit
         self.service_time = FIRST_SERVICE_TIME_S
         self.queue = FairQueue(
@@ -133,7 +136,7 @@
         """
         held = self.book.tickets.get(request.ticket_id)
         if held is not None:
-            return [self._grant_command(held, waited=0.0, load_wait=0.0)]
+            return [self._grant_again(held, now)]
         if request.ticket_id in self.queue.entries:
             return []
         reason = self._reason_to_refuse(request, now)
@@ -315,6 +318,27 @@
         """
         return self._advance(now)
 
+    def retire(self, now):
+        """Stop granting and ordering, before the book is handed over.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Command
+            Refusals of all requests that wait.
+        """
+        self.closed = True
+        self.retired = True
+        commands = []
+        for ticket_id in list(self.queue.entries):
+            entry = self.queue.remove(ticket_id)
+            commands.append(self._refuse(entry.request, Reason.NO_TARGET, now))
+        return commands
+
     def take_over_book(self, tickets, boot, now):
         """Take in all tickets of a predecessor that has handed over.
 
@@ -400,7 +424,8 @@
             self._refuse(entry.request, Reason.QUEUE_TIMEOUT, now)
             for entry in self.queue.expire(now)
         ]
-        if not self.authority.is_valid(now) or self.boot is None:
+        is_idle = self.retired or self.boot is None
+        if is_idle or not self.authority.is_valid(now):
             return commands
         if self._must_fence:
             return commands + self._fence(now)
@@ -453,6 +478,10 @@
             load_wait=load_wait,
         )
 
+    def _grant_again(self, held, now):
+        command = self._grant_command(held, waited=0.0, load_wait=0.0)
+        return command._replace(lease=max(0.0, held.expires_at - now))
+
     def _refuse(self, request, reason, now):
         if reason is Reason.LOAD_FAILED:
             retry_after = self.slots.backoff.remaining(request.lora_name, now)
--- /dev/null
+++ b/tests/placement/test_placer.py
@@ -0,0 +1,122 @@
+from skylarkpost.placement import PlacementRequest, Placer, rendezvous_order
+from skylarkpost.placement.outstanding import ServicePlacer
+from skylarkpost.stewardship import (
+    TargetSummary,
+    adapter_hash,
+    decode_summaries,
+    encode_summaries,
+)
+from tests.stewardship.fakes import FakeTarget
+
+ENGINES = [FakeTarget(name=f"e-{n}", data_centre=f"dc-{n % 3}") for n in range(6)]
+REQUEST = PlacementRequest("a@1", True, 5, 800, 17)
+
+
+def summary(name, **changes):
+    values = {
+        "target": name,
+        "steward": "i-1",
+        "fencing_number": 1,
+        "full_powers": True,
+        "boot": "b",
+        "open": True,
+        "room": 8,
+        "batch_limit": 8,
+        "queued": 0,
+        "queued_urgent": (0,) * 10,
+        "service_time": 2.0,
+        "load_wait": 0.6,
+        "free_slots": 1,
+        "made_at": 0.0,
+        "resident": frozenset(),
+    }
+    return TargetSummary(**(values | changes))
+
+
+def placer(*summaries):
+    made = Placer(data_centre="dc-0")
+    for each in summaries:
+        made.note_summary(each, 0.0)
+    return made
+
+
+def test_summaries_survive_the_wire_and_malformed_ones_are_none():
+    known = [summary("e-1", resident=frozenset({1, 2}))]
+    assert decode_summaries(encode_summaries(known)) == known
+    assert decode_summaries(b"\xff") is None
+
+
+def test_a_resident_adapter_wins_until_waiting_costs_more_than_a_load():
+    here = frozenset({adapter_hash("a@1")})
+    idle = [summary(e.name) for e in ENGINES if e.name != "e-3"]
+    made = placer(summary("e-3", resident=here), *idle)
+    assert made.rank(REQUEST, ENGINES, 0.1)[0][0] == "e-3"
+    busy = summary(
+        "e-3", resident=here, room=0, queued=20, queued_urgent=(20,) * 10, made_at=1.0
+    )
+    made.note_summary(busy, 1.0)
+    assert made.rank(REQUEST, ENGINES, 1.1)[0][0] != "e-3"
+
+
+def test_one_stale_report_of_an_idle_target_does_not_draw_every_request():
+    made = placer(*(summary(e.name, room=2) for e in ENGINES))
+    chosen = []
+    for n in range(24):
+        request = REQUEST._replace(lora_name="base", needs_adapter=False)
+        name = made.rank(request, ENGINES, 0.1)[0][0]
+        made.note_sent(name, f"r{n}", request, 0.1)
+        chosen.append(name)
+    assert max(chosen.count(name) for name in chosen) <= 6
+
+
+def test_the_same_adapter_goes_to_the_same_home_and_avoided_targets_come_last():
+    made = placer(*(summary(e.name) for e in ENGINES))
+    home = rendezvous_order("a@1", [e.name for e in ENGINES])[0]
+    assert made.rank(REQUEST, ENGINES, 0.1)[0][0] == home
+    ranked = made.rank(REQUEST, ENGINES, 0.1, avoid=frozenset({home}))
+    assert ranked[-1][0] == home
+
+
+def test_a_preamble_seen_before_draws_its_like():
+    made = placer(*(summary(e.name) for e in ENGINES))
+    base = REQUEST._replace(lora_name="base", needs_adapter=False, prompt_tokens=8000)
+    made.note_sent("e-4", "r1", base, 0.0)
+    made.note_ended("e-4", "r1")
+    assert made.rank(base, ENGINES, 0.1)[0][0] == "e-4"
+
+
+def test_a_summary_of_an_older_steward_is_dropped_while_the_newer_one_speaks():
+    made = placer(summary("e-1", fencing_number=5))
+    made.note_summary(summary("e-1", fencing_number=4, made_at=9.0), 1.0)
+    assert made.summaries["e-1"].fencing_number == 5
+    made.note_summary(summary("e-1", fencing_number=4, made_at=9.0), 60.0)
+    assert made.summaries["e-1"].fencing_number == 4
+
+
+def test_rendezvous_moves_only_the_keys_of_the_member_that_left():
+    members = [f"e-{n}" for n in range(6)]
+    for n in range(200):
+        order = rendezvous_order(f"a{n}@1", members)
+        assert rendezvous_order(f"a{n}@1", members[:5]) == [
+            each for each in order if each != "e-5"
+        ]
+
+
+def test_plain_services_are_chosen_by_what_is_outstanding():
+    services = [FakeTarget(name=f"s-{n}", kind="service") for n in range(3)]
+    made = ServicePlacer(data_centre="dc-1")
+    tickets = [
+        made.choose(services, request_id="r", avoid=frozenset(), now=0.0)
+        for _ in range(6)
+    ]
+    names = [ticket.target for ticket in tickets]
+    assert sorted(names.count(s.name) for s in services) == [2, 2, 2]
+    for ticket in tickets:
+        made.ended(ticket, succeeded=ticket.target != "s-1", now=1.0)
+        made.ended(ticket, succeeded=True, now=1.0)
+    later = [
+        made.choose(services, request_id=f"r{n}", avoid=frozenset(), now=2.0)
+        for n in range(4)
+    ]
+    assert "s-1" not in {ticket.target for ticket in later}
+    assert made.choose([], request_id="r", avoid=frozenset(), now=2.0) is None
