Add the shell of stewardship and placement

Ruled out: one long call per waiting request. A connection that went silent would hold the request until its deadline; the call answers within 2 s and is repeated under the same ticket id.

Conclusion: not run over real processes yet.

--- /dev/null
+++ b/skylarkpost/placement/outstanding.py
@@ -0,0 +1,102 @@
+"""Chooses among plain services by their outstanding calls."""
+
+import itertools
+
+from skylarkpost.placement.rendezvous import rendezvous_order
+from skylarkpost.stewardship.holder import Ticket
+
+__all__ = ["ServicePlacer"]
+
+FAILURE_MEMORY_S = 10.0
+DISTANCE_WEIGHT = 2
+
+
+class ServicePlacer:
+    """Prefers services that work, are near and have little to do.
+
+    Parameters
+    ----------
+    data_centre : str
+        Data centre of this instance.
+
+    Attributes
+    ----------
+    outstanding : dict of str to set of str
+        Tickets of calls that have not ended, by target.
+    failed_at : dict of str to float
+        When a target last failed without a success since.
+    """
+
+    def __init__(self, *, data_centre):
+        self.data_centre = data_centre
+        self.outstanding = {}
+        self.failed_at = {}
+        self._numbers = itertools.count(1)
+
+    def choose(self, targets, *, request_id, avoid, now):
+        """Choose a target for a call.
+
+        Parameters
+        ----------
+        targets : list of skylarkpost.config.Target
+            Services that are not leaving.
+        request_id : str
+            The request; breaks ties.
+        avoid : frozenset of str
+            Targets that have failed the request.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Ticket or None
+            None if there is no target.
+        """
+        if not targets:
+            return None
+        order = rendezvous_order(request_id, [target.name for target in targets])
+
+        def cost(target):
+            is_far = target.data_centre != self.data_centre
+            busy = len(self.outstanding.get(target.name, ()))
+            busy += DISTANCE_WEIGHT * is_far
+            has_failed = now - self.failed_at.get(target.name, -1e9) < FAILURE_MEMORY_S
+            rank = order.index(target.name)
+            return (target.name in avoid, has_failed, busy, rank)
+
+        target = min(targets, key=cost)
+        ticket_id = f"{request_id}/{next(self._numbers)}"
+        self.outstanding.setdefault(target.name, set()).add(ticket_id)
+        return Ticket(
+            ticket_id=ticket_id,
+            kind=target.kind,
+            target=target.name,
+            address=target.address,
+            boot="",
+            lora_name="",
+            fencing_number=0,
+            expires_at=float("inf"),
+        )
+
+    def ended(self, ticket, *, succeeded, now):
+        """Note that a call has ended. A second note of it is passed over.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            From `choose`.
+        succeeded : bool
+            Whether the target answered.
+        now : float
+            The present time, in seconds.
+        """
+        tickets = self.outstanding.get(ticket.target, set())
+        if ticket.ticket_id not in tickets:
+            return
+        tickets.discard(ticket.ticket_id)
+        if not tickets:
+            del self.outstanding[ticket.target]
+        if succeeded:
+            self.failed_at.pop(ticket.target, None)
+        else:
+            self.failed_at[ticket.target] = now
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -97,6 +97,87 @@
     )
 
 
+class StewardshipSettings(Section):
+    """``[stewardship]``: leases and bounds of the stewards of targets."""
+
+    ticket_lease: float = Field(
+        default=10.0,
+        ge=2.0,
+        le=120.0,
+        description="Seconds that a ticket lives without a renewal.",
+    )
+    authority_lease: float = Field(
+        default=3.0,
+        ge=1.0,
+        le=30.0,
+        description="Seconds that a steward acts after it last confirmed that it is.",
+    )
+    silence: float = Field(
+        default=3.0,
+        ge=0.5,
+        le=60.0,
+        description="Seconds for which a steward is missing before it is replaced.",
+    )
+    order_linger: float = Field(
+        default=5.0,
+        ge=0.5,
+        le=120.0,
+        description="Seconds after which an order without an answer may yet arrive.",
+    )
+    report_lag: float = Field(
+        default=1.0,
+        ge=0.0,
+        le=30.0,
+        description="Greatest age of an engine's load report, in seconds.",
+    )
+    poll_interval: float = Field(
+        default=0.25,
+        ge=0.05,
+        le=5.0,
+        description="Seconds between two load reports.",
+    )
+    queue_limit: int = Field(
+        default=512, ge=1, le=100_000, description="Requests that wait for one target."
+    )
+    load_share: float = Field(
+        default=0.25,
+        gt=0.0,
+        le=1.0,
+        description="Share of the weight store where no pool of permits is shared.",
+    )
+    queue_order: str = Field(
+        default="fair",
+        pattern="^(fair|first-come)$",
+        description="Which waiting request goes next.",
+    )
+    eviction: str = Field(
+        default="worth",
+        pattern="^(worth|least-recently-used)$",
+        description="Which idle adapter leaves its slot.",
+    )
+
+
+class PlacementSettings(Section):
+    """``[placement]``: which target a request goes to."""
+
+    score: str = Field(
+        default="first-token",
+        pattern="^(first-token|least-loaded)$",
+        description="How targets are compared.",
+    )
+    prefill_rate: float = Field(
+        default=8000.0,
+        gt=0.0,
+        description="Prompt tokens that an engine works through in a second.",
+    )
+    preamble_share: float = Field(
+        default=0.8,
+        ge=0.0,
+        le=1.0,
+        description="Part of a prompt that is a shared preamble.",
+    )
+
+
 class LogSettings(Section):
     """``[log]``: what the daemon writes about itself."""
 
@@ -115,4 +196,6 @@
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    stewardship: StewardshipSettings = StewardshipSettings()
+    placement: PlacementSettings = PlacementSettings()
     log: LogSettings = LogSettings()
--- /dev/null
+++ b/skylarkpost/stewardship/controller.py
@@ -0,0 +1,467 @@
+"""Joins stewardship and placement to the network, the log and the peers."""
+
+import asyncio
+import logging
+
+from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.placement.outstanding import ServicePlacer
+from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
+from skylarkpost.placement.preamble import preamble_hash, prompt_text
+from skylarkpost.platform import BackgroundTask
+from skylarkpost.rpc import stewardship_pb2_grpc
+from skylarkpost.stewardship.authority import Authority
+from skylarkpost.stewardship.desk import TicketDesk, lora_name_of
+from skylarkpost.stewardship.directory import Directory
+from skylarkpost.stewardship.election import Election, Peer
+from skylarkpost.stewardship.holder import TicketHolder
+from skylarkpost.stewardship.keeper import SeatKeeper
+from skylarkpost.stewardship.permit_source import PermitSource
+from skylarkpost.stewardship.policy import StewardPolicy
+from skylarkpost.stewardship.service import StewardshipServicer
+from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
+from skylarkpost.stewardship.table import CLAIM, RELEASE, StewardshipTable
+from skylarkpost.targets import EngineClient
+
+__all__ = ["StewardshipController"]
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+RENEWAL_CHECK_S = 0.5
+PAUSE_GAP_S = 1.0
+DISPATCH_MARGIN_S = 1.0
+RANK_DELAY_S = 1.0
+TOPIC = "targets"
+GONE = ("leaving", "absent")
+
+
+@register_controller("stewardship", order=60)
+class StewardshipController(Controller):
+    """Tickets and placement for this instance, and the stewards on it.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    keeper : SeatKeeper
+        Stewards on this instance.
+    desk : TicketDesk
+        Tickets of this instance's requests.
+    placer : Placer
+        Ranks the engines.
+    service_placer : ServicePlacer
+        Chooses among plain services.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        settings = services.settings.stewardship
+        self.settings = settings
+        self.policy = StewardPolicy(
+            ticket_lease=settings.ticket_lease,
+            authority_lease=settings.authority_lease,
+            order_linger=settings.order_linger,
+            report_lag=settings.report_lag,
+            queue_limit=settings.queue_limit,
+            queue_order=settings.queue_order,
+            eviction=settings.eviction,
+        )
+        self.table = StewardshipTable()
+        self.directory = Directory(table=self.table)
+        self.authority = Authority(
+            lease=settings.authority_lease, settle=settings.silence, gap=PAUSE_GAP_S
+        )
+        self.engines = EngineClient(
+            session_source=lambda: services.http, clock=services.clock
+        )
+        self.keeper = SeatKeeper(
+            services=services,
+            table=self.table,
+            election=Election(
+                own=Peer(services.instance, services.boot, services.data_centre, False),
+                silence=settings.silence,
+                rank_delay=RANK_DELAY_S,
+            ),
+            authority=self.authority,
+            policy=self.policy,
+            engines=self.engines,
+            permits=PermitSource(services=services, share=settings.load_share),
+        )
+        self.desk = TicketDesk(
+            services=services,
+            holder=TicketHolder(
+                lease=settings.ticket_lease, dispatch_margin=DISPATCH_MARGIN_S
+            ),
+            seats=self.keeper.seats,
+            find_steward=self.find_steward,
+            may_go_alone=self._may_go_alone,
+            engines=self.engines,
+        )
+        placement = services.settings.placement
+        self.placer = Placer(
+            data_centre=services.data_centre,
+            policy=PlacementPolicy(
+                score=placement.score,
+                prefill_rate=placement.prefill_rate,
+                preamble_share=placement.preamble_share,
+            ),
+        )
+        self.service_placer = ServicePlacer(data_centre=services.data_centre)
+        self.started_at = services.clock()
+        self.last_heard = {}
+        self.background = [
+            BackgroundTask(name=f"stewardship-{name}")
+            for name in ("tick", "poll", "claims", "renewals", "returns")
+        ]
+
+    def add_to_server(self, server):
+        """Serve the other instances. See `Controller.add_to_server`."""
+        servicer = StewardshipServicer(keeper=self.keeper, clock=self.services.clock)
+        stewardship_pb2_grpc.add_StewardshipServicer_to_server(servicer, server)
+
+    async def start(self):
+        """Start all background work. See `Controller.start`."""
+        for record_type in (CLAIM, RELEASE):
+            self.services.state_log.subscribe(record_type, self.keeper.read_record)
+        self.membership.subscribe(TOPIC, self._note_digest)
+        loops = (
+            self._run_ticks(),
+            self._run_polls(),
+            self._run_claims(),
+            self._run_renewals(),
+            self.desk.run_returns(),
+        )
+        for task, loop in zip(self.background, loops, strict=True):
+            task.start(loop)
+
+    async def leave(self):
+        """Hand the stewardships over. See `Controller.leave`."""
+        await self.keeper.leave()
+
+    async def stop(self):
+        """Give all tickets back and stop. See `Controller.stop`."""
+        await self.desk.flush_returns()
+        for task in self.background:
+            await task.stop()
+        self.keeper.stop()
+        await self.engines.close()
+
+    def degraded(self):
+        """Return what does not work fully. See `Controller.degraded`."""
+        now = self.services.clock()
+        found = []
+        if self.keeper.seats and not self.authority.is_valid(now):
+            found.append("Stewardships are not confirmed; no tickets, no orders.")
+        members = self._members()
+        lonely = [
+            target.name
+            for target in self._engines()
+            if self.directory.steward(target.name, members) is None
+        ]
+        if lonely:
+            found.append(f"No steward is known for: {', '.join(sorted(lonely))}.")
+        found += [
+            f"Engine {name} does not answer."
+            for name, seat in self.keeper.seats.items()
+            if seat.silent_since is not None
+        ]
+        return found
+
+    def status(self):
+        """Return stewardships and tickets. See `Controller.status`."""
+        now = self.services.clock()
+        members = self._members()
+        stewards = {}
+        for target in self._engines():
+            found = self.directory.steward(target.name, members)
+            stewards[target.name] = None if found is None else found.instance
+        return {
+            "stewards": stewards,
+            "own": {
+                name: _seat_status(seat, now)
+                for name, seat in sorted(self.keeper.seats.items())
+            },
+            "tickets_held": len(self.desk.holder.tickets),
+            "authority": self.authority.is_valid(now),
+        }
+
+    @property
+    def membership(self):
+        """The controller that knows who is alive."""
+        return self.services.controllers["membership"]
+
+    async def acquire(self, exchange, *, avoid=frozenset(), now):
+        """Get a ticket for a request, or choose a plain service.
+
+        Parameters
+        ----------
+        exchange : skylarkpost.filters.Exchange
+            The request.
+        avoid : frozenset of str
+            Targets that have failed it.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Ticket or Refused
+        """
+        if not exchange.is_model_request:
+            return self._acquire_service(exchange, avoid, now)
+        request = self._placement_request(exchange)
+        engines = [
+            target
+            for target in self._engines()
+            if target.pool == exchange.profile.base_model
+            and self._takes_work(target.name)
+        ]
+        ranked = self.placer.rank(request, engines, now, avoid=avoid)
+        by_name = {target.name: target for target in engines}
+        asked = {}
+
+        def note_asked(target, ticket_id):
+            asked[target] = ticket_id
+            self.placer.note_sent(target, ticket_id, request, self.services.clock())
+
+        outcome = await self.desk.acquire(
+            exchange, [by_name[name] for name, _ in ranked], on_asked=note_asked
+        )
+        chosen = getattr(outcome, "target", None)
+        for target, ticket_id in asked.items():
+            if target != chosen:
+                self.placer.note_ended(target, ticket_id)
+        return outcome
+
+    def release(self, ticket, *, unused_tokens=0, certain=True, succeeded=True):
+        """Give a ticket back.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            From `acquire`.
+        unused_tokens : int
+            Tokens that were charged and not generated.
+        certain : bool
+            Whether the target has certainly ended the request, or never begun
+            it. If not, the adapter counts as used until a report shows that
+            it is not.
+        succeeded : bool
+            Whether the target answered; for the choice of plain services.
+        """
+        now = self.services.clock()
+        if ticket.kind == "service":
+            self.service_placer.ended(ticket, succeeded=succeeded, now=now)
+            return
+        self.placer.note_ended(ticket.target, ticket.ticket_id)
+        self.desk.release(ticket, unused_tokens=unused_tokens, certain=certain)
+
+    def may_dispatch(self, ticket):
+        """Return whether a request may be sent on a ticket now.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            From `acquire`.
+
+        Returns
+        -------
+        bool
+            To be asked right before sending; a ticket that has nearly lapsed
+            has to be released, and a new one acquired.
+        """
+        if ticket.kind == "service":
+            return True
+        now = self.services.clock()
+        return self.desk.holder.may_dispatch(ticket.ticket_id, now)
+
+    def find_steward(self, target):
+        """Return the steward of a target.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+
+        Returns
+        -------
+        StewardAddress or None
+        """
+        return self.directory.steward(target, self._members())
+
+    def _acquire_service(self, exchange, avoid, now):
+        store = self.services.controllers["config"].store
+        targets = [
+            target
+            for target in store.items("target")
+            if target.kind == "service"
+            and target.pool == exchange.route.pool
+            and self._takes_work(target.name)
+        ]
+        ticket = self.service_placer.choose(
+            targets, request_id=exchange.request_id, avoid=avoid, now=now
+        )
+        if ticket is not None:
+            return ticket
+        return Refused(
+            reason=Reason.NO_TARGET,
+            message="No target of this route takes calls at present.",
+            run_state=RunState.NOT_RUN,
+            retry_after=1.0,
+        )
+
+    def _placement_request(self, exchange):
+        profile = exchange.profile
+        return PlacementRequest(
+            lora_name=lora_name_of(profile),
+            needs_adapter=bool(profile.adapter),
+            urgency=profile.urgency,
+            prompt_tokens=exchange.prompt_tokens,
+            preamble=preamble_hash(prompt_text(exchange.content)),
+        )
+
+    def _engines(self):
+        store = self.services.controllers["config"].store
+        return [target for target in store.items("target") if target.kind == "engine"]
+
+    def _takes_work(self, target):
+        return self.membership.target_state(target) not in GONE
+
+    def _members(self):
+        members = self.membership.reachable(self.services.clock())
+        found = {member.instance: member for member in members}
+        own = _OwnMember(self.services)
+        found.setdefault(own.instance, own)
+        return found
+
+    def _peers(self):
+        return [
+            Peer(
+                member.instance,
+                member.boot,
+                member.data_centre,
+                self.services.draining
+                if member.instance == self.services.instance
+                else getattr(member, "leaving", False),
+            )
+            for member in self._members().values()
+        ]
+
+    def _may_go_alone(self, target):
+        claim = self.table.full.get(target.name)
+        if claim is None or self.services.state_log.available:
+            return None
+        if claim.data_centre != target.data_centre:
+            return None
+        now = self.services.clock()
+        heard_at = self.last_heard.get(claim.instance, self.started_at)
+        patience = self.policy.authority_lease + self.policy.order_linger
+        if now - heard_at <= patience + self.settings.silence:
+            return None
+        return claim.number
+
+    def _note_digest(self, member, payload, now):
+        summaries = decode_summaries(payload)
+        if summaries is None:
+            self.services.metrics.count_event("malformed-digest")
+            return
+        for summary in summaries:
+            self.directory.note_summary(summary)
+            self.placer.note_summary(summary, now)
+            seat = self.keeper.seats.get(summary.target)
+            if seat is None or not summary.full_powers:
+                continue
+            if summary.fencing_number > seat.claim.number:
+                self.keeper.drop(summary.target, reason="newer-steward-heard")
+
+    async def _run_ticks(self):
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self):
+        now = self.services.clock()
+        self._confirm_authority(now)
+        for name, seat in list(self.keeper.seats.items()):
+            seat.steward.closed = not self._takes_work(name)
+            seat.tick()
+        summaries = [seat.steward.summary(now) for seat in self.keeper.seats.values()]
+        for summary in summaries:
+            self.directory.note_summary(summary)
+            self.placer.note_summary(summary, now)
+        self.membership.publish(TOPIC, encode_summaries(summaries))
+
+    def _confirm_authority(self, now):
+        resumed_at = getattr(self.membership, "last_resumed_at", None)
+        if resumed_at is not None and resumed_at > self.authority.resumed_at:
+            self.authority.resumed(resumed_at)
+        for member in self.membership.reachable(now):
+            heard_at = getattr(member, "last_heard_at", now)
+            self.last_heard[member.instance] = heard_at
+        log = self.services.state_log
+        if log.available and log.fresh_at is not None:
+            self.authority.log_read(log.fresh_at, now)
+            return
+        heard_at = [
+            member.last_heard_at
+            for member in self.membership.neighbours(now)
+            if member.instance != self.services.instance
+        ]
+        self.authority.neighbours_heard(heard_at, now)
+
+    async def _run_polls(self):
+        while True:
+            seats = list(self.keeper.seats.values())
+            polls = asyncio.gather(*(seat.poll() for seat in seats))
+            await polls
+            await asyncio.sleep(self.settings.poll_interval)
+
+    async def _run_claims(self):
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.services.clock()
+            if now - self.started_at < self.settings.silence or self.services.leaving:
+                continue
+            if self.services.state_log.fresh_at is None:
+                continue
+            targets = [
+                target
+                for target in self._engines()
+                if self.membership.target_state(target.name) != "absent"
+            ]
+            await self.keeper.act(targets, self._peers(), now)
+
+    async def _run_renewals(self):
+        while True:
+            await asyncio.sleep(RENEWAL_CHECK_S)
+            await self.desk.renew()
+
+
+class _OwnMember:
+    def __init__(self, services):
+        self.instance = services.instance
+        self.boot = services.boot
+        self.address = services.peer_address
+        self.data_centre = services.data_centre
+        self.leaving = services.draining
+
+
+def _seat_status(seat, now):
+    steward = seat.steward
+    return {
+        "number": steward.fencing_number,
+        "powers": str(steward.powers),
+        "boot": steward.boot,
+        "tickets": len(steward.book),
+        "lapsed": len(steward.book.lapsed),
+        "queued": len(steward.queue),
+        "resident": sorted(steward.slots.residency.usable()),
+        "evictions": steward.slots.evictions,
+        "expected_wait": round(steward.expected_wait(5), 3),
+        "silent_for": None
+        if seat.silent_since is None
+        else round(now - seat.silent_since, 3),
+    }
--- /dev/null
+++ b/skylarkpost/stewardship/desk.py
@@ -0,0 +1,433 @@
+"""Gets tickets for the requests of this instance, and gives them back."""
+
+import asyncio
+import itertools
+import logging
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
+from skylarkpost.rpc import stewardship_pb2 as pb
+from skylarkpost.stewardship.holder import Ticket
+from skylarkpost.stewardship.messages import GrantTicket, RefuseTicket, TicketRequest
+from skylarkpost.stewardship.wire import (
+    ask_to_wire,
+    grant_from_wire,
+    refusal_from_wire,
+    ticket_to_wire,
+)
+from skylarkpost.targets import LoadReport
+
+__all__ = ["NotSteward", "TicketDesk"]
+
+logger = logging.getLogger(__name__)
+
+ASK_TIMEOUT_S = 3.0
+BATCH_TIMEOUT_S = 1.0
+RETURN_PAUSE_S = 0.005
+RETURN_RETRY_S = 0.25
+NOT_STEWARD_PAUSE_S = 0.1
+MAX_TARGETS_ASKED = 3
+MAX_FAILED_ASKS = 2
+LEAST_RETRY_S = 0.5
+
+MESSAGES = {
+    Reason.QUEUE_FULL: "Too many requests wait for the targets of this model.",
+    Reason.QUEUE_TIMEOUT: "No target had room before the request's deadline.",
+    Reason.LOAD_FAILED: "The adapter could not be loaded.",
+    Reason.NO_TARGET: "No target of this model takes requests at present.",
+}
+
+
+class NotSteward:
+    """The answer of an instance that is not steward of the target."""
+
+
+class TicketDesk:
+    """Asks stewards for tickets on behalf of requests.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    holder : TicketHolder
+        Tickets of this instance.
+    seats : dict of str to StewardSeat
+        Targets of which this instance is steward.
+    find_steward : callable
+        Returns the `StewardAddress` of a target's name, or None.
+    may_go_alone : callable
+        Takes a target and returns the fencing number with which a request may
+        go to a resident adapter although no steward is left, or None.
+    engines : skylarkpost.targets.EngineClient
+        Client of the engines.
+    """
+
+    def __init__(self, *, services, holder, seats, find_steward, may_go_alone, engines):
+        self.services = services
+        self.holder = holder
+        self.seats = seats
+        self.find_steward = find_steward
+        self.may_go_alone = may_go_alone
+        self.engines = engines
+        self.pending_returns = asyncio.Event()
+        self._numbers = itertools.count(1)
+
+    async def acquire(self, exchange, targets, *, on_asked):
+        """Get a ticket from the first target that gives one.
+
+        Parameters
+        ----------
+        exchange : skylarkpost.filters.Exchange
+            The request.
+        targets : list of skylarkpost.config.Target
+            The targets to ask, the best first.
+        on_asked : callable
+            Called with each target's name and the ticket's id.
+
+        Returns
+        -------
+        Ticket or Refused
+        """
+        refusals = []
+        for target in targets[:MAX_TARGETS_ASKED]:
+            request = self._request(exchange)
+            on_asked(target.name, request.ticket_id)
+            outcome = await self._ask(exchange, target, request)
+            if isinstance(outcome, Ticket):
+                self.holder.add(outcome)
+                return outcome
+            if exchange.cancelled is not None:
+                return exchange.cancelled
+            refusals.append(outcome)
+            exchange.note(
+                "placement",
+                f"refused:{outcome.reason}",
+                now=self.services.clock(),
+                detail=target.name,
+            )
+            if outcome.reason is Reason.QUEUE_TIMEOUT:
+                break
+        return _worst_of(refusals)
+
+    def release(self, ticket, *, unused_tokens=0, certain=True):
+        """Give a ticket back.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The ticket.
+        unused_tokens : int
+            Tokens that were charged and not used.
+        certain : bool
+            Whether the engine has certainly ended the request, or has never
+            begun it.
+        """
+        now = self.services.clock()
+        self.holder.end(
+            ticket.ticket_id, unused_tokens=unused_tokens, certain=certain, now=now
+        )
+        self._return_local(now)
+        self.pending_returns.set()
+
+    async def run_returns(self):
+        """Give tickets back in batches, for ever."""
+        while True:
+            await self.pending_returns.wait()
+            self.pending_returns.clear()
+            await asyncio.sleep(RETURN_PAUSE_S)
+            if not await self.flush_returns():
+                await asyncio.sleep(RETURN_RETRY_S)
+                self.pending_returns.set()
+
+    async def flush_returns(self):
+        """Give back what is due.
+
+        Returns
+        -------
+        bool
+            Whether nothing is left.
+        """
+        now = self.services.clock()
+        self._return_local(now)
+        batches = {}
+        for target, due in self.holder.due_returns(now).items():
+            steward = self.find_steward(target)
+            if steward is not None and steward.instance != self.services.instance:
+                batches.setdefault(steward.address, []).extend(due)
+        calls = [self._send_returns(*item) for item in batches.items()]
+        await asyncio.gather(*calls)
+        return not self.holder.due_returns(self.services.clock())
+
+    async def renew(self):
+        """Renew all tickets that are due."""
+        now = self.services.clock()
+        batches = {}
+        for target, tickets in self.holder.due_renewals(now).items():
+            steward = self.find_steward(target)
+            if steward is None:
+                continue
+            messages = [self._held(ticket) for ticket in tickets]
+            if steward.instance == self.services.instance:
+                self._renew_local(target, messages, now)
+            else:
+                batches.setdefault(steward, []).extend(messages)
+        by_address = {}
+        for steward, messages in batches.items():
+            key = (steward.address, steward.instance)
+            by_address.setdefault(key, []).extend(messages)
+        await asyncio.gather(
+            *(self._send_renewals(*key, held) for key, held in by_address.items())
+        )
+
+    def _request(self, exchange):
+        profile = exchange.profile
+        store = self.services.controllers["config"].store
+        team = store.team(exchange.team) if exchange.team else None
+        number = next(self._numbers)
+        return TicketRequest(
+            ticket_id=f"{exchange.request_id}/{self.services.instance}/{number}",
+            holder=self.services.instance,
+            lora_name=lora_name_of(profile),
+            team=exchange.team or "",
+            weight=1.0 if team is None else team.weight,
+            urgency=profile.urgency,
+            tokens=max(1, exchange.prompt_tokens + exchange.output_tokens),
+            deadline=exchange.deadline,
+        )
+
+    async def _ask(self, exchange, target, request):
+        try:
+            outcome = await self._ask_until(exchange, target, request)
+        except asyncio.CancelledError:
+            self._abandon(target.name, request.ticket_id)
+            raise
+        if isinstance(outcome, RefuseTicket):
+            return _refused(outcome.reason, outcome.retry_after)
+        if not isinstance(outcome, Ticket):
+            self._abandon(target.name, request.ticket_id)
+        return outcome
+
+    async def _ask_until(self, exchange, target, request):
+        failures = 0
+        while True:
+            sent_at = self.services.clock()
+            if exchange.cancelled is not None:
+                return exchange.cancelled
+            if sent_at >= request.deadline:
+                return _refused(Reason.QUEUE_TIMEOUT, LEAST_RETRY_S)
+            answer = await self._ask_once(exchange, target, request, sent_at)
+            if isinstance(answer, GrantTicket):
+                return self._ticket(target, request, answer, sent_at)
+            if isinstance(answer, RefuseTicket | Ticket | Refused):
+                return answer
+            if isinstance(answer, NotSteward | CallFailed):
+                failures += 1
+                if failures > MAX_FAILED_ASKS:
+                    return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
+                await asyncio.sleep(NOT_STEWARD_PAUSE_S)
+
+    async def _ask_once(self, exchange, target, request, now):
+        steward = self.find_steward(target.name)
+        if steward is None:
+            return await self._go_alone(target, request)
+        seat = self.seats.get(target.name)
+        if steward.instance != self.services.instance:
+            asking = self._ask_peer(steward, target, request, now)
+        elif seat is None:
+            return NotSteward()
+        else:
+            asking = seat.ask(request)
+        return await _unless_cancelled(asking, exchange)
+
+    async def _ask_peer(self, steward, target, request, now):
+        peers = self.services.peers
+        stub = stewardship_pb2_grpc.StewardshipStub(peers.get(steward.address))
+        ask = ask_to_wire(request, target.name, now)
+        answer = await call_peer(stub.RequestTicket, ask, timeout=ASK_TIMEOUT_S)
+        if isinstance(answer, CallFailed):
+            peers.renew(steward.address)
+            return answer
+        if answer.state == pb.TicketAnswer.GRANTED:
+            return grant_from_wire(answer, request)
+        if answer.state == pb.TicketAnswer.REFUSED:
+            return refusal_from_wire(answer, request)
+        if answer.state == pb.TicketAnswer.NOT_STEWARD:
+            return NotSteward()
+        return None
+
+    async def _go_alone(self, target, request):
+        number = self.may_go_alone(target)
+        if number is None:
+            return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
+        sent_at = self.services.clock()
+        report = await self.engines.load_report(target.address)
+        if not isinstance(report, LoadReport):
+            return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
+        is_base = request.lora_name == target.pool
+        if not is_base and request.lora_name not in report.resident:
+            return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
+        if report.running + report.waiting >= report.batch_limit:
+            return _refused(Reason.QUEUE_FULL, LEAST_RETRY_S)
+        log_event(logger, "ticket-without-steward", target=target.name)
+        self.services.metrics.count_event("ticket-without-steward")
+        return Ticket(
+            ticket_id=request.ticket_id,
+            kind=target.kind,
+            target=target.name,
+            address=target.address,
+            boot=report.boot,
+            lora_name=request.lora_name,
+            fencing_number=number,
+            expires_at=sent_at + self.holder.lease,
+            team=request.team,
+            weight=request.weight,
+            tokens=request.tokens,
+        )
+
+    def _ticket(self, target, request, grant, sent_at):
+        steward = self.find_steward(target.name)
+        return Ticket(
+            ticket_id=request.ticket_id,
+            kind=target.kind,
+            target=target.name,
+            address=target.address,
+            boot=grant.boot,
+            lora_name=request.lora_name,
+            fencing_number=grant.fencing_number,
+            expires_at=sent_at + grant.lease,
+            waited=grant.waited,
+            load_wait=grant.load_wait,
+            steward="" if steward is None else steward.instance,
+            team=request.team,
+            weight=request.weight,
+            tokens=request.tokens,
+        )
+
+    def _abandon(self, target, ticket_id):
+        now = self.services.clock()
+        self.holder.give_back(ticket_id, target, 0, certain=True, now=now)
+        self._return_local(now)
+        self.pending_returns.set()
+
+    def _return_local(self, now):
+        for target, due in self.holder.due_returns(now).items():
+            seat = self.seats.get(target)
+            if seat is None:
+                continue
+            self.holder.returned([each.ticket_id for each in due])
+            for each in due:
+                seat.give_back(
+                    each.ticket_id,
+                    unused_tokens=each.unused_tokens,
+                    certain=each.certain,
+                )
+
+    async def _send_returns(self, address, due):
+        message = pb.TicketReturns()
+        for each in due:
+            message.tickets.add(
+                ticket_id=each.ticket_id,
+                target=each.target,
+                unused_tokens=each.unused_tokens,
+                certain=each.certain,
+            )
+        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
+        answer = await call_peer(stub.ReturnTickets, message, timeout=BATCH_TIMEOUT_S)
+        if isinstance(answer, CallFailed):
+            self.services.peers.renew(address)
+        else:
+            self.holder.returned(answer.ticket_ids)
+
+    async def _send_renewals(self, address, instance, messages):
+        sent_at = self.services.clock()
+        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
+        answer = await call_peer(
+            stub.RenewTickets,
+            pb.TicketRenewals(tickets=messages),
+            timeout=BATCH_TIMEOUT_S,
+        )
+        if isinstance(answer, CallFailed):
+            self.services.peers.renew(address)
+            return
+        targets = {held.ticket_id: held.target for held in messages}
+        for ticket_id in answer.ticket_ids:
+            number = answer.fencing_numbers[targets[ticket_id]]
+            self.holder.renewed(
+                [ticket_id], sent_at=sent_at, steward=instance, fencing_number=number
+            )
+
+    def _renew_local(self, target, messages, now):
+        seat = self.seats.get(target)
+        if seat is None:
+            return
+        renewed = seat.renew(messages)
+        self.holder.renewed(
+            renewed,
+            sent_at=now,
+            steward=self.services.instance,
+            fencing_number=seat.steward.fencing_number,
+        )
+
+    def _held(self, ticket):
+        return ticket_to_wire(
+            ticket,
+            target=ticket.target,
+            boot=ticket.boot,
+            holder=self.services.instance,
+        )
+
+
+def lora_name_of(profile):
+    """Return the name under which an engine knows a profile's adapter.
+
+    Parameters
+    ----------
+    profile : skylarkpost.config.Profile
+        The profile.
+
+    Returns
+    -------
+    str
+        ``ADAPTER@VERSION``, or the name of the base model.
+    """
+    if not profile.adapter:
+        return profile.base_model
+    return f"{profile.adapter}@{profile.version}"
+
+
+async def _unless_cancelled(asking, exchange):
+    cancel_event = getattr(exchange, "cancel_event", None)
+    if cancel_event is None:
+        return await asking
+    asked = asyncio.ensure_future(asking)
+    cancelled = asyncio.ensure_future(cancel_event.wait())
+    try:
+        await asyncio.wait({asked, cancelled}, return_when="FIRST_COMPLETED")
+        if asked.done():
+            return asked.result()
+        return None
+    finally:
+        asked.cancel()
+        cancelled.cancel()
+
+
+def _refused(reason, retry_after):
+    return Refused(
+        reason=reason,
+        message=MESSAGES.get(reason, MESSAGES[Reason.NO_TARGET]),
+        run_state=RunState.NOT_RUN,
+        retry_after=retry_after,
+    )
+
+
+def _worst_of(refusals):
+    if not refusals:
+        return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
+    order = (
+        Reason.QUEUE_TIMEOUT,
+        Reason.LOAD_FAILED,
+        Reason.QUEUE_FULL,
+        Reason.NO_TARGET,
+    )
+    return min(refusals, key=lambda each: (order.index(each.reason), each.retry_after))
--- /dev/null
+++ b/skylarkpost/stewardship/seat.py
@@ -0,0 +1,352 @@
+"""Carries out what the steward of one target decides."""
+
+import asyncio
+import logging
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.stewardship.messages import (
+    FenceTarget,
+    GrantTicket,
+    LoadAdapter,
+    RefuseTicket,
+    RequestLoadPermit,
+    ReturnLoadPermit,
+    UnloadAdapter,
+)
+from skylarkpost.stewardship.wire import held_from_wire, report_from_client
+from skylarkpost.targets import (
+    LoadReport,
+    OrderDone,
+    OrderFailed,
+    OrderRefused,
+)
+
+__all__ = ["StewardSeat"]
+
+logger = logging.getLogger(__name__)
+
+ASK_WAIT_S = 2.0
+ABANDONED_AFTER_S = 6.0
+UNLOAD_TIMEOUT_S = 1.5
+LOAD_TIMEOUT_S = 30.0
+PERMIT_RETRY_S = 0.2
+FENCE_NAME = "skylarkpost-fence@0"
+STALE = "stale-fencing-number"
+
+
+class StewardSeat:
+    """The shell around one `TargetSteward`.
+
+    Parameters
+    ----------
+    steward : TargetSteward
+        The core.
+    engines : skylarkpost.targets.EngineClient
+        Client of the engines.
+    permits : object
+        ``await acquire(urgency=, waiting=)`` gives a permit or None; it has
+        ``release(unused=)``.
+    clock : callable
+        Returns the present time in seconds.
+    claim : Claim
+        The claim that it acts on.
+    on_stale : callable
+        Called with the target's name when the engine has seen a newer steward.
+
+    Attributes
+    ----------
+    silent_since : float or None
+        Since when the engine has not answered, in seconds.
+    predecessor : int or None
+        Number of the claim before, whose steward may hand its tickets over.
+    """
+
+    def __init__(self, *, steward, engines, permits, clock, claim, on_stale):
+        self.steward = steward
+        self.engines = engines
+        self.permits = permits
+        self.clock = clock
+        self.claim = claim
+        self.on_stale = on_stale
+        self.silent_since = None
+        self.predecessor = None
+        self.tasks = set()
+        self.closed = False
+        self._waiters = {}
+        self._asked_at = {}
+        self._held_permits = []
+        self._handlers = {
+            GrantTicket: self._answer,
+            RefuseTicket: self._answer,
+            RequestLoadPermit: self._start_permit,
+            ReturnLoadPermit: self._return_permit,
+            LoadAdapter: self._start_load,
+            UnloadAdapter: self._start_unload,
+            FenceTarget: self._start_fence,
+        }
+
+    async def ask(self, request):
+        """Ask for a ticket, and wait for a while.
+
+        Parameters
+        ----------
+        request : TicketRequest
+            The request.
+
+        Returns
+        -------
+        GrantTicket or RefuseTicket or None
+            None if it goes on waiting; it has to ask again soon.
+        """
+        if self.closed:
+            return None
+        ticket_id = request.ticket_id
+        waiter = self._waiters.get(ticket_id)
+        if waiter is None:
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters[ticket_id] = waiter
+        now = self.clock()
+        self._asked_at[ticket_id] = now
+        self.carry_out(self.steward.request(request, now))
+        try:
+            return await asyncio.wait_for(asyncio.shield(waiter), ASK_WAIT_S)
+        except TimeoutError:
+            return None
+
+    def give_back(self, ticket_id, *, unused_tokens, certain):
+        """Take a ticket or a waiting request back.
+
+        Parameters
+        ----------
+        ticket_id : str
+            The ticket.
+        unused_tokens : int
+            Tokens that were charged and not used.
+        certain : bool
+            Whether the engine has certainly ended the request.
+        """
+        self._forget(ticket_id)
+        self.carry_out(
+            self.steward.return_ticket(
+                ticket_id, self.clock(), unused_tokens=unused_tokens, certain=certain
+            )
+        )
+
+    def renew(self, messages):
+        """Renew tickets, or adopt ones of an earlier steward.
+
+        Parameters
+        ----------
+        messages : list of skylarkpost.rpc.stewardship_pb2.HeldTicket
+            The tickets; all are for this target.
+
+        Returns
+        -------
+        list of str
+            Ids of the tickets that live on.
+        """
+        now = self.clock()
+        tickets = [(held_from_wire(each, now), each.boot) for each in messages]
+        return self.steward.renew(tickets, now)
+
+    def take_over(self, book):
+        """Take in the tickets of a predecessor that has handed over.
+
+        Parameters
+        ----------
+        book : skylarkpost.rpc.stewardship_pb2.TicketBook
+            What it knew.
+        """
+        now = self.clock()
+        tickets = [held_from_wire(each, now) for each in book.tickets]
+        self.steward.take_over_book(tickets, book.boot, now)
+        for each in book.barred:
+            self.steward.slots.barred[each.lora_name] = now + each.remaining
+
+    def tick(self):
+        """Let the steward act on the time, and drop abandoned requests."""
+        now = self.clock()
+        for ticket_id, asked_at in list(self._asked_at.items()):
+            if now - asked_at > ABANDONED_AFTER_S:
+                self.give_back(ticket_id, unused_tokens=0, certain=True)
+        self.carry_out(self.steward.tick(now))
+
+    async def poll(self):
+        """Ask the engine for its load once."""
+        report = await self.engines.load_report(self.steward.target.address)
+        now = self.clock()
+        if not isinstance(report, LoadReport):
+            if self.silent_since is None:
+                self.silent_since = now
+            return
+        self.silent_since = None
+        boot = self.steward.boot
+        self.carry_out(self.steward.report(report_from_client(report), now))
+        if boot not in (None, self.steward.boot):
+            log_event(
+                logger,
+                "engine-restarted",
+                target=self.steward.target.name,
+                boot=self.steward.boot,
+            )
+
+    def carry_out(self, commands):
+        """Carry out what the steward decided.
+
+        Parameters
+        ----------
+        commands : list of Command
+            What its methods returned.
+        """
+        for command in commands:
+            self._handlers[type(command)](command)
+
+    async def retire(self):
+        """Stop granting and ordering; returns when no order is in flight."""
+        self.carry_out(self.steward.retire(self.clock()))
+        deadline = self.clock() + UNLOAD_TIMEOUT_S
+        while self.steward.slots.has_orders() and self.clock() < deadline:
+            await asyncio.sleep(0.05)
+
+    def close(self):
+        """End all work; waiting requests look for another steward."""
+        self.closed = True
+        for task in self.tasks:
+            task.cancel()
+        for waiter in self._waiters.values():
+            if not waiter.done():
+                waiter.set_result(None)
+        self._return_permits(len(self._held_permits))
+
+    def _answer(self, command):
+        waiter = self._waiters.pop(command.ticket_id, None)
+        self._asked_at.pop(command.ticket_id, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(command)
+
+    def _forget(self, ticket_id):
+        self._asked_at.pop(ticket_id, None)
+        waiter = self._waiters.pop(ticket_id, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(None)
+
+    def _start_permit(self, command):
+        self._keep(self._get_permit(command))
+
+    async def _get_permit(self, command):
+        permit = await self.permits.acquire(
+            urgency=command.urgency, waiting=command.waiting
+        )
+        if permit is None:
+            await asyncio.sleep(PERMIT_RETRY_S)
+            self.carry_out(self.steward.permit_denied(self.clock()))
+            return
+        self._held_permits.append(permit)
+        self.carry_out(self.steward.permit_granted(self.clock()))
+
+    def _return_permit(self, command):
+        self._return_permits(1)
+
+    def _return_permits(self, count):
+        for _ in range(min(count, len(self._held_permits))):
+            self._held_permits.pop().release(unused=True)
+
+    def _start_load(self, command):
+        permit = self._held_permits.pop() if self._held_permits else None
+        self._keep(self._load(command, permit))
+
+    async def _load(self, command, permit):
+        name, version = split_lora_name(command.lora_name)
+        outcome = None
+        try:
+            outcome = await self.engines.load(
+                self.steward.target.address,
+                weight_name=name,
+                version=version,
+                fencing_number=command.fencing_number,
+                boot=command.boot,
+                timeout=LOAD_TIMEOUT_S,
+            )
+        finally:
+            if permit is not None:
+                permit.release(unused=isinstance(outcome, OrderRefused))
+        self._end_order(command, outcome)
+
+    def _start_unload(self, command):
+        self._keep(self._unload(command))
+
+    async def _unload(self, command):
+        outcome = await self.engines.unload(
+            self.steward.target.address,
+            lora_name=command.lora_name,
+            fencing_number=command.fencing_number,
+            boot=command.boot,
+            timeout=UNLOAD_TIMEOUT_S,
+        )
+        self._end_order(command, outcome)
+
+    def _end_order(self, command, outcome):
+        log_event(
+            logger,
+            "order-ended",
+            target=self.steward.target.name,
+            order=type(command).__name__,
+            adapter=command.lora_name,
+            outcome=type(outcome).__name__,
+            code=getattr(outcome, "code", None),
+        )
+        succeeded = isinstance(outcome, OrderDone)
+        certain = isinstance(outcome, OrderDone | OrderFailed | OrderRefused)
+        self.carry_out(
+            self.steward.order_ended(
+                command, self.clock(), succeeded=succeeded, certain=certain
+            )
+        )
+        self._check_stale(outcome)
+
+    def _start_fence(self, command):
+        self._keep(self._fence(command))
+
+    async def _fence(self, command):
+        outcome = await self.engines.unload(
+            self.steward.target.address,
+            lora_name=FENCE_NAME,
+            fencing_number=command.fencing_number,
+            boot=command.boot,
+            timeout=UNLOAD_TIMEOUT_S,
+        )
+        seen = isinstance(outcome, OrderDone | OrderFailed)
+        self.carry_out(self.steward.fence_ended(command, self.clock(), succeeded=seen))
+        self._check_stale(outcome)
+
+    def _check_stale(self, outcome):
+        if isinstance(outcome, OrderRefused) and outcome.code == STALE:
+            self.on_stale(self.steward.target.name)
+
+    def _keep(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self._finish)
+
+    def _finish(self, task):
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            task.get_loop().call_exception_handler(
+                {"message": "steward's task failed", "exception": task.exception()}
+            )
+
+
+def split_lora_name(lora_name):
+    """Return adapter and version of an adapter's name.
+
+    Parameters
+    ----------
+    lora_name : str
+        ``ADAPTER@VERSION``.
+
+    Returns
+    -------
+    tuple of str
+    """
+    name, _, version = lora_name.rpartition("@")
+    return name, version
--- /dev/null
+++ b/skylarkpost/stewardship/wire.py
@@ -0,0 +1,213 @@
+"""Converts between the messages of the cores and those on the wire."""
+
+from skylarkpost.outcomes import Reason
+from skylarkpost.rpc import stewardship_pb2 as pb
+from skylarkpost.stewardship.messages import (
+    GrantTicket,
+    HeldTicket,
+    LoadReport,
+    RefuseTicket,
+    TicketRequest,
+)
+
+__all__ = [
+    "answer_to_wire",
+    "ask_from_wire",
+    "ask_to_wire",
+    "book_to_wire",
+    "grant_from_wire",
+    "held_from_wire",
+    "refusal_from_wire",
+    "report_from_client",
+    "ticket_to_wire",
+]
+
+
+def ask_to_wire(request, target, now):
+    """Return a request for a ticket as a message.
+
+    Parameters
+    ----------
+    request : TicketRequest
+        Its deadline is on the own clock.
+    target : str
+        The target.
+    now : float
+        The present time, in seconds.
+
+    Returns
+    -------
+    skylarkpost.rpc.stewardship_pb2.TicketAsk
+    """
+    return pb.TicketAsk(
+        ticket_id=request.ticket_id,
+        holder=request.holder,
+        target=target,
+        lora_name=request.lora_name,
+        team=request.team,
+        weight=request.weight,
+        urgency=request.urgency,
+        tokens=request.tokens,
+        remaining=max(0.0, request.deadline - now),
+    )
+
+
+def ask_from_wire(ask, now):
+    """Return the request in a message; see `ask_to_wire`."""
+    return TicketRequest(
+        ticket_id=ask.ticket_id,
+        holder=ask.holder,
+        lora_name=ask.lora_name,
+        team=ask.team,
+        weight=ask.weight or 1.0,
+        urgency=min(9, ask.urgency),
+        tokens=ask.tokens,
+        deadline=now + ask.remaining,
+    )
+
+
+def answer_to_wire(command):
+    """Return the answer to a request for a ticket.
+
+    Parameters
+    ----------
+    command : GrantTicket or RefuseTicket or None
+        What the steward decided; None if the request waits.
+
+    Returns
+    -------
+    skylarkpost.rpc.stewardship_pb2.TicketAnswer
+    """
+    if command is None:
+        return pb.TicketAnswer(state=pb.TicketAnswer.WAITING)
+    if isinstance(command, RefuseTicket):
+        return pb.TicketAnswer(
+            state=pb.TicketAnswer.REFUSED,
+            reason=command.reason.value,
+            retry_after=command.retry_after,
+        )
+    return pb.TicketAnswer(
+        state=pb.TicketAnswer.GRANTED,
+        boot=command.boot,
+        fencing_number=command.fencing_number,
+        lease=command.lease,
+        waited=command.waited,
+        load_wait=command.load_wait,
+    )
+
+
+def grant_from_wire(answer, request):
+    """Return the grant in an answer; see `answer_to_wire`."""
+    return GrantTicket(
+        ticket_id=request.ticket_id,
+        holder=request.holder,
+        lora_name=request.lora_name,
+        boot=answer.boot,
+        fencing_number=answer.fencing_number,
+        lease=answer.lease,
+        waited=answer.waited,
+        load_wait=answer.load_wait,
+    )
+
+
+def refusal_from_wire(answer, request):
+    """Return the refusal in an answer; see `answer_to_wire`."""
+    return RefuseTicket(
+        ticket_id=request.ticket_id,
+        holder=request.holder,
+        reason=Reason(answer.reason),
+        retry_after=answer.retry_after,
+    )
+
+
+def ticket_to_wire(ticket, *, target, boot, holder):
+    """Return a held ticket as a message.
+
+    Parameters
+    ----------
+    ticket : Ticket or HeldTicket
+        The ticket.
+    target, boot, holder : str
+        Where it runs, and who holds it.
+
+    Returns
+    -------
+    skylarkpost.rpc.stewardship_pb2.HeldTicket
+    """
+    return pb.HeldTicket(
+        ticket_id=ticket.ticket_id,
+        target=target,
+        boot=boot,
+        lora_name=ticket.lora_name,
+        team=ticket.team,
+        weight=ticket.weight,
+        tokens=ticket.tokens,
+        holder=holder,
+    )
+
+
+def held_from_wire(message, now):
+    """Return the held ticket in a message; see `ticket_to_wire`."""
+    return HeldTicket(
+        ticket_id=message.ticket_id,
+        holder=message.holder,
+        lora_name=message.lora_name,
+        team=message.team,
+        weight=message.weight or 1.0,
+        tokens=message.tokens,
+        granted_at=now,
+        expires_at=now,
+    )
+
+
+def book_to_wire(steward, now):
+    """Return all that the next steward of a target has to know.
+
+    Parameters
+    ----------
+    steward : TargetSteward
+        The retired steward.
+    now : float
+        The present time, in seconds.
+
+    Returns
+    -------
+    skylarkpost.rpc.stewardship_pb2.TicketBook
+    """
+    boot = steward.boot or ""
+    book = pb.TicketBook(
+        target=steward.target.name, released_number=steward.fencing_number, boot=boot
+    )
+    for held in steward.book.tickets.values():
+        book.tickets.append(
+            ticket_to_wire(
+                held, target=steward.target.name, boot=boot, holder=held.holder
+            )
+        )
+    for lora_name, until in steward.slots.barred.items():
+        book.barred.add(lora_name=lora_name, remaining=max(0.0, until - now))
+    return book
+
+
+def report_from_client(report):
+    """Return a load report in the form of the core.
+
+    Parameters
+    ----------
+    report : skylarkpost.targets.LoadReport
+        As the engine's client gives it.
+
+    Returns
+    -------
+    LoadReport
+    """
+    return LoadReport(
+        boot=report.boot,
+        taken_at=report.taken_at,
+        slots=report.slots,
+        resident=report.resident,
+        loading=frozenset(report.loading),
+        running=report.running,
+        waiting=report.waiting,
+        batch_limit=report.batch_limit,
+    )
