Test the relay against two stand-in engines

Cause: the relay had not been run. The first run failed because the rig put no weights behind the adapter; the stand-in then answers as the base model, which the test of the right adapter noticed.

--- a/skylarkpost/relay/controller.py
+++ b/skylarkpost/relay/controller.py
@@ -50,13 +50,34 @@
         """Return the retry budget. See `Controller.status`."""
         return {"retry_budget": self.budget.balance}
 
+    def give_back(self, exchange, *, certain, succeeded):
+        """Give the present ticket of a request back.
+
+        Parameters
+        ----------
+        exchange : skylarkpost.filters.Exchange
+            The request; it has no ticket afterwards.
+        certain : bool
+            Whether the target has certainly ended it, or never begun it.
+        succeeded : bool
+            Whether the target answered.
+        """
+        ticket, exchange.ticket = exchange.ticket, None
+        generated = exchange.generated_tokens or 0
+        self.services.controllers["stewardship"].release(
+            ticket,
+            unused_tokens=max(0, exchange.output_tokens - generated),
+            certain=certain,
+            succeeded=succeeded,
+        )
+
     async def place_again(self, exchange, *, ledger):
         """Get a ticket for another attempt of a request.
 
         Parameters
         ----------
         exchange : skylarkpost.filters.Exchange
-            The request; its present ticket is given back.
+            The request; it has no ticket.
         ledger : AttemptLedger
             Its attempts so far.
 
@@ -66,7 +87,6 @@
             None if ``exchange.ticket`` is the new ticket.
         """
         stewardship = self.services.controllers["stewardship"]
-        await stewardship.release(exchange.ticket)
         now = self.services.clock()
         placed = await stewardship.acquire(
             exchange, avoid=frozenset(ledger.avoid), now=now
--- a/skylarkpost/relay/model_answer.py
+++ b/skylarkpost/relay/model_answer.py
@@ -25,7 +25,6 @@
 
 DONE = b"[DONE]"
 MAX_RESUMES = 5
-LEASE_MARGIN_S = 0.5
 CLIENT_ERRORS = range(400, 500)
 
 
@@ -52,6 +51,7 @@
     def __init__(self, *, exchange, services, relay):
         self.exchange = exchange
         self.services = services
+        self.relay = relay
         self.engines = relay.engines
         self.ledger = AttemptLedger(repeatable=True, budget=relay.budget)
         self.sequence = AnswerSequence()
@@ -60,6 +60,7 @@
         self.failure = None
         self.stream = None
         self.broken = ""
+        self.target = None
 
     async def events(self):
         """Yield the events of the answer, each once and in order.
@@ -81,7 +82,6 @@
                     await self._decide_next()
         finally:
             watcher.cancel()
-            self.exchange.generated_tokens = count_generated(self.sequence.passed)
 
     async def _watch_cancel(self):
         await self.exchange.cancel_event.wait()
@@ -89,11 +89,13 @@
             self.stream.close()
 
     async def _attempt(self):
-        ticket, now = self.exchange.ticket, self.services.clock()
+        ticket = self.exchange.ticket
+        self.target = ticket.target
         self.failure = None
-        if now >= ticket.expires_at - LEASE_MARGIN_S:
+        if not self.services.controllers["stewardship"].may_dispatch(ticket):
             detail = "the ticket's lease ended"
             self._fail(Reason.TARGET_TIMEOUT, detail, ran=False, avoid=False)
+            self.relay.give_back(self.exchange, certain=True, succeeded=False)
             return
         self.ledger.begin()
         number = self.sequence.begin_attempt()
@@ -117,8 +119,15 @@
                 yield data
         finally:
             quarantine.ended(self.exchange, **where)
-            if not self.complete and self.exchange.dispatched:
-                self.services.controllers["relay"].cancel_later(ticket, request_id)
+            self._end_attempt(ticket, request_id)
+
+    def _end_attempt(self, ticket, request_id):
+        self.exchange.generated_tokens = count_generated(self.sequence.passed)
+        not_run = self.failure is not None and not self.failure.may_have_run
+        if not self.complete and not not_run:
+            self.relay.cancel_later(ticket, request_id)
+        certain = self.complete or not_run
+        self.relay.give_back(self.exchange, certain=certain, succeeded=self.complete)
 
     async def _open(self, ticket, request_id):
         self._note("sent", f"{ticket.target} {ticket.lora_name} attempt {request_id}")
@@ -208,18 +217,17 @@
             return
         if self.refusal is not None:
             return
-        ticket, now = self.exchange.ticket, self.services.clock()
+        now = self.services.clock()
         if self.failure is None:
             self._fail(Reason.DEADLINE_PASSED, "the time for it is over", ran=True)
-        self._note("failed", f"{ticket.target}: {self.failure.detail}")
+        self._note("failed", f"{self.target}: {self.failure.detail}")
         verdict = self.ledger.failed(
-            self.failure, target=ticket.target, now=now, deadline=self.exchange.deadline
+            self.failure, target=self.target, now=now, deadline=self.exchange.deadline
         )
         if isinstance(verdict, GiveUp):
             self.refusal = verdict.refusal
             return
-        relay = self.services.controllers["relay"]
-        self.refusal = await relay.place_again(self.exchange, ledger=self.ledger)
+        self.refusal = await self.relay.place_again(self.exchange, ledger=self.ledger)
 
     def _fail_answered(self, answered):
         detail = f"the target answered with status {answered.status}"
--- a/skylarkpost/relay/service_call.py
+++ b/skylarkpost/relay/service_call.py
@@ -44,12 +44,15 @@
         Outcome
         """
         while True:
+            target = self.exchange.ticket.target
             answered = await self._attempt()
-            if isinstance(answered, Answered):
+            succeeded = isinstance(answered, Answered)
+            self.relay.give_back(self.exchange, certain=True, succeeded=succeeded)
+            if succeeded:
                 return self._relay(answered)
             if self.exchange.cancelled is not None:
                 return self.exchange.cancelled
-            target, now = self.exchange.ticket.target, self.services.clock()
+            now = self.services.clock()
             verdict = self.ledger.failed(
                 answered, target=target, now=now, deadline=self.exchange.deadline
             )
--- /dev/null
+++ b/tests/relay/relay_rig.py
@@ -0,0 +1,135 @@
+"""Two stand-in engines and the relay between them, without the other parts."""
+
+import contextlib
+import json
+import time
+import types
+
+import aiohttp
+
+from skylarkpost.filters import Exchange
+from skylarkpost.metrics import Metrics
+from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.relay import RetryBudget
+from skylarkpost.relay.controller import RelayController
+from skylarkpost.relay.model_answer import ModelAnswer
+from skylarkpost.stewardship.holder import Ticket
+from skylarkpost.targets import EngineClient
+from standins.answers import answer_tokens
+from standins.common import serving
+from standins.engine import EngineStandIn
+from standins.engine_model import Weights
+from standins.engine_options import EngineOptions
+
+LORA = "corridor@3"
+PROMPT = "summarise kilometre 12"
+SEED = 7
+TOKENS = 24
+PROFILE = types.SimpleNamespace(urgency=5, adapter="corridor", version="3")
+EXPECTED = answer_tokens(LORA, PROMPT, SEED, TOKENS)
+
+
+class FakeStewardship:
+    """Gives a ticket for the first engine that is not to be avoided."""
+
+    def __init__(self, engines):
+        self.engines = engines
+        self.released = []
+        self.valid = True
+
+    async def acquire(self, exchange, *, avoid, now):
+        for name, (stand_in, address) in self.engines.items():
+            if name not in avoid:
+                boot = stand_in.model.boot
+                return Ticket("t", "engine", name, address, boot, LORA, 1, now + 10.0)
+        return Refused(reason=Reason.NO_TARGET, message="No target.")
+
+    def may_dispatch(self, ticket):
+        return self.valid
+
+    def release(self, ticket, **how):
+        self.released.append((ticket.target, how["certain"]))
+
+
+class FakeQuarantine:
+    def __init__(self):
+        self.crashes = []
+        self.running = set()
+
+    def started(self, exchange, *, target, boot):
+        self.running.add(target)
+
+    def ended(self, exchange, *, target, boot):
+        self.running.discard(target)
+
+    async def target_crashed(self, *, target, boot):
+        self.crashes.append(target)
+
+
+class Rig:
+    def __init__(self, services, engines):
+        self.services = services
+        self.engines = engines
+        self.stewardship = FakeStewardship(engines)
+        self.quarantine = FakeQuarantine()
+        services.controllers["stewardship"] = self.stewardship
+        services.controllers["quarantine"] = self.quarantine
+        services.controllers["relay"] = RelayController(services=services)
+        self.relay = services.controllers["relay"]
+        self.relay.engines = EngineClient(
+            session_source=lambda: services.http, silence=0.3
+        )
+        self.relay.budget = RetryBudget(ratio=0.1, reserve=10.0)
+
+    def standin(self, name):
+        return self.engines[name][0]
+
+    async def answer(self):
+        now = self.services.clock()
+        exchange = Exchange(
+            request_id="00c0ffee",
+            method="POST",
+            path="/v1/completions",
+            query="",
+            headers={},
+            body=b"",
+            key_hash=None,
+            received_at=now,
+            deadline=now + 20.0,
+        )
+        exchange.content = {"model": "plan", "prompt": PROMPT, "seed": SEED}
+        exchange.profile = PROFILE
+        exchange.output_tokens = TOKENS
+        exchange.ticket = await self.stewardship.acquire(exchange, avoid=(), now=now)
+        return ModelAnswer(exchange=exchange, services=self.services, relay=self.relay)
+
+
+@contextlib.asynccontextmanager
+async def relay_rig(**options):
+    """Serve two engines on which the adapter is loaded."""
+    sizes = EngineOptions(**({"step_time": 0.01} | options))
+    async with contextlib.AsyncExitStack() as stack:
+        engines = {}
+        for name in ("one", "two"):
+            stand_in = EngineStandIn(name=name, options=sizes)
+            (url,) = await stack.enter_async_context(serving(stand_in))
+            stand_in.model.resident[LORA] = Weights("corridor", "3")
+            engines[name] = (stand_in, url.removeprefix("http://"))
+        http = await stack.enter_async_context(aiohttp.ClientSession())
+        settings = types.SimpleNamespace(requests=types.SimpleNamespace(silence=0.3))
+        services = types.SimpleNamespace(
+            clock=time.monotonic,
+            http=http,
+            settings=settings,
+            controllers={},
+            metrics=Metrics(),
+        )
+        rig = Rig(services, engines)
+        yield rig
+        await rig.relay.stop()
+
+
+def texts(events):
+    """Return the text of each event that has one."""
+    chunks = [json.loads(data) for data in events if data != b"[DONE]"]
+    return [c["choices"][0]["text"] for c in chunks if c["choices"]]
