Do not send a quarantined request to a further target

Cause: the quarantine was judged by its filter only; a request that was already past the filter went on to a third target after its second crash.

Ruled out: judging after each crash only, since copies of the request that wait in queues would still be sent. It is judged right before each attempt.

Measured: the new test failed before (the second engine ran the request).

--- a/skylarkpost/quarantine/__init__.py
+++ b/skylarkpost/quarantine/__init__.py
@@ -1,6 +1,7 @@
 """Keeps requests that crash targets away from further targets."""
 
 from skylarkpost.quarantine.fingerprint import fingerprint_request
+from skylarkpost.quarantine.refusal import quarantine_refusal
 from skylarkpost.quarantine.suspects import (
     Clear,
     Crash,
@@ -18,4 +19,5 @@
     "SuspectTracker",
     "Suspected",
     "fingerprint_request",
+    "quarantine_refusal",
 ]
--- a/skylarkpost/quarantine/filter.py
+++ b/skylarkpost/quarantine/filter.py
@@ -1,8 +1,8 @@
 """Refuses requests that have crashed targets."""
 
 from skylarkpost.filters import Filter, register_filter
-from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.quarantine.fingerprint import fingerprint_request
+from skylarkpost.quarantine.refusal import quarantine_refusal
 from skylarkpost.quarantine.suspects import Quarantined, Suspected
 
 __all__ = ["QuarantineFilter"]
@@ -26,25 +26,6 @@
         return None
 
 
-def quarantine_refusal(verdict):
-    """Return the refusal for a quarantined request.
-
-    Parameters
-    ----------
-    verdict : Quarantined
-        The verdict.
-
-    Returns
-    -------
-    Refused
-    """
-    return Refused(
-        reason=Reason.QUARANTINED,
-        message="Targets crashed while this request ran on them; it is not run.",
-        retry_after=verdict.seconds_left,
-    )
-
-
 def _subject(exchange):
     if exchange.profile is not None:
         return f"{exchange.profile.adapter}@{exchange.profile.version}"
--- a/skylarkpost/relay/model_answer.py
+++ b/skylarkpost/relay/model_answer.py
@@ -5,7 +5,8 @@
 import logging
 
 from skylarkpost.eventlog import log_event
-from skylarkpost.outcomes import Reason
+from skylarkpost.outcomes import Reason, RunState
+from skylarkpost.quarantine import Quarantined, quarantine_refusal
 from skylarkpost.relay.assembly import count_generated
 from skylarkpost.relay.attempts import AttemptFailed, AttemptLedger, GiveUp
 from skylarkpost.relay.engine_request import engine_body
@@ -92,6 +93,10 @@
         ticket = self.exchange.ticket
         self.target = ticket.target
         self.failure = None
+        self._refuse_if_quarantined()
+        if self.refusal is not None:
+            self.relay.give_back(self.exchange, certain=True, succeeded=False)
+            return
         if not self.services.controllers["stewardship"].may_dispatch(ticket):
             detail = "the ticket's lease ended"
             self._fail(Reason.TARGET_TIMEOUT, detail, ran=False, avoid=False)
@@ -121,6 +126,15 @@
             quarantine.ended(self.exchange, **where)
             self._end_attempt(ticket, request_id)
 
+    def _refuse_if_quarantined(self):
+        quarantine = self.services.controllers["quarantine"]
+        verdict = quarantine.verdict(
+            self.exchange.fingerprint, now=self.services.clock()
+        )
+        if isinstance(verdict, Quarantined):
+            state = RunState.UNKNOWN if self.ledger.may_have_run else RunState.NOT_RUN
+            self.refusal = quarantine_refusal(verdict, run_state=state)
+
     def _end_attempt(self, ticket, request_id):
         self.exchange.generated_tokens = count_generated(self.sequence.passed)
         not_run = self.failure is not None and not self.failure.may_have_run
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import time
 from typing import NamedTuple
 
 import aiohttp
@@ -164,6 +165,12 @@
         module = "skylarkpost.daemon.main"
         await self._spawn(name, module, "--settings", str(path))
 
+    async def restart_target(self, name):
+        """Start a target's process again, on the same port and empty."""
+        assert not self.processes[name].is_running()
+        await self._spawn_target(name)
+        await self._wait_for(name, "/switches")
+
     async def wait_ready(self, *names):
         """Wait until instances are ready; all of them if none is named."""
         for name in names or [name for name, _ in self.shape.instances]:
@@ -233,24 +240,30 @@
             arguments = [a for p in ports.values() for a in ("--port", str(p))]
             self.urls[service] = f"http://{HOST}:{ports['operator']}"
             await self._spawn(service, f"standins.{service}", *arguments)
-        await self._spawn_server("weights", "standins.weights")
+        port = free_port()
+        self.urls["weights"] = f"http://{HOST}:{port}"
+        await self._spawn("weights", "standins.weights", "--port", str(port))
         for service in ("log", "instances", "weights"):
             await self._wait_for(service, "/switches")
 
     async def _start_targets(self):
-        arguments = ["--weights-url", self.urls["weights"]]
-        arguments += self.shape.engine_arguments
-        for name, _ in self.shape.engines:
-            await self._spawn_server(name, "standins.engine", *arguments)
-        for name, _ in self.shape.services:
-            await self._spawn_server(name, "standins.service")
-        for name, _ in (*self.shape.engines, *self.shape.services):
+        targets = [name for name, _ in (*self.shape.engines, *self.shape.services)]
+        for name in targets:
+            self.urls[name] = f"http://{HOST}:{free_port()}"
+            await self._spawn_target(name)
+        for name in targets:
             await self._wait_for(name, "/switches")
 
-    async def _spawn_server(self, name, module, *arguments):
-        port = free_port()
-        self.urls[name] = f"http://{HOST}:{port}"
-        await self._spawn(name, module, "--port", str(port), *arguments)
+    async def _spawn_target(self, name):
+        port = self.urls[name].rpartition(":")[2]
+        if name in dict(self.shape.services):
+            await self._spawn(name, "standins.service", "--port", port)
+            return
+        arguments = ["--port", port, "--weights-url", self.urls["weights"]]
+        # Another seed gives a restarted process another boot id.
+        arguments += ["--name", name, "--seed", str(time.time_ns())]
+        arguments += self.shape.engine_arguments
+        await self._spawn(name, "standins.engine", *arguments)
 
     async def _spawn(self, name, module, *arguments):
         log_path = self.directory / f"{name}.log"
--- a/tests/relay/relay_rig.py
+++ b/tests/relay/relay_rig.py
@@ -10,6 +10,7 @@
 from skylarkpost.filters import Exchange
 from skylarkpost.metrics import Metrics
 from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.quarantine import Clear, Quarantined
 from skylarkpost.relay import RetryBudget
 from skylarkpost.relay.controller import RelayController
 from skylarkpost.relay.model_answer import ModelAnswer
@@ -55,6 +56,12 @@
     def __init__(self):
         self.crashes = []
         self.running = set()
+        self.crashes_to_quarantine = 99
+
+    def verdict(self, fingerprint, *, now):
+        if len(self.crashes) >= self.crashes_to_quarantine:
+            return Quarantined(seconds_left=60.0)
+        return Clear()
 
     def started(self, exchange, *, target, boot):
         self.running.add(target)
--- a/tests/relay/test_model_answer.py
+++ b/tests/relay/test_model_answer.py
@@ -57,6 +57,17 @@
         assert rig.quarantine.crashes == ["one", "two"]
 
 
+async def test_a_quarantined_request_is_not_sent_to_another_target():
+    async with relay_rig() as rig:
+        rig.standin("one").switches.crash_marker = "kilometre"
+        rig.quarantine.crashes_to_quarantine = 1
+        answer = await rig.answer()
+        assert await collect(answer) == []
+        assert answer.refusal.reason is Reason.QUARANTINED
+        assert answer.refusal.run_state is RunState.UNKNOWN
+        assert rig.standin("two").counts == {}
+
+
 async def test_an_engine_that_lost_the_adapter_is_left_and_nothing_is_said_to_have_run():
     async with relay_rig() as rig:
         for name in ("one", "two"):
