--- a/skylarkpost/daemon/parts.py
+++ b/skylarkpost/daemon/parts.py
@@ -5,10 +5,19 @@
 __all__ = ["PARTS", "import_parts"]
 
 PARTS = (
+    "skylarkpost.config.controller",
+    "skylarkpost.config.key_filter",
+    "skylarkpost.config.profile_filter",
     "skylarkpost.frontend.identify",
+    "skylarkpost.limits.controller",
+    "skylarkpost.limits.filter",
+    "skylarkpost.placement.filter",
     "skylarkpost.platform.controllers",
     "skylarkpost.quarantine.controller",
     "skylarkpost.quarantine.filter",
+    "skylarkpost.relay.controller",
+    "skylarkpost.relay.filter",
+    "skylarkpost.stewardship.controller",
 )
 
 
