--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -67,7 +67,7 @@
     services = Services(settings=settings, seed=None)
     services.open_http()
     services.log = LogClient(
-        base_url=settings.platform.log_url, session=lambda: services.http
+        base_url=settings.platform.log_url, session_source=lambda: services.http
     )
     instance = Instance(services=services)
     loop = asyncio.get_running_loop()
