--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -143,11 +143,15 @@
         await self.close()
 
     async def close(self):
-        """End every process."""
-        daemons = [name for name, _ in self.shape.instances]
-        await self._stop_all(p for n, p in self.processes.items() if n in daemons)
-        await self._stop_all(self.processes.values())
+        """End every process at once."""
         await self.http.close()
+        await asyncio.gather(*(process.kill() for process in self.processes.values()))
+
+    async def stop(self):
+        """Ask the daemons to end, then the stand-ins."""
+        daemons = {name for name, _ in self.shape.instances}
+        for chosen in (daemons, self.processes.keys() - daemons):
+            await asyncio.gather(*(self.processes[name].stop() for name in chosen))
 
     @property
     def operator_log_url(self):
@@ -320,9 +324,6 @@
                 return response.status == 200
         return False
 
-    async def _stop_all(self, processes):
-        await asyncio.gather(*(process.stop() for process in list(processes)))
-
 
 def free_port():
     """Return a TCP port that is free now."""
