--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -211,6 +211,7 @@
         commands = self.keeper.tick(
             now, log_time=self.services.wall_clock(), neighbours=self._neighbours()
         )
+        self.core.sync(now)
         for command in commands:
             self._carry_out(command)
         self._log_slots()
--- a/skylarkpost/limits/exchange.py
+++ b/skylarkpost/limits/exchange.py
@@ -175,7 +175,7 @@
         -------
         AskAnswer
         """
-        may_lend = self._sync(now) and not self.leaving
+        may_lend = self.sync(now) and not self.leaving
         renewed, recalled = [], []
         for team, lease_id in ask.leases:
             grant = None
@@ -255,7 +255,7 @@
         bool
             False if its lease had ended.
         """
-        self._sync(now)
+        self.sync(now)
         lease = message.lease
         return self.lender.take_back(
             lease.team, lease.lease_id, message.tokens, now=now
@@ -302,7 +302,7 @@
         -------
         Receipt or None
         """
-        if not self._sync(now):
+        if not self.sync(now):
             return None
         receipt = self.lender.draw(team, tokens, now=now)
         if receipt is not None:
@@ -364,14 +364,26 @@
         float
             Tokens put back.
         """
-        self._sync(now)
+        self.sync(now)
         limit = self.limit_of(team)
         if limit is not None:
             self.meter.refund(team, limit, tokens, now=now)
         returned = self.pools.refund(team, receipt, tokens, now=now)
         return returned or self.lender.refund(team, receipt, tokens, now=now)
 
-    def _sync(self, now):
+    def sync(self, now):
+        """Take over which slots this instance may use at present.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds, read just before.
+
+        Returns
+        -------
+        bool
+            Whether it may act as their owner.
+        """
         may_use = self.keeper.may_use(now)
         self.lender.set_slots(self.keeper.active_slots(), now=now)
         return may_use
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -1,6 +1,7 @@
 """Several instances of the limits core over a lossy network in virtual time."""
 
 import collections
+import copy
 import heapq
 import itertools
 import random
@@ -89,6 +90,7 @@
         commands = self.keeper.tick(
             fleet.now, log_time=fleet.now, neighbours=neighbours
         )
+        self.core.sync(fleet.now)
         for command in commands:
             if isinstance(command, AppendRecord):
                 fleet.append(self, command.record)
@@ -138,7 +140,12 @@
     def _answer_at(self, other, ask, asked_at):
         def answer():
             reply = other.core.answer(ask, other.members(), now=self.fleet.now)
-            self.fleet.send(other, self, lambda: self._take(other, reply, asked_at))
+            tokens = collections.Counter()
+            for team, grant in reply.lent:
+                tokens[team] += grant.level
+            self.fleet.send(
+                other, self, lambda: self._take(other, reply, asked_at), tokens
+            )
 
         return answer
 
@@ -151,7 +158,10 @@
 
     def give_back(self, other, message):
         self.fleet.send(
-            self, other, lambda: other.core.take_return(message, now=self.fleet.now)
+            self,
+            other,
+            lambda: other.core.take_return(message, now=self.fleet.now),
+            {message.lease.team: message.tokens},
         )
 
     def request(self, team, tokens):
@@ -169,6 +179,8 @@
         def draw():
             answer = holder.core.draw_pooled(team, tokens, now=self.fleet.now)
             at = self.fleet.now
+            if isinstance(answer, DrawGranted):
+                self.fleet.charged[team] += tokens
             self.fleet.send(holder, self, lambda: finish(answer, at))
 
         def give_up():
@@ -185,24 +197,70 @@
         if receipt is None:
             self.fleet.refused[team].append((now, tokens))
         else:
+            self.fleet.charged[team] += tokens
             self.fleet.admit(team, now, tokens, self, receipt)
 
+    def leave(self):
+        """Release the slots, then end and start anew."""
+        self.keeper.releasing = self.core.leaving = True
+        self.fleet.at(self.fleet.now + LEASE_S * 2, self, self._release)
+
+    def _release(self):
+        lender, now = self.core.lender, self.fleet.now
+        lender.advance(now)
+        for slot in list(self.keeper.active_slots()):
+            if slot in lender.slots and not lender.is_lent(slot):
+                balances = lender.surrender(slot, now=now)
+                self.fleet.append(self, self.keeper.release(slot, balances).record)
+                self.fleet.in_flight.update(balances)
+        self.fleet.at(now + 0.1, None, lambda: self.fleet.restart(self.name))
+
+    def tokens(self, team):
+        """Return what could still be charged here."""
+        now, lender, pools = self.fleet.now, self.core.lender, self.core.pools
+        if self.paused_until > now or self.superseded():
+            lender, pools = copy.deepcopy((lender, pools))
+            lender.set_slots(
+                {s: v for s, v in lender.slots.items() if s not in self.superseded()},
+                now=now,
+            )
+        lender.advance(now)
+        pools.advance(team, now=now)
+        home = lender.teams[team].bucket
+        home.advance(now)
+        pool = pools.pools.get(team)
+        return home.level + (pool.bucket.level if pool else 0.0)
+
+    def superseded(self):
+        """Return the own slots that another instance uses by a later claim."""
+        return {
+            slot
+            for slot, share in self.core.lender.slots.items()
+            for other in self.fleet.nodes.values()
+            if other is not self and slot in other.core.lender.slots
+            if other.core.lender.slots[slot].claim > share.claim
+        }
+
 
 class Fleet:
     def __init__(self, *, seed, limits, retention=3600.0, faults=(), fault_interval=8):
         self.random = random.Random(seed)
         self.now = 1000.0
         self.limits = limits
+        self.refunds = self.random.choice([0.0, 0.7])
         self.retention, self.fault_interval = retention, fault_interval
         self.heap, self.numbers = [], itertools.count()
         self.log, self.log_down_until = [], 0.0
         self.cuts, self.loss, self.late = {}, 0.0, 0.0
+        self.charged, self.in_flight = collections.Counter(), collections.Counter()
+        self.highest, self.used_slots, self.seen_shares = {}, set(), set()
         self.admitted = {team: [] for team in limits}
         self.refused = {team: [] for team in limits}
         self.nodes, self.boots = {}, itertools.count()
         self.faults = collections.Counter()
         for name in INSTANCES:
             self.start(name)
+        self.at(self.now, None, self._audit_again)
         for kind in faults:
             # Each kind strikes at least once in a run of two minutes.
             self.at(self.now + self.random.uniform(5, 100), None, self._striker(kind))
@@ -210,6 +268,10 @@
     def start(self, name):
         self.nodes[name] = Node(self, name, next(self.boots))
 
+    def restart(self, name, gap=0.05):
+        self.nodes[name].dead = True
+        self.at(self.now + gap, None, lambda: self.start(name))
+
     def at(self, time, node, job):
         heapq.heappush(self.heap, (time, next(self.numbers), node, job))
 
@@ -231,7 +293,7 @@
             return self.random.uniform(0.1, 4.0)
         return self.random.uniform(0.0005, 0.003)
 
-    def send(self, source, target, job):
+    def send(self, source, target, job, tokens=None):
         if source is target:
             return self.at(self.now, target, job)
         apart = source.dc != target.dc
@@ -240,7 +302,43 @@
         # Within a data centre messages arrive, at once or late.
         if apart and self.random.random() < self.loss:
             return None
-        return self.at(self.now + self.delay(), target, job)
+        carried = collections.Counter(tokens or {})
+        self.in_flight.update(carried)
+
+        def arrive():
+            self.in_flight.subtract(carried)
+            job()
+
+        return self.at(self.now + self.delay(), target, arrive)
+
+    def audit(self):
+        """Check that the fleet's tokens grow no faster than the rate.
+
+        Unlike the history of admissions, this notices minted tokens at once,
+        whether or not they are spent.
+        """
+        self._note_slots()
+        for team, limit in self.limits.items():
+            tokens = sum(node.tokens(team) for node in self.nodes.values())
+            tokens += self.in_flight[team] + self.charged[team]
+            # Nobody has used these slots yet, so that they count as full.
+            tokens += (4 - len(self.used_slots)) / 4 * limit.burst
+            surplus = tokens - limit.rate * self.now
+            highest = self.highest.get(team, surplus)
+            assert surplus <= highest + 1e-3, f"{surplus - highest:.1f} tokens minted"
+            self.highest[team] = surplus
+
+    def _note_slots(self):
+        for node in self.nodes.values():
+            for slot, share in node.core.lender.slots.items():
+                if (slot, share.claim) not in self.seen_shares:
+                    self.seen_shares.add((slot, share.claim))
+                    self.used_slots.add(slot)
+                    self.in_flight.subtract(share.balances)
+
+    def _audit_again(self):
+        self.audit()
+        self.at(self.now + 0.25, None, self._audit_again)
 
     def active_cuts(self):
         return {dc for dc, until in self.cuts.items() if until > self.now}
@@ -272,9 +370,11 @@
 
         def refund():
             if not node.dead:
-                entry[1] -= node.core.refund(team, receipt, unused, now=self.now)
+                refunded = node.core.refund(team, receipt, unused, now=self.now)
+                entry[1] -= refunded
+                self.charged[team] -= refunded
 
-        if self.random.random() < 0.7:
+        if self.random.random() < self.refunds:
             self.at(self.now + self.random.expovariate(0.5), node, refund)
 
     def traffic(self, team, *, names, interval, tokens, seconds):
@@ -307,9 +407,10 @@
         if kind == "pause":
             node.paused_until = max(node.paused_until, until)
         elif kind in ("restart", "restarts in a row"):
-            node.dead = True
-            gap = 0.05 if kind != "restart" else self.random.uniform(0, 12)
-            self.at(self.now + gap, None, lambda: self.start(name))
+            in_a_row = kind == "restarts in a row"
+            self.restart(name, 0.05 if in_a_row else self.random.uniform(0, 12))
+        elif kind == "leave" and not node.core.leaving:
+            node.leave()
         elif kind == "cut":
             self.cuts[node.dc] = until
         elif kind == "platform cut":
--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -15,6 +15,7 @@
     "log outage",
     "loss",
     "late",
+    "leave",
 )
 RUN_S = 200
 
