--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -51,7 +51,6 @@
             print(fault, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     configure_logging(instance=settings.instance.id, level=settings.log.level)
-    logging.getLogger("grpc").setLevel(logging.WARNING)
     asyncio.run(serve(settings))
 
 
--- a/skylarkpost/eventlog/keyvalue.py
+++ b/skylarkpost/eventlog/keyvalue.py
@@ -2,9 +2,13 @@
 
 import logging
 import sys
+import time
 
 __all__ = ["configure_logging", "format_event", "log_event"]
 
+EVENT_PREFIX = "event="
+TIME_FORMAT = "%Y-%m-%dT%H:%M:%S"
+QUIET_LOGGERS = ("grpc", "uvicorn", "asyncio")
 QUOTED_CHARACTERS = frozenset(" \t\"'=\\")
 
 
@@ -65,11 +69,42 @@
         Name of the lowest level to write, e.g. ``"INFO"``.
     """
     handler = logging.StreamHandler(sys.stderr)
-    line = f"time=%(asctime)s level=%(levelname)s instance={instance} %(message)s"
-    handler.setFormatter(logging.Formatter(line, datefmt="%Y-%m-%dT%H:%M:%S"))
+    handler.setFormatter(KeyValueFormatter(instance=instance))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(level)
+    for name in QUIET_LOGGERS:
+        logging.getLogger(name).setLevel(logging.WARNING)
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Writes each log record as one line, those of libraries too.
+
+    Parameters
+    ----------
+    instance : str
+        Id of this instance.
+    """
+
+    def __init__(self, *, instance):
+        super().__init__()
+        self.instance = instance
+
+    def format(self, record):
+        """Return the line of one record."""
+        message = record.getMessage()
+        if not message.startswith(EVENT_PREFIX):
+            fields = {"logger": record.name, "message": message}
+            message = format_event("library-message", fields)
+        if record.exc_info:
+            trace = self.formatException(record.exc_info)
+            message = f"{message} trace={_format_value(trace)}"
+        moment = time.strftime(TIME_FORMAT, time.gmtime(record.created))
+        milliseconds = int(record.msecs)
+        return (
+            f"time={moment}.{milliseconds:03d}Z level={record.levelname}"
+            f" instance={self.instance} {message}"
+        )
 
 
 def _format_value(value):
--- a/tests/eventlog/test_keyvalue.py
+++ b/tests/eventlog/test_keyvalue.py
@@ -1,6 +1,10 @@
+import logging
+import sys
+
 import pytest
 
 from skylarkpost.eventlog import format_event
+from skylarkpost.eventlog.keyvalue import KeyValueFormatter
 
 
 @pytest.mark.parametrize(
@@ -21,3 +25,15 @@
 
 def test_none_is_left_out():
     assert format_event("x", {"a": None, "b": 1}) == "event=x b=1"
+
+
+def test_messages_and_traces_of_libraries_become_one_line():
+    try:
+        raise OSError("no route")
+    except OSError:
+        info = sys.exc_info()
+    record = logging.LogRecord("lib", logging.ERROR, "", 0, "went\nwrong", (), info)
+    line = KeyValueFormatter(instance="entry-1").format(record)
+    assert "\n" not in line
+    assert 'event=library-message logger=lib message="went\\nwrong"' in line
+    assert "no route" in line
--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -4,6 +4,7 @@
 import sys
 
 import pytest
+import pytest_asyncio
 
 from standins.operations import Caller, issue_key, tool
 from tests.processes.fleets import (
@@ -24,7 +25,7 @@
     return tmp_path_factory.mktemp("fleet")
 
 
-@pytest.fixture(scope="module")
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def running(directory):
     async with running_fleet(directory) as fleet_and_caller:
         yield fleet_and_caller
