Take members that were never heard as such

Cause: a member that only the platform's list shows has no time at which it was heard; the limits task of one of four daemons ended on comparing None.

Ruled out: leaving it out where authority is confirmed, since a neighbour that was never heard must not confirm anything.

--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -324,7 +324,7 @@
         return [
             Neighbour(SlotOwner(m.instance, m.boot), m.last_heard_at)
             for m in membership.neighbours(now)
-            if m.instance != self.services.instance
+            if m.instance != self.services.instance and m.last_heard_at is not None
         ]
 
     def _reachable(self):
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -33,6 +33,7 @@
 DISPATCH_MARGIN_S = 1.0
 RANK_DELAY_S = 1.0
 TOPIC = "targets"
+NEVER = float("-inf")
 GONE = ("leaving", "absent")
 
 
@@ -399,14 +400,14 @@
         if resumed_at is not None and resumed_at > self.authority.resumed_at:
             self.authority.resumed(resumed_at)
         for member in self.membership.reachable(now):
-            heard_at = getattr(member, "last_heard_at", now)
-            self.last_heard[member.instance] = heard_at
+            if member.last_heard_at is not None:
+                self.last_heard[member.instance] = member.last_heard_at
         log = self.services.state_log
         if log.available and log.fresh_at is not None:
             self.authority.log_read(log.fresh_at, now)
             return
         heard_at = [
-            member.last_heard_at
+            NEVER if member.last_heard_at is None else member.last_heard_at
             for member in self.membership.neighbours(now)
             if member.instance != self.services.instance
         ]
