--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,329 @@
+"""Runs the whole system on loopback through a short morning.
+
+Run it with ``make demo``. It starts the stand-ins and four daemons in three data
+centres, replays a recorded trace while operators publish changes, prints what
+happened, and exits with 1 if a promise was broken.
+"""
+
+import asyncio
+import collections
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+from typing import NamedTuple
+
+from lab.deployments import DEPLOYMENTS
+from lab.traces import make_trace
+from skylarkpost.config.token_estimate import estimate_prompt_tokens
+from standins.answers import answer_tokens
+from standins.fleet import Fleet, FleetShape
+from standins.operations import Caller, issue_key, items_toml, publish, tool
+
+__all__ = ["main"]
+
+SEED = 1
+DURATION_S = 30.0
+ADAPTERS = 60
+OVERLOADED_TEAM = "sandveld"
+CHARACTERS_PER_TOKEN = 4
+STARTUP_S = 30.0
+IN_FORCE_S = 5.0
+CHANGE_AT = 0.3
+WITHDRAW_AT = 0.5
+SLOTS = 8
+DEPLOYMENT = DEPLOYMENTS["kalahari"]._replace(adapters=ADAPTERS)
+SETTINGS = """
+[limits]
+slots = {windhoek-a = 2, windhoek-b = 1, okahandja = 1}
+"""
+
+
+class Result(NamedTuple):
+    """What became of one replayed request.
+
+    Attributes
+    ----------
+    request : lab.traces.Request
+        From the trace.
+    sent_at : float
+        Seconds since the start of the replay.
+    first_token : float or None
+        Seconds from sending to the first piece of the answer.
+    reply : standins.operations.Reply
+        The answer.
+    tokens : int
+        Tokens charged at admission.
+    right : bool
+        Whether an answer is whole and of the right adapter and version.
+    """
+
+    request: object
+    sent_at: float
+    first_token: float | None
+    reply: object
+    tokens: int
+    right: bool
+
+
+class Demo:
+    """One run.
+
+    Parameters
+    ----------
+    fleet : standins.fleet.Fleet
+        The running system.
+    trace : list of lab.traces.Request
+        What is replayed.
+    """
+
+    def __init__(self, *, fleet, trace):
+        self.fleet = fleet
+        self.trace = trace
+        self.callers = {}
+        self.started_at = 0.0
+        self.results = []
+        self.broken = []
+        self.changed_profile = collections.Counter(
+            request.adapter for request in trace
+        ).most_common(1)[0][0]
+        self.changed_at = None
+
+    async def run(self):
+        """Publish, replay and check; print the report.
+
+        Returns
+        -------
+        bool
+            Whether every promise was kept.
+        """
+        await self._publish()
+        await self.fleet.wait_ready()
+        await self._wait_for_stewards()
+        print(f"replaying {len(self.trace)} requests in {DURATION_S:.0f} s", flush=True)
+        self.started_at = time.monotonic()
+        operators = asyncio.create_task(self._operate())
+        replays = [self._replay(request) for request in self.trace]
+        self.results = await asyncio.gather(*replays)
+        await operators
+        await self._check()
+        self._report()
+        return not self.broken
+
+    async def _publish(self):
+        teams = {team.name: (team.rate, team.burst) for team in DEPLOYMENT.teams}
+        profiles = {
+            request.adapter: (request.adapter, "1", [request.team], 9 - request.urgency)
+            for request in self.trace
+        }
+        text = items_toml(self.fleet, teams=teams, profiles=profiles, slots=SLOTS)
+        printed = await publish(self.fleet, text, reason="morning")
+        print(f"published {len(printed)} items", flush=True)
+        for team in teams:
+            key, _ = await issue_key(self.fleet, team)
+            self.callers[team] = Caller(fleet=self.fleet, key=key)
+
+    async def _wait_for_stewards(self):
+        async with asyncio.timeout(STARTUP_S):
+            while not await self._all_have_stewards():
+                await asyncio.sleep(0.2)
+
+    async def _all_have_stewards(self):
+        for instance, _ in self.fleet.shape.instances:
+            status = await self.fleet.get(instance, "/admin/status")
+            stewards = status["controllers"]["stewardship"]["stewards"]
+            if not stewards or None in stewards.values():
+                return False
+        return True
+
+    async def _replay(self, request):
+        await asyncio.sleep(request.at)
+        prompt = _prompt(request)
+        first = []
+        sent_at = time.monotonic()
+        homes = [
+            name
+            for name, data_centre in self.fleet.shape.instances
+            if data_centre == request.data_centre
+        ]
+        reply = await self.callers[request.team].ask(
+            homes[request.number % len(homes)],
+            request.adapter,
+            prompt,
+            on_chunk=lambda piece: first or first.append(time.monotonic()),
+            seed=request.number,
+            max_tokens=request.max_tokens,
+        )
+        content = {"messages": [{"role": "user", "content": prompt}]}
+        return Result(
+            request=request,
+            sent_at=sent_at - self.started_at,
+            first_token=first[0] - sent_at if first else None,
+            reply=reply,
+            tokens=estimate_prompt_tokens(content) + request.max_tokens,
+            right=self._is_right(request, prompt, sent_at, reply),
+        )
+
+    def _is_right(self, request, prompt, sent_at, reply):
+        versions = self._allowed_versions(request.adapter, sent_at)
+        expected = {
+            "".join(
+                answer_tokens(
+                    f"{request.adapter}@{version}",
+                    f"user: {prompt}",
+                    request.number,
+                    request.max_tokens,
+                )
+            )
+            for version in versions
+        }
+        return reply.complete and reply.text in expected
+
+    def _allowed_versions(self, adapter, sent_at):
+        if adapter != self.changed_profile:
+            return {"1"}
+        if self.changed_at is not None and sent_at >= self.changed_at + IN_FORCE_S:
+            return {"2"}
+        return {"1", "2"}
+
+    async def _operate(self):
+        await asyncio.sleep(DURATION_S * CHANGE_AT)
+        path = self.fleet.directory / "items.toml"
+        name = self.changed_profile
+        text = path.read_text().replace(
+            f'adapter = "{name}"\nversion = "1"', f'adapter = "{name}"\nversion = "2"'
+        )
+        await publish(self.fleet, text, reason="new version")
+        self.changed_at = time.monotonic()
+        print(f"published version 2 of {name} while traffic runs", flush=True)
+        await asyncio.sleep(DURATION_S * (WITHDRAW_AT - CHANGE_AT))
+        await self._withdraw()
+
+    async def _withdraw(self):
+        key, key_hash = await issue_key(self.fleet, OVERLOADED_TEAM)
+        caller = Caller(fleet=self.fleet, key=key)
+        code, printed = await tool(self.fleet, "key", "withdraw", key_hash)
+        if code != 0:
+            self.broken.append(f"a key could not be withdrawn: {printed}")
+        await asyncio.sleep(IN_FORCE_S)
+        for instance, _ in self.fleet.shape.instances:
+            reply = await caller.ask(instance, self.changed_profile, "still there?")
+            if reply.status != 401:
+                self.broken.append(f"a withdrawn key still works at {instance}")
+        print("issued and withdrew a key", flush=True)
+
+    async def _check(self):
+        wrong = [
+            result
+            for result in self.results
+            if result.reply.status == 200 and not result.right
+        ]
+        if wrong:
+            self.broken.append(f"{len(wrong)} answers are not whole or not right")
+        for name, _ in self.fleet.shape.engines:
+            violations = await self.fleet.get(name, "/violations")
+            if any(violations.values()):
+                self.broken.append(f"{name}: {violations}")
+            for caller in self.callers.values():
+                key = caller.headers["Authorization"].removeprefix("Bearer ")
+                seen = await self.fleet.get(name, f"/seen?contains={key}")
+                if seen["count"]:
+                    self.broken.append(f"{name} saw a key")
+        for team in DEPLOYMENT.teams:
+            self._check_team(team)
+
+    def _check_team(self, team):
+        own = [r for r in self.results if r.request.team == team.name]
+        admitted = sorted((r.sent_at, r.tokens) for r in own if r.reply.status == 200)
+        # Admission lies between sending and the answer, so a request may count
+        # a little earlier or later than it was sent.
+        slack = team.rate * 2.0
+        if excess_over_bucket(admitted, team.rate, team.burst) > slack:
+            self.broken.append(f"{team.name} got more than its rate and burst")
+        refused = sum(r.reply.status == 429 for r in own)
+        if team.name != OVERLOADED_TEAM and refused:
+            self.broken.append(f"{team.name} was refused {refused} times within rate")
+
+    def _report(self):
+        print(f"\n{'team':<14}{'sent':>6}{'answered':>10}{'first token s':>30}")
+        print(f"{'':<14}{'':>6}{'':>10}{'p50':>10}{'p95':>10}{'max':>10}")
+        for team in DEPLOYMENT.teams:
+            own = [r for r in self.results if r.request.team == team.name]
+            answered = [r for r in own if r.reply.status == 200]
+            waits = sorted(r.first_token for r in answered if r.first_token is not None)
+            row = f"{team.name:<14}{len(own):>6}{len(answered):>10}"
+            if waits:
+                p95 = waits[int(0.95 * (len(waits) - 1))]
+                row += (
+                    f"{statistics.median(waits):>10.3f}{p95:>10.3f}{waits[-1]:>10.3f}"
+                )
+            print(row)
+        reasons = collections.Counter(
+            r.reply.error["code"] for r in self.results if r.reply.error
+        )
+        print("\nrefused by reason:", dict(reasons) or "none")
+        print(f"overloading team: {OVERLOADED_TEAM}")
+        for promise in self.broken:
+            print("BROKEN:", promise)
+        print("promises kept" if not self.broken else "promises broken")
+
+
+def excess_over_bucket(admitted, rate, burst):
+    """Return the most tokens above ``burst + rate * t`` in any interval.
+
+    Parameters
+    ----------
+    admitted : list of (float, float)
+        Time in seconds and tokens of each admission, by time.
+    rate, burst : float
+        Tokens a second, and tokens.
+
+    Returns
+    -------
+    float
+    """
+    level, last, worst = 0.0, 0.0, float("-inf")
+    for at, tokens in admitted:
+        level = max(0.0, level - rate * (at - last)) + tokens
+        last = at
+        worst = max(worst, level - burst)
+    return worst
+
+
+def _prompt(request):
+    preamble = f"rules of {request.adapter}. "
+    length = request.preamble_tokens * CHARACTERS_PER_TOKEN
+    preamble = (preamble * (length // len(preamble) + 1))[:length]
+    tail = f"question {request.number} "
+    return preamble + (tail * request.tail_tokens)[: request.tail_tokens * 4]
+
+
+async def _run():
+    trace = make_trace(
+        DEPLOYMENT, seed=SEED, duration=DURATION_S, overload=OVERLOADED_TEAM
+    )
+    shape = FleetShape(
+        instances=tuple((i.name, i.data_centre) for i in DEPLOYMENT.instances),
+        engines=tuple((t.name, t.data_centre) for t in DEPLOYMENT.targets),
+        services=(
+            ("booking-desk-1", "windhoek-a"),
+            ("booking-desk-2", "windhoek-b"),
+            ("booking-desk-3", "okahandja"),
+        ),
+        engine_arguments=("--slots", str(SLOTS)),
+        settings=SETTINGS,
+    )
+    with tempfile.TemporaryDirectory(prefix="skylarkpost-demo-") as directory:
+        async with Fleet(shape=shape, directory=pathlib.Path(directory)) as fleet:
+            print(f"started {len(fleet.processes)} processes", flush=True)
+            return await Demo(fleet=fleet, trace=trace).run()
+
+
+def main():
+    """Run the demo; exit with 1 if a promise was broken."""
+    sys.exit(0 if asyncio.run(_run()) else 1)
+
+
+if __name__ == "__main__":
+    main()
