Detect silent members by heartbeats and hand on what peers saw of the list

A member counts as heard when a heartbeat was sent that it answered, so late and crossed answers prove nothing. After three misses the channel is renewed and a probe goes out on the new one before the member is called silent. A boot that was replaced never comes back, also if its process was only paused. Digests ride on heartbeats when they changed, and carry recent changes of the platform's list to instances that are cut off from it.

Between data centres only two members are heard by each instance; their lists tell of the rest.

Ruled out: taking a received heartbeat as proof of life (it can be old when it arrives), and a refused connection as proof of death.

Events without fields of a stream are dataclasses now: as empty tuples they were equal to each other and false.

--- /dev/null
+++ b/skylarkpost/membership/controller.py
@@ -0,0 +1,348 @@
+"""Joins the membership core to the network."""
+
+import asyncio
+import logging
+
+from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.membership.core import MembershipCore
+from skylarkpost.membership.listing import TargetListing
+from skylarkpost.membership.member import Member, MemberState
+from skylarkpost.membership.messages import (
+    decode_heartbeat,
+    decode_reply,
+    encode_heartbeat,
+    encode_reply,
+)
+from skylarkpost.membership.pause import PauseDetector
+from skylarkpost.platform.tasks import BackgroundTask
+from skylarkpost.rpc import (
+    CallFailed,
+    call_peer,
+    membership_pb2_grpc,
+)
+
+__all__ = ["MembershipController"]
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.1
+PAUSE_TICK_S = 0.05
+BEAT_TIMEOUT_S = 0.5
+LIST_TOPIC = "instance-list"
+
+
+@register_controller("membership", order=10)
+class MembershipController(Controller):
+    """Exchanges heartbeats with the other instances.
+
+    Parameters
+    ----------
+    services : Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    core : MembershipCore
+        Decides which instances are live.
+    listing : TargetListing
+        Decides which targets are live.
+    pauses : PauseDetector
+        Finds pauses of this process.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.core = MembershipCore(
+            instance=services.instance,
+            boot=services.boot,
+            address=services.peer_address,
+            data_centre=services.data_centre,
+            random=services.random,
+        )
+        self.listing = TargetListing()
+        self.pauses = PauseDetector(now=services.clock())
+        self.subscribers = {}
+        self.watchers = []
+        self.beats = set()
+        self.ticker = BackgroundTask(name="membership-tick")
+        self.pause_ticker = BackgroundTask(name="pause-tick")
+        self.subscribe(LIST_TOPIC, self._take_list_changes)
+
+    def add_to_server(self, server):
+        """Serve heartbeats of other instances."""
+        servicer = MembershipServicer(controller=self)
+        membership_pb2_grpc.add_MembershipServicer_to_server(servicer, server)
+
+    async def start(self):
+        """Start sending heartbeats."""
+        self.pauses = PauseDetector(now=self.services.clock())
+        self.services.instances.subscribe(self._take_list)
+        self.pause_ticker.start(self._watch_pauses())
+        self.ticker.start(self._run())
+
+    async def leave(self):
+        """Tell the other instances that this one leaves."""
+        commands = self.core.leave(now=self.services.clock())
+        await asyncio.gather(*(self._send(command) for command in commands))
+
+    async def stop(self):
+        """Stop sending heartbeats."""
+        await self.ticker.stop()
+        await self.pause_ticker.stop()
+        for task in self.beats:
+            task.cancel()
+        if self.beats:
+            await asyncio.wait(self.beats)
+
+    def is_ready(self):
+        """Return whether no other boot has taken this one's place."""
+        return not self.core.superseded
+
+    def degraded(self):
+        """Return which instances are silent."""
+        sentences = [
+            f"Instance {member.instance} in {member.data_centre} does not answer."
+            for member in self.core.members()
+            if member.state is MemberState.SILENT
+        ]
+        if self.core.superseded:
+            sentences.append("Another process runs as this instance.")
+        return sentences
+
+    def status(self):
+        """Return the members and the pauses."""
+        now = self.services.clock()
+        return {
+            "members": [
+                {
+                    "instance": m.instance,
+                    "boot": m.boot,
+                    "data_centre": m.data_centre,
+                    "state": m.state.value,
+                    "heard_ago": None
+                    if m.last_heard_at is None
+                    else now - m.last_heard_at,
+                }
+                for m in self.members(now)
+            ],
+            "pauses": self.pauses.pauses,
+        }
+
+    @property
+    def last_resumed_at(self):
+        """When this process came back from its last pause, or None.
+
+        After a pause a request may be dealt with before the timer that finds
+        pauses, so the present time is observed first.
+        """
+        self._observe(self.services.clock())
+        return self.pauses.last_resumed_at
+
+    def members(self, now):
+        """Return all instances that are not known to be dead.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Member
+            This one first.
+        """
+        state = MemberState.LEAVING if self.core.leaving else MemberState.LIVE
+        own = Member(
+            self.core.instance,
+            self.core.boot,
+            self.core.address,
+            self.core.data_centre,
+            state,
+            now,
+        )
+        return [own, *self.core.members()]
+
+    def reachable(self, now):
+        """Return the live instances, with this one.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Member
+        """
+        return [m for m in self.members(now) if m.state is MemberState.LIVE]
+
+    def neighbours(self, now):
+        """Return the others of this data centre that are not known to be dead.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Member
+            Also silent ones and those that were listed and never heard.
+        """
+        own = self.services.data_centre
+        return [m for m in self.core.members() if m.data_centre == own]
+
+    def target_state(self, target_id):
+        """Return the state of a target; see `TargetListing.target_state`."""
+        return self.listing.target_state(target_id)
+
+    def publish(self, topic, payload):
+        """Send a payload to the other instances with the next heartbeats.
+
+        Parameters
+        ----------
+        topic : str
+            What it is about.
+        payload : bytes
+            It takes the place of the one before; the same again is not sent.
+        """
+        self.core.digests.publish(topic, payload)
+
+    def subscribe(self, topic, callback):
+        """Call back for each new payload of another instance.
+
+        Parameters
+        ----------
+        topic : str
+            What it is about.
+        callback : callable
+            ``callback(member, payload, now)``; called at once for payloads
+            that are here already.
+        """
+        self.subscribers.setdefault(topic, []).append(callback)
+        now = self.services.clock()
+        for member in self.core.members():
+            topics = self.core.digests.received.get((member.instance, member.boot), {})
+            if topic in topics:
+                callback(member, topics[topic].payload, now)
+
+    def watch(self, callback):
+        """Call back when the state of another instance has changed.
+
+        Parameters
+        ----------
+        callback : callable
+            ``callback(member, before, now)``; `before` is the state before, or
+            None if it was heard for the first time.
+        """
+        self.watchers.append(callback)
+
+    def take_heartbeat(self, heartbeat):
+        """Answer a heartbeat of another instance.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            What came.
+
+        Returns
+        -------
+        HeartbeatReply
+        """
+        now = self.services.clock()
+        reply, digests = self.core.take_heartbeat(heartbeat, now=now)
+        sender = heartbeat.sender
+        member = next(
+            (m for m in self.core.members() if m.instance == sender.instance), None
+        )
+        for digest in digests:
+            for callback in self.subscribers.get(digest.topic, ()):
+                callback(member, digest.payload, now)
+        return reply
+
+    async def _run(self):
+        while True:
+            now = self.services.clock()
+            self._observe(now)
+            if not self.services.instances.available:
+                self.core.list_unavailable()
+            for command in self.core.tick(now=now):
+                task = asyncio.create_task(self._send(command))
+                self.beats.add(task)
+                task.add_done_callback(self._note_sent)
+            self._tell_changes(now)
+            await asyncio.sleep(TICK_S)
+
+    async def _watch_pauses(self):
+        while True:
+            self._observe(self.services.clock())
+            await asyncio.sleep(PAUSE_TICK_S)
+
+    async def _send(self, command):
+        if command.on_new_connection:
+            self.services.peers.renew(command.address)
+            self.services.metrics.count_event("peer-channel-renewed")
+        channel = self.services.peers.get(command.address)
+        stub = membership_pb2_grpc.MembershipStub(channel)
+        message = encode_heartbeat(command.heartbeat)
+        answer = await call_peer(stub.Beat, message, timeout=BEAT_TIMEOUT_S)
+        now = self.services.clock()
+        if isinstance(answer, CallFailed):
+            self.core.take_miss(command, now=now)
+            self.services.metrics.count_event("heartbeat-missed")
+        elif not self.core.take_reply(command, decode_reply(answer), now=now):
+            self.services.metrics.count_event("heartbeat-answer-dropped")
+
+    def _note_sent(self, task):
+        self.beats.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            context = {"message": "heartbeat failed", "exception": task.exception()}
+            asyncio.get_running_loop().call_exception_handler(context)
+
+    def _observe(self, now):
+        pause = self.pauses.observe(now=now)
+        if pause > 0.0:
+            log_event(logger, "process-resumed", level=logging.WARNING, pause=pause)
+            self.services.metrics.count_event("process-resumed")
+
+    def _tell_changes(self, now):
+        for member, before in self.core.take_changes():
+            log_event(
+                logger,
+                "member-state",
+                member=member.instance,
+                boot=member.boot,
+                data_centre=member.data_centre,
+                state=member.state,
+                before=before,
+            )
+            for callback in self.watchers:
+                callback(member, before, now)
+
+    def _take_list(self, listing, now):
+        self.listing.take_list(listing.instances, listing.as_of)
+        self.core.take_listed(self.listing.instances(), now=now)
+        self.publish(LIST_TOPIC, self.listing.encode_changes())
+
+    def _take_list_changes(self, member, payload, now):
+        self.listing.take_changes(payload)
+        self.publish(LIST_TOPIC, self.listing.encode_changes())
+
+
+class MembershipServicer(membership_pb2_grpc.MembershipServicer):
+    """Answers heartbeats.
+
+    Parameters
+    ----------
+    controller : MembershipController
+        Who answers.
+    """
+
+    def __init__(self, *, controller):
+        self.controller = controller
+
+    async def Beat(self, request, context):  # noqa: N802
+        """Answer one heartbeat."""
+        reply = self.controller.take_heartbeat(decode_heartbeat(request))
+        return encode_reply(reply)
--- /dev/null
+++ b/skylarkpost/membership/core.py
@@ -0,0 +1,391 @@
+"""Decides from heartbeats and lists which instances are live."""
+
+from typing import NamedTuple
+
+from skylarkpost.membership.digests import DigestExchange
+from skylarkpost.membership.member import Member, MemberState, is_newer_boot
+from skylarkpost.membership.messages import Heartbeat, HeartbeatReply, MemberInfo
+from skylarkpost.membership.record import RelayedList
+from skylarkpost.membership.roster import Roster
+from skylarkpost.membership.selection import choose
+
+__all__ = ["MembershipCore", "SendHeartbeat", "StateChange"]
+
+BEAT_INTERVAL_S = 0.5
+BEAT_JITTER = 0.1
+FORGET_AFTER_S = 10.0
+PARTNERS_PER_DATA_CENTRE = 2
+PROBE_ROTATION_S = 10.0
+LIST_VERSION_BITS = 48
+
+
+class StateChange(NamedTuple):
+    """A member whose state changed.
+
+    Attributes
+    ----------
+    member : Member
+        As it is now.
+    before : MemberState or None
+        None if it was heard for the first time.
+    """
+
+    member: Member
+    before: MemberState | None
+
+
+class SendHeartbeat(NamedTuple):
+    """Command: send a heartbeat.
+
+    Attributes
+    ----------
+    instance, boot, address : str
+        To whom; the boot is empty if it is not known.
+    sequence : int
+        Tells apart the heartbeats to one instance.
+    sent_at : float
+        When it is sent, in seconds.
+    digest_version : int
+        Up to which version it carries digests.
+    heartbeat : Heartbeat
+        What to send.
+    on_new_connection : bool
+        Whether to drop the connection to it first.
+    """
+
+    instance: str
+    boot: str
+    address: str
+    sequence: int
+    sent_at: float
+    digest_version: int
+    heartbeat: Heartbeat
+    on_new_connection: bool
+
+
+class MembershipCore:
+    """Membership as one instance sees it; does no I/O.
+
+    An instance counts as heard at the moment when a heartbeat was *sent* that
+    it answered; an answer that comes late or crosses another one proves no
+    more than that. Heartbeats of others bring news, but no proof of life.
+
+    Inside a data centre each instance sends heartbeats to all others; to each
+    other data centre it sends them to two members, whose lists tell of the rest.
+
+    Parameters
+    ----------
+    instance, boot, address, data_centre : str
+        This instance.
+    random : random.Random
+        For the jitter of heartbeats.
+
+    Attributes
+    ----------
+    roster : Roster
+        The other instances.
+    digests : DigestExchange
+        Payloads that ride on heartbeats.
+    leaving : bool
+        Whether this instance leaves.
+    superseded : bool
+        Whether another boot has taken this one's place.
+    """
+
+    def __init__(self, *, instance, boot, address, data_centre, random):
+        self.instance = instance
+        self.boot = boot
+        self.address = address
+        self.data_centre = data_centre
+        self.random = random
+        self.digests = DigestExchange()
+        self.roster = Roster(on_remove=self.digests.forget)
+        self.leaving = False
+        self.superseded = False
+        # Another boot of this instance begins with another version.
+        self.list_version = 1 + random.getrandbits(LIST_VERSION_BITS)
+        self.list = ()
+        self.sequence = 0
+        self._listed = None
+        self._changes = []
+
+    def tick(self, *, now):
+        """Return the heartbeats that are due.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of SendHeartbeat
+            Each has to be followed by `take_reply` or `take_miss`.
+        """
+        self._forget_absent(now)
+        self._judge(now)
+        due = [
+            record
+            for record in self._partners(now)
+            if record.awaited is None and record.next_beat_at <= now
+        ]
+        return [self._beat(record, now) for record in due]
+
+    def take_reply(self, command, reply, *, now):
+        """Take the answer to a heartbeat.
+
+        Parameters
+        ----------
+        command : SendHeartbeat
+            What was sent.
+        reply : HeartbeatReply
+            The answer.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+            Whether it proves that the instance runs; late answers do not.
+        """
+        assert command.sent_at <= now, "an answer came before its heartbeat"
+        self.superseded = self.superseded or reply.superseded
+        record = self._settle(command)
+        if record is None:
+            return False
+        answering = self.roster.meet(reply.responder, now=now)
+        if answering is None or answering.instance != command.instance:
+            self._note_miss(record, now)
+            return False
+        answering.note_heard(command.sent_at)
+        if answering.boot == command.boot:
+            self.digests.acknowledge(answering.key, command.digest_version)
+        self._take_list(answering, reply, now)
+        return True
+
+    def take_miss(self, command, *, now):
+        """Note that a heartbeat was not answered in time.
+
+        Parameters
+        ----------
+        command : SendHeartbeat
+            What was sent.
+        now : float
+            The present time, in seconds.
+        """
+        record = self._settle(command)
+        if record is not None:
+            self._note_miss(record, now)
+
+    def take_heartbeat(self, heartbeat, *, now):
+        """Answer a heartbeat of another instance.
+
+        Parameters
+        ----------
+        heartbeat : Heartbeat
+            What came.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        HeartbeatReply
+            The answer.
+        list of Digest
+            Payloads that are newer than what was there.
+        """
+        sender = heartbeat.sender
+        newer = []
+        if sender.instance == self.instance:
+            replaced = is_newer_boot(self.boot, sender.boot)
+            self.superseded = self.superseded or not replaced
+        else:
+            record = self.roster.meet(sender, now=now)
+            replaced = record is None and self.roster.is_dead(sender)
+            if record is not None:
+                newer = self.digests.receive(record.key, heartbeat.digests)
+        known = heartbeat.known_list == self.list_version
+        members = () if known else self.list
+        reply = HeartbeatReply(self.own_info(), self.list_version, members, replaced)
+        return reply, newer
+
+    def take_listed(self, entries, *, now):
+        """Take the instances that the platform lists.
+
+        Parameters
+        ----------
+        entries : iterable of ListedInstance
+            Instances of the system.
+        now : float
+            The present time, in seconds.
+        """
+        self._listed = {entry.id for entry in entries}
+        for entry in entries:
+            if entry.id != self.instance:
+                self.roster.hear_of(
+                    MemberInfo(entry.id, "", entry.address, entry.data_centre),
+                    now=now,
+                )
+
+    def list_unavailable(self):
+        """Note that the platform's list can't be had at present."""
+        self._listed = None
+
+    def leave(self, *, now):
+        """Start leaving.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of SendHeartbeat
+            Tells all other instances.
+        """
+        self.leaving = True
+        return [self._beat(record, now) for record in self.roster.records.values()]
+
+    def own_info(self):
+        """Return what this instance tells of itself.
+
+        Returns
+        -------
+        MemberInfo
+        """
+        return MemberInfo(
+            self.instance, self.boot, self.address, self.data_centre, self.leaving
+        )
+
+    def members(self):
+        """Return all other instances that are not known to be dead.
+
+        Returns
+        -------
+        list of Member
+        """
+        return [self._member(r) for r in self.roster.records.values()]
+
+    def take_changes(self):
+        """Return the members whose state changed since the last call.
+
+        Returns
+        -------
+        list of StateChange
+            In order.
+        """
+        changes, self._changes = self._changes, []
+        return changes
+
+    def _beat(self, record, now):
+        jitter = self.random.uniform(1.0 - BEAT_JITTER, 1.0 + BEAT_JITTER)
+        record.next_beat_at = now + BEAT_INTERVAL_S * jitter
+        self.sequence += 1
+        record.awaited = self.sequence
+        relayed = self.roster.list_of(record)
+        heartbeat = Heartbeat(
+            self.own_info(),
+            self.digests.pending(record.key),
+            0 if relayed is None else relayed.version,
+        )
+        return SendHeartbeat(
+            instance=record.instance,
+            boot=record.boot,
+            address=record.address,
+            sequence=self.sequence,
+            sent_at=now,
+            digest_version=self.digests.version,
+            heartbeat=heartbeat,
+            on_new_connection=record.needs_probe,
+        )
+
+    def _settle(self, command):
+        """Return the record that waits for a heartbeat's answer, if any."""
+        record = self.roster.records.get(command.instance)
+        if record is None or record.awaited != command.sequence:
+            return None
+        record.awaited = None
+        return record
+
+    def _note_miss(self, record, now):
+        record.missed += 1
+        if record.needs_probe and record.heard_at is not None:
+            record.next_beat_at = now
+
+    def _take_list(self, record, reply, now):
+        known = self.roster.list_of(record)
+        if known is not None and known.version == reply.list_version:
+            return
+        relayed = RelayedList(version=reply.list_version, members=reply.members)
+        self.roster.keep_list(record, relayed)
+        for info in reply.members:
+            if info.instance != self.instance and not info.silent:
+                self.roster.hear_of(info, now=now)
+
+    def _judge(self, now):
+        """Note the states that changed, and renew the list for the peers."""
+        infos = []
+        for record in self.roster.records.values():
+            member = self._member(record)
+            self._note_state(record, member, now)
+            if record.boot:
+                silent = member.state is MemberState.SILENT
+                infos.append(record.as_info(silent=silent))
+        members = tuple(sorted(infos))
+        if members != self.list:
+            self.list = members
+            self.list_version += 1
+
+    def _note_state(self, record, member, now):
+        if member.state is not MemberState.SILENT:
+            record.silent_since = None
+        elif record.silent_since is None:
+            record.silent_since = now
+        never_heard = member.last_heard_at is None
+        if member.state is not record.reported_state and not never_heard:
+            self._changes.append(StateChange(member, record.reported_state))
+            record.reported_state = member.state
+
+    def _partners(self, now):
+        """Return the instances that heartbeats are sent to."""
+        by_data_centre = {}
+        for record in self.roster.records.values():
+            by_data_centre.setdefault(record.data_centre, []).append(record)
+        partners = by_data_centre.pop(self.data_centre, [])
+        for records in by_data_centre.values():
+            partners += self._choose_partners(records, now)
+        return partners
+
+    def _choose_partners(self, records, now):
+        silent = {r.instance for r in records if r.is_unanswered and r.missed}
+        answering = [r.instance for r in records if r.instance not in silent]
+        chosen = choose(self.instance, answering, PARTNERS_PER_DATA_CENTRE)
+        # Silent ones are tried in turn, so that none is lost for good.
+        rotation = str(int(now / PROBE_ROTATION_S))
+        chosen += choose(self.instance, silent, PARTNERS_PER_DATA_CENTRE, rotation)
+        return [self.roster.records[instance] for instance in chosen]
+
+    def _member(self, record):
+        heard_at = record.heard_at
+        silent = record.is_unanswered
+        if record.data_centre != self.data_centre:
+            relayed_at = self.roster.relayed_heard_at(record)
+            if relayed_at is not None and (silent or relayed_at > heard_at):
+                heard_at, silent = relayed_at, False
+        if silent:
+            state = MemberState.SILENT
+        elif record.leaving:
+            state = MemberState.LEAVING
+        else:
+            state = MemberState.LIVE
+        return record.as_member(state, heard_at)
+
+    def _forget_absent(self, now):
+        for record in list(self.roster.records.values()):
+            since = record.silent_since
+            if since is None or now - since <= FORGET_AFTER_S:
+                continue
+            unlisted = self._listed is not None and record.instance not in self._listed
+            if unlisted or record.leaving:
+                self.roster.remove(record)
--- /dev/null
+++ b/skylarkpost/membership/listing.py
@@ -0,0 +1,150 @@
+"""The platform's lagging list, completed by what peers saw of it."""
+
+from typing import NamedTuple
+
+import msgspec
+
+from skylarkpost.membership.member import TargetState
+from skylarkpost.platform.instance_list import ListedInstance
+
+__all__ = ["TargetListing"]
+
+CHANGE_LIFE_S = 60.0
+MAX_CHANGES = 500
+ROLE_ENTRY = "entry"
+ROLE_TARGET = "target"
+
+
+class Change(NamedTuple):
+    """An entry that changed in the platform's list.
+
+    Attributes
+    ----------
+    as_of : float
+        The moment that the changed list showed, in seconds of the platform's
+        wall clock.
+    id : str
+        Of the entry.
+    entry : ListedInstance or None
+        None if it disappeared.
+    """
+
+    as_of: float
+    id: str
+    entry: ListedInstance | None
+
+
+class TargetListing:
+    """The newest known list; it is kept while the platform has none.
+
+    Instances hand on recent changes to each other, so that one that is cut off
+    from the platform learns of leaving targets from its peers.
+
+    Attributes
+    ----------
+    entries : dict of str to ListedInstance
+        By id.
+    as_of : float or None
+        What moment they show, in seconds of the platform's wall clock.
+    changes : dict of str to Change
+        Recent ones, by id.
+    """
+
+    def __init__(self):
+        self.entries = {}
+        self.as_of = None
+        self.changes = {}
+
+    def take_list(self, entries, as_of):
+        """Take a list of the platform.
+
+        Parameters
+        ----------
+        entries : dict of str to ListedInstance
+            By id.
+        as_of : float
+            What moment it shows.
+        """
+        if self.as_of is not None:
+            if as_of <= self.as_of:
+                return
+            self._note_changes(entries, as_of)
+        self.entries = dict(entries)
+        self.as_of = as_of
+        for change in list(self.changes.values()):
+            # A peer has seen a newer list than this one.
+            if change.as_of > as_of:
+                self._apply(change)
+
+    def take_changes(self, payload):
+        """Take the recent changes that a peer saw.
+
+        Parameters
+        ----------
+        payload : bytes
+            As `encode_changes` of the peer returned it.
+        """
+        for change in msgspec.json.decode(payload, type=list[Change]):
+            known = self.changes.get(change.id)
+            known_as_of = known.as_of if known is not None else self.as_of
+            if known_as_of is not None and change.as_of <= known_as_of:
+                continue
+            self._apply(change)
+
+    def encode_changes(self):
+        """Return the recent changes for the peers.
+
+        Returns
+        -------
+        bytes
+        """
+        newest = sorted(self.changes.values(), key=lambda c: (-c.as_of, c.id))
+        return msgspec.json.encode(newest[:MAX_CHANGES])
+
+    def target_state(self, target_id):
+        """Return the state of a target.
+
+        Parameters
+        ----------
+        target_id : str
+            Its id.
+
+        Returns
+        -------
+        TargetState
+            Unknown only before the first list.
+        """
+        entry = self.entries.get(target_id)
+        if entry is not None and entry.role == ROLE_TARGET:
+            return TargetState(entry.state)
+        known = self.as_of is not None or target_id in self.changes
+        return TargetState.ABSENT if known else TargetState.UNKNOWN
+
+    def instances(self):
+        """Return the entries that are instances of the system.
+
+        Returns
+        -------
+        list of ListedInstance
+        """
+        return [e for e in self.entries.values() if e.role == ROLE_ENTRY]
+
+    def _note_changes(self, entries, as_of):
+        for entry_id in self.entries.keys() | entries.keys():
+            entry = entries.get(entry_id)
+            known = self.changes.get(entry_id)
+            is_older = known is not None and known.as_of > as_of
+            if entry != self.entries.get(entry_id) and not is_older:
+                self.changes[entry_id] = Change(as_of, entry_id, entry)
+        oldest = as_of - CHANGE_LIFE_S
+        recent = {i: c for i, c in self.changes.items() if c.as_of >= oldest}
+        self.changes = recent
+
+    def _apply(self, change):
+        self.changes[change.id] = change
+        if len(self.changes) > MAX_CHANGES:
+            del self.changes[min(self.changes, key=lambda i: self.changes[i].as_of)]
+        if change.entry is None:
+            self.entries.pop(change.id, None)
+        else:
+            self.entries[change.id] = change.entry
--- /dev/null
+++ b/skylarkpost/membership/roster.py
@@ -0,0 +1,201 @@
+"""The other instances that one instance knows, each in its newest boot."""
+
+from collections import OrderedDict
+
+from skylarkpost.membership.member import is_newer_boot
+from skylarkpost.membership.record import MISSED_BEFORE_PROBE, PeerRecord
+
+__all__ = ["Roster"]
+
+MAX_RECORDS = 2000
+MAX_DEAD = 4000
+# An instance that another one still hears may have been silent for this long.
+RELAYED_AGE_S = 2.5
+
+
+class Roster:
+    """Records by instance; a boot that was replaced never comes back.
+
+    Parameters
+    ----------
+    on_remove : callable
+        ``on_remove((instance, boot))`` after a record was dropped.
+
+    Attributes
+    ----------
+    records : dict of str to PeerRecord
+        By instance.
+    lists : dict of str to dict of str to RelayedList
+        What peers told, by data centre and instance.
+    dead : OrderedDict of (str, str) to None
+        Instances and boots that were replaced, oldest first.
+    """
+
+    def __init__(self, *, on_remove):
+        self.on_remove = on_remove
+        self.records = {}
+        self.lists = {}
+        self.dead = OrderedDict()
+
+    def meet(self, info, *, now):
+        """Take what an instance tells of itself.
+
+        Parameters
+        ----------
+        info : MemberInfo
+            With its boot.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        PeerRecord or None
+            None if another boot has taken its place.
+        """
+        key = (info.instance, info.boot)
+        if key in self.dead:
+            return None
+        record = self.records.get(info.instance)
+        if record is None:
+            return self._add(info, now)
+        if record.boot == info.boot:
+            record.address = info.address
+            record.leaving = record.leaving or info.leaving
+            return record
+        if is_newer_boot(info.boot, record.boot):
+            self._bury(record.key)
+            return self._replace(record, info, now)
+        if record.missed > MISSED_BEFORE_PROBE:
+            # Its clock may have been set back; the other may also come again.
+            return self._replace(record, info, now)
+        self._bury(key)
+        return None
+
+    def is_dead(self, info):
+        """Return whether another boot has taken an instance's place.
+
+        Parameters
+        ----------
+        info : MemberInfo
+            With its boot.
+
+        Returns
+        -------
+        bool
+        """
+        return (info.instance, info.boot) in self.dead
+
+    def hear_of(self, info, *, now):
+        """Take what a list tells of an instance, which proves no life.
+
+        Parameters
+        ----------
+        info : MemberInfo
+            Its boot is empty if the list has none.
+        now : float
+            The present time, in seconds.
+        """
+        if self.is_dead(info):
+            return
+        record = self.records.get(info.instance)
+        if record is None:
+            self._add(info, now)
+        elif is_newer_boot(info.boot, record.boot):
+            self._bury(record.key)
+            self._replace(record, info, now)
+        elif info.boot == record.boot:
+            record.leaving = record.leaving or info.leaving
+        elif record.is_unanswered and not info.boot:
+            # The platform's list knows a replaced instance's new address.
+            record.address = info.address
+
+    def relayed_heard_at(self, record):
+        """Return when other members of its data centre last heard an instance.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The instance.
+
+        Returns
+        -------
+        float or None
+            None if none of them hears it.
+        """
+        latest = None
+        for instance, relayed in self.lists.get(record.data_centre, {}).items():
+            teller = self.records[instance]
+            info = relayed.members.get(record.instance)
+            if teller.is_unanswered or info is None:
+                continue
+            if info.silent or info.boot != record.boot:
+                continue
+            if latest is None or teller.heard_at > latest:
+                latest = teller.heard_at
+        return None if latest is None else latest - RELAYED_AGE_S
+
+    def list_of(self, record):
+        """Return the list that an instance told last.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The instance.
+
+        Returns
+        -------
+        RelayedList or None
+        """
+        return self.lists.get(record.data_centre, {}).get(record.instance)
+
+    def keep_list(self, record, relayed):
+        """Keep the list that an instance told.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The instance.
+        relayed : RelayedList
+            Its list.
+        """
+        self.lists.setdefault(record.data_centre, {})[record.instance] = relayed
+
+    def remove(self, record):
+        """Drop an instance.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The instance.
+        """
+        del self.records[record.instance]
+        self.lists.get(record.data_centre, {}).pop(record.instance, None)
+        self.on_remove(record.key)
+
+    def _add(self, info, now):
+        if len(self.records) >= MAX_RECORDS:
+            return None
+        record = PeerRecord(
+            instance=info.instance,
+            boot=info.boot,
+            address=info.address,
+            data_centre=info.data_centre,
+            now=now,
+        )
+        record.leaving = info.leaving
+        self.records[info.instance] = record
+        return record
+
+    def _replace(self, record, info, now):
+        self.remove(record)
+        replacement = self._add(info, now)
+        assert replacement is not None, "no place for a replaced instance"
+        replacement.awaited = record.awaited
+        return replacement
+
+    def _bury(self, key):
+        if not key[1]:
+            return
+        self.dead[key] = None
+        if len(self.dead) > MAX_DEAD:
+            self.dead.popitem(last=False)
--- a/skylarkpost/targets/engine_stream.py
+++ b/skylarkpost/targets/engine_stream.py
@@ -62,7 +62,7 @@
                         yield StreamEnded()
                         return
                 if parser.oversized:
-                    yield StreamBroken("an event is too long")
+                    yield StreamBroken(detail="an event is too long")
                     return
         finally:
             self.close()
@@ -71,7 +71,7 @@
         try:
             piece = await self.response.content.readany()
         except TimeoutError:
-            return StreamBroken("silent")
+            return StreamBroken(detail="silent")
         except (aiohttp.ClientError, OSError) as error:
-            return StreamBroken(f"connection lost: {error!r}")
-        return piece or StreamBroken("ended before its last event")
+            return StreamBroken(detail=f"connection lost: {error!r}")
+        return piece or StreamBroken(detail="ended before its last event")
--- a/skylarkpost/targets/outcomes.py
+++ b/skylarkpost/targets/outcomes.py
@@ -180,18 +180,21 @@
     data: bytes
 
 
-class Alive(NamedTuple):
+@dataclass(frozen=True, kw_only=True)
+class Alive:
     """A comment line, by which the engine shows that the stream goes on."""
 
 
-class StreamEnded(NamedTuple):
+@dataclass(frozen=True, kw_only=True)
+class StreamEnded:
     """The stream came to its regular end."""
 
 
-class StreamBroken(NamedTuple):
+@dataclass(frozen=True, kw_only=True)
+class StreamBroken:
     """The stream ended early or went silent; it may be resumed.
 
-    Attributes
+    Parameters
     ----------
     detail : str
         What happened.
--- /dev/null
+++ b/tests/membership/test_core.py
@@ -0,0 +1,238 @@
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from tests.membership.simulation import Simulation
+
+PLACES = {"e-1": "ikeja", "e-2": "ikeja", "e-3": "lekki", "e-4": "yaba"}
+
+
+def others(name, state="live"):
+    return {other: state for other in PLACES if other != name}
+
+
+def settled(seconds=3.0, **options):
+    simulation = Simulation(PLACES, **options)
+    simulation.run(seconds)
+    return simulation
+
+
+def test_all_find_each_other():
+    simulation = settled()
+    for name in PLACES:
+        assert simulation.states(name) == others(name)
+
+
+def test_a_member_that_ended_is_silent_soon_and_not_before_a_probe():
+    simulation = settled()
+    simulation.end("e-2")
+    simulation.run(1.4)
+    assert simulation.states("e-1")["e-2"] == "live"
+    simulation.run(1.8)
+    assert simulation.states("e-1") == others("e-1") | {"e-2": "silent"}
+
+
+def test_a_silent_connection_is_replaced_before_anyone_is_called_silent():
+    simulation = settled()
+    simulation.silence("e-1", "e-2")
+    for _ in range(60):
+        simulation.run(0.1)
+        assert simulation.states("e-1")["e-2"] == "live"
+    assert ("e-1", "e-2") not in simulation.connections
+
+
+def test_a_paused_member_is_silent_and_blames_nobody_when_it_is_back():
+    simulation = settled()
+    simulation.pause("e-1", 6.0)
+    simulation.run(4.0)
+    assert simulation.states("e-2")["e-1"] == "silent"
+    simulation.run(2.05)
+    for _ in range(10):
+        assert simulation.states("e-1") == others("e-1")
+        simulation.run(0.1)
+    simulation.run(1.0)
+    assert simulation.states("e-2")["e-1"] == "live"
+
+
+def test_a_restart_with_the_same_id_ends_the_old_boot_for_good():
+    simulation = settled()
+    old = simulation.nodes["e-2"]
+    # The old process is paused, so that it can come back later.
+    simulation.pause("e-2", 8.0)
+    simulation.run(0.1)
+    new = simulation.start("e-2")
+    simulation.run(3.0)
+    boots = {m.instance: m.boot for m in simulation.nodes["e-1"].core.members()}
+    assert boots["e-2"] == new.core.boot
+    simulation.run(6.0)
+    boots = {m.instance: m.boot for m in simulation.nodes["e-1"].core.members()}
+    assert boots["e-2"] == new.core.boot
+    assert old.core.superseded
+    assert not new.core.superseded
+
+
+def test_digests_go_out_once_and_again_to_a_new_boot():
+    simulation = settled()
+    digests = simulation.nodes["e-1"].core.digests
+    digests.publish("load", b"1")
+    simulation.run(1.2)
+    digests.publish("load", b"1")
+    digests.publish("load", b"2")
+    simulation.run(3.0)
+    for name in ("e-2", "e-3", "e-4"):
+        received = [d.payload for _, d in simulation.nodes[name].received]
+        assert received == [b"1", b"2"]
+    restarted = simulation.restart("e-3")
+    simulation.run(3.0)
+    assert [d.payload for _, d in restarted.received] == [b"2"]
+
+
+def test_leaving_is_told_at_once():
+    simulation = settled()
+    node = simulation.nodes["e-1"]
+    for command in node.core.leave(now=simulation.now):
+        simulation.send(node, command)
+    simulation.run(0.2)
+    for name in ("e-2", "e-3", "e-4"):
+        assert simulation.states(name)["e-1"] == "leaving"
+    # Without a list, only what left is forgotten.
+    simulation.listed = False
+    for node in simulation.nodes.values():
+        node.core.list_unavailable()
+    simulation.end("e-1")
+    simulation.end("e-2")
+    simulation.run(15.0)
+    assert simulation.states("e-3") == {"e-2": "silent", "e-4": "live"}
+
+
+def test_an_answer_to_an_earlier_heartbeat_proves_nothing():
+    simulation = settled()
+    core = simulation.nodes["e-1"].core
+    simulation.run(1.0)
+    (earlier,) = [c for c in core.leave(now=simulation.now) if c.instance == "e-2"]
+    (later,) = [c for c in core.leave(now=simulation.now) if c.instance == "e-2"]
+    other = simulation.nodes["e-2"].core
+    reply, _ = other.take_heartbeat(later.heartbeat, now=simulation.now)
+    assert not core.take_reply(earlier, reply, now=simulation.now)
+    assert core.take_reply(later, reply, now=simulation.now)
+    assert not core.take_reply(later, reply, now=simulation.now)
+
+
+def test_lists_of_two_boots_are_not_taken_for_each_other():
+    simulation = Simulation(PLACES)
+    cores = [simulation.nodes["e-2"].core, simulation.restart("e-2").core]
+    assert cores[0].list_version != cores[1].list_version
+
+
+def test_the_list_may_fail_once_members_know_each_other():
+    simulation = settled()
+    simulation.listed = False
+    for node in simulation.nodes.values():
+        node.core.list_unavailable()
+    restarted = simulation.restart("e-4")
+    simulation.run(4.0)
+    # The others still send heartbeats to its address, and it learns of them.
+    assert simulation.states("e-4") == others("e-4")
+    assert restarted.core.roster.records["e-1"].heard_at is not None
+
+
+def test_members_that_left_the_list_are_forgotten_only_when_they_are_silent():
+    simulation = settled()
+    simulation.unlisted = {"e-4"}
+    simulation.run(12.0)
+    assert simulation.states("e-1")["e-4"] == "live"
+    simulation.end("e-4")
+    simulation.run(8.0)
+    assert simulation.states("e-1")["e-4"] == "silent"
+    simulation.run(12.0)
+    assert "e-4" not in simulation.states("e-1")
+
+
+def test_between_data_centres_two_partners_tell_of_the_rest():
+    places = {f"a-{i}": "a" for i in range(3)} | {f"b-{i}": "b" for i in range(5)}
+    simulation = Simulation(places)
+    simulation.run(5.0)
+    core = simulation.nodes["a-0"].core
+    partners = {r.instance for r in core._partners(simulation.now)}
+    assert len([p for p in partners if p.startswith("b")]) == 2
+    assert set(simulation.states("a-0").values()) == {"live"}
+    ended = next(p for p in partners if p.startswith("b"))
+    simulation.end(ended)
+    unheard = next(n for n in places if n.startswith("b") and n not in partners)
+    simulation.end(unheard)
+    simulation.run(6.0)
+    states = simulation.states("a-0")
+    assert (states[ended], states[unheard]) == ("silent", "silent")
+    assert list(states.values()).count("live") == 5
+    simulation.cut = {"b"}
+    simulation.run(6.0)
+    assert {s for n, s in simulation.states("a-0").items() if n[0] == "b"} == {"silent"}
+    assert {s for n, s in simulation.states("a-0").items() if n[0] == "a"} == {"live"}
+    simulation.cut = set()
+    simulation.run(25.0)
+    assert list(simulation.states("a-0").values()).count("live") == 5
+
+
+FAULT = st.one_of(
+    st.tuples(st.just("restart"), st.sampled_from(sorted(PLACES)), st.none()),
+    st.tuples(st.just("replace"), st.sampled_from(sorted(PLACES)), st.floats(0.3, 8.0)),
+    st.tuples(st.just("pause"), st.sampled_from(sorted(PLACES)), st.floats(0.3, 8.0)),
+    st.tuples(st.just("cut"), st.sampled_from(sorted(PLACES.values())), st.none()),
+    st.tuples(st.just("heal"), st.none(), st.none()),
+    st.tuples(st.just("loss"), st.none(), st.floats(0.0, 0.4)),
+    st.tuples(st.just("delay"), st.none(), st.floats(0.001, 0.8)),
+    st.tuples(st.just("list"), st.none(), st.booleans()),
+    st.tuples(
+        st.just("silence"),
+        st.sampled_from(sorted(PLACES)),
+        st.sampled_from(sorted(PLACES)),
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=80, deadline=None, database=None)
+@given(
+    faults=st.lists(st.tuples(FAULT, st.floats(0.0, 4.0)), max_size=12),
+    seed=st.integers(0, 1000),
+)
+def test_whatever_fails_nobody_is_believed_wrongly_and_all_recover(faults, seed):
+    simulation = settled(seed=seed)
+    for (kind, subject, value), seconds in faults:
+        inject(simulation, kind, subject, value)
+        simulation.run(seconds)
+    heal(simulation)
+    for name in PLACES:
+        assert simulation.states(name) == others(name)
+        for member in simulation.nodes[name].core.members():
+            assert member.boot == simulation.nodes[member.instance].core.boot
+        assert not simulation.nodes[name].core.superseded
+
+
+def inject(simulation, kind, subject, value):
+    if kind == "restart":
+        simulation.restart(subject)
+    elif kind == "replace":
+        # The replaced process comes back after its pause.
+        simulation.pause(subject, value)
+        simulation.start(subject)
+    elif kind == "pause":
+        simulation.pause(subject, value)
+    elif kind == "cut":
+        simulation.cut = {subject}
+    elif kind == "heal":
+        simulation.cut = set()
+    elif kind == "loss":
+        simulation.loss = value
+    elif kind == "delay":
+        simulation.longest_delay = value
+    elif kind == "list":
+        simulation.listed = value
+    elif kind == "silence" and subject != value:
+        simulation.silence(subject, value)
+
+
+def heal(simulation):
+    simulation.cut = set()
+    simulation.loss = 0.0
+    simulation.longest_delay = 0.005
+    simulation.listed = True
+    simulation.run(20.0)
--- a/tests/targets/test_engine_client.py
+++ b/tests/targets/test_engine_client.py
@@ -142,7 +142,7 @@
             items.append(item)
             if isinstance(item, StreamEvent) and item.id == 2:
                 stand_in.silent_transports |= stand_in.transports
-        assert items[-1] == StreamBroken("silent")
+        assert items[-1] == StreamBroken(detail="silent")
         resumed = await client.resume(address, request_id="r.1", after=2)
         items += [item async for item in resumed.stream]
         assert isinstance(items[-1], StreamEnded)
