--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress
+from pydantic import BaseModel, ConfigDict, Field, IPvAnyAddress, model_validator
 
 __all__ = ["Settings"]
 
@@ -58,6 +58,12 @@
         le=60.0,
         description="Seconds without a byte after which a stream is probed.",
     )
+    service_timeout: float = Field(
+        default=10.0,
+        ge=0.1,
+        le=600.0,
+        description="Longest call to a plain service, in seconds.",
+    )
     default_max_tokens: int = Field(
         default=256,
         ge=1,
@@ -97,6 +103,146 @@
     )
 
 
+class LimitSettings(Section):
+    """``[limits]``: how the instances share the limits of teams."""
+
+    slots: dict[Name, Annotated[int, Field(ge=1, le=64)]] = Field(
+        default={},
+        description="Share slots by data centre; the same on all instances. "
+        "Each slot stands for an equal part of every limit.",
+    )
+    lease: float = Field(
+        default=2.0,
+        ge=0.2,
+        le=30.0,
+        description="Seconds for which a share is lent to a pool.",
+    )
+    renewal: float = Field(
+        default=0.5,
+        ge=0.05,
+        le=10.0,
+        description="Seconds between renewals of lent shares.",
+    )
+    authority: float = Field(
+        default=3.0,
+        ge=0.5,
+        le=60.0,
+        description="Longest pause, in seconds, after which an owner of a slot "
+        "goes on without having read the log again.",
+    )
+    draw_deadline: float = Field(
+        default=0.25,
+        ge=0.01,
+        le=5.0,
+        description="Seconds until a pool holder that does not answer is given up.",
+    )
+    service_call: int = Field(
+        default=50,
+        ge=0,
+        le=1_000_000,
+        description="Tokens charged for a call to a plain service.",
+    )
+    loads_per_second: float = Field(
+        default=3.0,
+        gt=0.0,
+        le=10_000.0,
+        description="Adapter loads a second that the weight store allows.",
+    )
+    loads_in_transit: int = Field(
+        default=8,
+        ge=1,
+        le=100_000,
+        description="Adapter loads at once that the weight store serves well.",
+    )
+
+    @model_validator(mode="after")
+    def _check_renewal(self):
+        if self.renewal * 2 > self.lease:
+            raise ValueError("renewal has to be at most half of lease")
+        return self
+
+
+class StewardshipSettings(Section):
+    """``[stewardship]``: leases and bounds of the stewards of targets."""
+
+    ticket_lease: float = Field(
+        default=10.0,
+        ge=2.0,
+        le=120.0,
+        description="Seconds that a ticket lives without a renewal.",
+    )
+    authority_lease: float = Field(
+        default=3.0,
+        ge=1.0,
+        le=30.0,
+        description="Seconds that a steward acts after it last confirmed that it is.",
+    )
+    silence: float = Field(
+        default=3.0,
+        ge=0.5,
+        le=60.0,
+        description="Seconds for which a steward is missing before it is replaced.",
+    )
+    order_linger: float = Field(
+        default=5.0,
+        ge=0.5,
+        le=120.0,
+        description="Seconds after which an order without an answer may yet arrive.",
+    )
+    report_lag: float = Field(
+        default=1.0,
+        ge=0.0,
+        le=30.0,
+        description="Greatest age of an engine's load report, in seconds.",
+    )
+    poll_interval: float = Field(
+        default=0.25,
+        ge=0.05,
+        le=5.0,
+        description="Seconds between two load reports.",
+    )
+    queue_limit: int = Field(
+        default=512, ge=1, le=100_000, description="Requests that wait for one target."
+    )
+    load_share: float = Field(
+        default=0.25,
+        gt=0.0,
+        le=1.0,
+        description="Share of the weight store where no pool of permits is shared.",
+    )
+    queue_order: str = Field(
+        default="fair",
+        pattern="^(fair|first-come)$",
+        description="Which waiting request goes next.",
+    )
+    eviction: str = Field(
+        default="worth",
+        pattern="^(worth|least-recently-used)$",
+        description="Which idle adapter leaves its slot.",
+    )
+
+
+class PlacementSettings(Section):
+    """``[placement]``: which target a request goes to."""
+
+    score: str = Field(
+        default="first-token",
+        pattern="^(first-token|least-loaded)$",
+        description="How targets are compared.",
+    )
+    prefill_rate: float = Field(
+        default=8000.0,
+        gt=0.0,
+        description="Prompt tokens that an engine works through in a second.",
+    )
+    preamble_share: float = Field(
+        default=0.8,
+        ge=0.0,
+        le=1.0,
+        description="Part of a prompt that is a shared preamble.",
+    )
+
+
 class LogSettings(Section):
     """``[log]``: what the daemon writes about itself."""
 
@@ -115,4 +261,7 @@
     requests: RequestSettings = RequestSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
+    limits: LimitSettings = LimitSettings()
+    stewardship: StewardshipSettings = StewardshipSettings()
+    placement: PlacementSettings = PlacementSettings()
     log: LogSettings = LogSettings()
