Restate items that keep changing, and run replicas at random

A random run of four replicas found that a fresh reader reached another state: an item changed more often than it was due for restating was never restated, so the reader could not judge a change that expected a version from before its start. Only restatements count as statements now; a change does not make an item younger. A tombstone is forgotten as soon as no other record of it is kept, also when it is not due itself.

The old rule put back fails the test.

--- a/skylarkpost/config/restating.py
+++ b/skylarkpost/config/restating.py
@@ -119,12 +119,12 @@
     def _judge(self, store, kind, name, old, first_offset):
         table = store.tables[kind]
         version, stated, mentioned = table.header(name)
+        if mentioned < first_offset and table.get(name).item is None:
+            store.forget_tombstone(kind, name)
+            return None
         if stated >= old:
             return None
         item = table.get(name).item
-        if item is None and mentioned < first_offset:
-            store.forget_tombstone(kind, name)
-            return None
         return {
             "type": "restatement",
             "kind": kind,
--- a/skylarkpost/config/store.py
+++ b/skylarkpost/config/store.py
@@ -268,8 +268,10 @@
         if expected is not None and expected != present:
             return Conflict(expected_version=expected, present_version=present)
         version = offset + 1
+        # A reader that starts later needs a statement, however often it changes.
+        stated = offset if entry is None else entry.stated
         kind, name = change["kind"], change["name"]
-        self._put(kind, name, version, offset, offset, change["body"], now)
+        self._put(kind, name, version, stated, offset, change["body"], now)
         return Accepted(version=version, previous_version=present)
 
     def _apply_restatement(self, record, offset, time, now):
--- a/skylarkpost/config/table.py
+++ b/skylarkpost/config/table.py
@@ -20,7 +20,9 @@
     version : int
         One more than the offset of the change that made it what it is.
     stated : int
-        A reader that starts at this offset or before learns of the item.
+        Offset that the newest restatement holds for, or that of the change
+        which made the item first. A reader that starts later can't know the
+        item, nor judge changes of it.
     mentioned : int
         Offset of the last record about it other than a restated tombstone.
     item : NamedTuple or None
