--- a/tests/config/test_histories.py
+++ b/tests/config/test_histories.py
@@ -170,3 +170,15 @@
         world.advance(2.0)
         world.check()
     assert "k1" not in world.full.tables["key"]
+
+
+def test_a_restatement_that_lands_when_the_tombstone_is_forgotten_undoes_nothing():
+    world = World()
+    world.change("k1", "absent", False, [])
+    world.delay_restatements(1.5 * RETENTION_S)
+    world.change("k1", "present", True, [])
+    for _ in range(100):
+        world.advance(2.0)
+        world.check()
+    assert any(record["type"] == "restatement" for _, record in world.log)
+    assert "k1" not in world.full.tables["key"]
