--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -211,6 +211,7 @@
         commands = self.keeper.tick(
             now, log_time=self.services.wall_clock(), neighbours=self._neighbours()
         )
+        self.core.sync(now)
         for command in commands:
             self._carry_out(command)
         self._log_slots()
@@ -323,7 +324,7 @@
         return [
             Neighbour(SlotOwner(m.instance, m.boot), m.last_heard_at)
             for m in membership.neighbours(now)
-            if m.instance != self.services.instance
+            if m.instance != self.services.instance and m.last_heard_at is not None
         ]
 
     def _reachable(self):
