--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -16,6 +16,7 @@
     SlotKeeper,
     SlotOwner,
     SlotTable,
+    TeamLimit,
 )
 
 LEASE_S = 2.0
@@ -50,7 +51,7 @@
         self.core = ShareExchange(
             owner=self.owner, keeper=self.keeper, lender=lender, pools=pools
         )
-        for team, limit in fleet.limits.items():
+        for team, limit in fleet.present_limits.items():
             lender.set_team(team, limit, now=fleet.now)
         for period, job in (
             (0.1, self.tick),
@@ -246,7 +247,8 @@
     def __init__(self, *, seed, limits, retention=3600.0, faults=(), fault_interval=8):
         self.random = random.Random(seed)
         self.now = 1000.0
-        self.limits = limits
+        # The highest that the limits ever are, and what they are now.
+        self.limits, self.present_limits = limits, dict(limits)
         self.refunds = self.random.choice([0.0, 0.7])
         self.retention, self.fault_interval = retention, fault_interval
         self.heap, self.numbers = [], itertools.count()
@@ -268,6 +270,19 @@
     def start(self, name):
         self.nodes[name] = Node(self, name, next(self.boots))
 
+    def change_limits(self, part):
+        for team, limit in self.limits.items():
+            changed = TeamLimit(limit.rate * part, limit.burst * part)
+            self.present_limits[team] = changed
+            for node in self.nodes.values():
+                self.at(
+                    self.now + self.random.uniform(0, 2),
+                    node,
+                    lambda lender=node.core.lender, team=team, changed=changed: (
+                        lender.set_team(team, changed, now=self.now)
+                    ),
+                )
+
     def restart(self, name, gap=0.05):
         self.nodes[name].dead = True
         self.at(self.now + gap, None, lambda: self.start(name))
@@ -409,6 +424,8 @@
         elif kind in ("restart", "restarts in a row"):
             in_a_row = kind == "restarts in a row"
             self.restart(name, 0.05 if in_a_row else self.random.uniform(0, 12))
+        elif kind == "limit change":
+            self.change_limits(self.random.uniform(0.3, 1.0))
         elif kind == "leave" and not node.core.leaving:
             node.leave()
         elif kind == "cut":
--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -16,6 +16,7 @@
     "loss",
     "late",
     "leave",
+    "limit change",
 )
 RUN_S = 200
 
@@ -60,3 +61,38 @@
     fleet.run(305)
     assert len(fleet.admitted["small"]) == 300
     assert fleet.refused["small"] == []
+
+
+def test_an_owner_that_wakes_up_after_a_takeover_charges_nothing_unread():
+    fleet = Fleet(seed=6, limits={"team": LIMIT})
+    fleet.run(3)
+    node = fleet.nodes["e1"]
+    owned = set(node.keeper.active_slots())
+    assert owned
+    node.paused_until = fleet.now + 30
+    fleet.run(29)
+    assert owned <= set(fleet.nodes["e2"].keeper.active_slots())
+    # The log is out of reach just when the former owner wakes up, and nobody
+    # holds its shares in a pool.
+    fleet.log_down_until = fleet.now + 10
+    fleet.cuts["a"] = fleet.now + 10
+    fleet.run(1.02)
+    node.core.lender.advance(fleet.now)
+    assert node.core.draw_at_home("team", 1, now=fleet.now) is None
+    assert not node.keeper.may_use(fleet.now)
+
+
+def test_a_dead_holder_costs_refusals_until_its_leases_have_ended():
+    fleet = Fleet(seed=7, limits={"team": LIMIT})
+    fleet.run(5)
+    holder = fleet.nodes["e1"].core.holder_of("team", sorted(INSTANCES))
+    others = [name for name in sorted(INSTANCES) if name != holder]
+    fleet.traffic(
+        "team", names=lambda now: others, interval=0.5, tokens=(30, 60), seconds=60
+    )
+    fleet.run(10)
+    assert fleet.refused["team"] == []
+    killed_at = fleet.now
+    fleet.nodes[holder].dead = True
+    fleet.run(50)
+    assert max(at for at, _ in fleet.refused["team"]) < killed_at + 5
