Add claims for calls that may not be repeated

Cause: a booking or payment may run at most once, whatever is killed, paused or sent again. The first claim by offset wins, and the winner sends only after it has read its own claim back. A claimant that gave up never sends, so that "not run" stays true.

--- /dev/null
+++ b/skylarkpost/claims/appender.py
@@ -0,0 +1,79 @@
+"""Appends records in batches, several in one call of the log."""
+
+import asyncio
+
+from skylarkpost.platform import AppendRefused
+
+__all__ = ["BatchAppender"]
+
+GATHER_S = 0.003
+MAX_BATCH = 200
+MAX_WAITING = 2000
+
+
+class BatchAppender:
+    """Gathers records for a few milliseconds and appends them together.
+
+    Parameters
+    ----------
+    log : skylarkpost.platform.LogClient
+        The log.
+    stream : str
+        Name of the stream.
+
+    Notes
+    -----
+    Beyond `MAX_WAITING` records an append is refused at once.
+    """
+
+    def __init__(self, *, log, stream):
+        self.log = log
+        self.stream = stream
+        self.waiting = []
+        self.gathering = None
+        self.calls = set()
+
+    async def append(self, record):
+        """Append one record, together with others.
+
+        Parameters
+        ----------
+        record : dict
+            With a ``type``.
+
+        Returns
+        -------
+        Appended or AppendUnknown or AppendRefused
+            Of the whole batch; `Appended` tells no offset of this record.
+        """
+        if len(self.waiting) >= MAX_WAITING:
+            return AppendRefused(detail="too many records wait for the log")
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self.waiting.append((record, future))
+        if self.gathering is None:
+            self.gathering = loop.call_later(GATHER_S, self._flush)
+        return await future
+
+    def close(self):
+        """Give up what is waiting or on its way."""
+        if self.gathering is not None:
+            self.gathering.cancel()
+        for call in self.calls:
+            call.cancel()
+
+    def _flush(self):
+        batch, self.waiting = self.waiting[:MAX_BATCH], self.waiting[MAX_BATCH:]
+        loop = asyncio.get_running_loop()
+        self.gathering = (
+            loop.call_later(GATHER_S, self._flush) if self.waiting else None
+        )
+        call = loop.create_task(self._append_batch(batch))
+        self.calls.add(call)
+        call.add_done_callback(self.calls.discard)
+
+    async def _append_batch(self, batch):
+        outcome = await self.log.append(self.stream, [record for record, _ in batch])
+        for _, future in batch:
+            if not future.done():
+                future.set_result(outcome)
--- /dev/null
+++ b/skylarkpost/claims/controller.py
@@ -0,0 +1,174 @@
+"""Keeps claims on work that may not be repeated."""
+
+import asyncio
+import logging
+import uuid
+
+from skylarkpost.claims.appender import BatchAppender
+from skylarkpost.claims.claimant import Claimant, Stage
+from skylarkpost.claims.keys import KeyTimes
+from skylarkpost.claims.records import CLAIM, ENDS
+from skylarkpost.claims.table import ClaimTable
+from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.platform import AppendRefused, LogFollower
+
+__all__ = ["ClaimsController"]
+
+logger = logging.getLogger(__name__)
+
+CLAIMS_STREAM = "claims"
+MAX_END_RECORDS = 2000
+
+
+@register_controller("claims", order=40)
+class ClaimsController(Controller):
+    """Follows the ``claims`` stream, and claims keys for requests.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    table : ClaimTable
+        Which claim on a key came first.
+    times : KeyTimes
+        How old keys may be.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.settings = services.settings.claims
+        self.times = KeyTimes(services.settings.platform.log_retention)
+        self.table = ClaimTable(
+            times=self.times, max_answer_bytes=self.settings.max_answer_bytes
+        )
+        self.follower = LogFollower(
+            log=services.log,
+            stream=CLAIMS_STREAM,
+            clock=services.clock,
+            random=services.random,
+        )
+        for record_type in (CLAIM, *ENDS):
+            self.follower.subscribe(record_type, self._read_record)
+        self.appender = BatchAppender(log=services.log, stream=CLAIMS_STREAM)
+        self.verdicts = {}
+        self.tasks = set()
+
+    async def start(self):
+        """Start following the stream. See `Controller.start`."""
+        self.follower.start()
+
+    async def stop(self):
+        """Write the last ends down, then stop. See `Controller.stop`."""
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=self.settings.window)
+        await self.follower.stop()
+        self.appender.close()
+
+    def degraded(self):
+        """Return what does not work. See `Controller.degraded`."""
+        if self.follower.available:
+            return []
+        return ["Work that may not be repeated is refused: no log (stream claims)."]
+
+    def status(self):
+        """Return how far the stream was read. See `Controller.status`."""
+        return {
+            "applied_offset": self.follower.applied_offset,
+            "end_offset": self.follower.end_offset,
+            "keys": len(self.table.states),
+            "answer_bytes": self.table.answer_bytes,
+            "claiming": len(self.verdicts),
+        }
+
+    async def claim(self, *, key, made_at, fingerprint):
+        """Claim a key for a request.
+
+        Parameters
+        ----------
+        key : str
+            Hash of the key.
+        made_at : float
+            When the key was made, in wall-clock seconds.
+        fingerprint : str
+            Hash of the request.
+
+        Returns
+        -------
+        Claimant
+            Won, lost, or given up because the log did not answer in time.
+        """
+        clock = self.services.clock
+        claimant = Claimant(
+            claim=uuid.uuid4().hex,
+            key=key,
+            made_at=made_at,
+            fingerprint=fingerprint,
+            now=clock(),
+            window=self.settings.window,
+            life=self.settings.window + self.services.settings.requests.deadline,
+        )
+        read_back = asyncio.get_running_loop().create_future()
+        self.verdicts[claimant.claim] = read_back
+        try:
+            await self._append_and_read_back(claimant, read_back)
+        finally:
+            del self.verdicts[claimant.claim]
+            if claimant.stage is Stage.CLAIMING:
+                claimant.give_up()
+                self.note_end(claimant, certainly_not_run=True, answer=None)
+        return claimant
+
+    async def _append_and_read_back(self, claimant, read_back):
+        outcome = await self.appender.append(claimant.claim_record())
+        if isinstance(outcome, AppendRefused):
+            claimant.note_refused()
+            return
+        wait = max(0.0, claimant.send_by - self.services.clock())
+        try:
+            claimant.take_verdict(await asyncio.wait_for(read_back, wait))
+        except TimeoutError:
+            self.services.metrics.count_event("claim-not-read-back")
+
+    def note_end(self, claimant, *, certainly_not_run, answer):
+        """Write down how a claimed request ended.
+
+        Parameters
+        ----------
+        claimant : Claimant
+            The claim.
+        certainly_not_run : bool
+            Whether no target can have run it, nor ever will.
+        answer : skylarkpost.filters.Answer or None
+            The whole answer, if there was one.
+        """
+        record = claimant.end(certainly_not_run=certainly_not_run, answer=answer)
+        if record is None:
+            return
+        if len(self.tasks) >= MAX_END_RECORDS:
+            self.services.metrics.count_event("claim-end-dropped")
+            return
+        task = asyncio.get_running_loop().create_task(self._append_end(record))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _append_end(self, record):
+        outcome = await self.appender.append(record)
+        log_event(
+            logger,
+            record["type"],
+            key=record["key"],
+            claim=record["claim"],
+            outcome=type(outcome).__name__,
+        )
+
+    def _read_record(self, record, offset, time, now):
+        verdict = self.table.apply(record, time)
+        if verdict is None:
+            return
+        read_back = self.verdicts.get(record["claim"])
+        if read_back is not None and not read_back.done():
+            read_back.set_result(verdict)
--- /dev/null
+++ b/skylarkpost/claims/filter.py
@@ -0,0 +1,85 @@
+"""Lets work that may not be repeated through at most once."""
+
+import hashlib
+
+from skylarkpost.claims.claimant import Stage
+from skylarkpost.claims.keys import InvalidKey, hash_key, parse_key
+from skylarkpost.claims.replies import answer_repeated, refuse, refuse_too_old
+from skylarkpost.claims.table import Progress
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.outcomes import Reason, Refused, RunState
+
+__all__ = ["ClaimFilter"]
+
+KEY_HEADER = "idempotency-key"
+
+
+@register_filter("claim", order=60)
+class ClaimFilter(Filter):
+    """Claims the idempotency key of a call that may not be repeated."""
+
+    async def apply(self, exchange):
+        """Judge one request. See `Filter.apply`."""
+        if exchange.route is None or exchange.route.repeatable:
+            return None
+        text = exchange.headers.get(KEY_HEADER)
+        if text is None:
+            return refuse(Reason.IDEMPOTENCY_KEY_MISSING)
+        made_at = parse_key(text)
+        if isinstance(made_at, InvalidKey):
+            return refuse(Reason.IDEMPOTENCY_KEY_INVALID, made_at.message)
+        controller = self.services.controllers["claims"]
+        time = self.services.wall_clock()
+        if controller.times.is_in_future(made_at, time):
+            message = "The Idempotency-Key was made in the future."
+            return refuse(Reason.IDEMPOTENCY_KEY_INVALID, message)
+        key = hash_key(team=exchange.team, route=exchange.route.name, key=text)
+        fingerprint = _fingerprint(exchange)
+        state = controller.table.find(key)
+        if state is not None and state.progress is not Progress.RELEASED:
+            return answer_repeated(state, fingerprint, time=time)
+        if controller.times.is_too_old(made_at, time):
+            return refuse_too_old()
+        return await self._claim(exchange, controller, key, made_at, fingerprint)
+
+    async def _claim(self, exchange, controller, key, made_at, fingerprint):
+        claimant = await controller.claim(
+            key=key, made_at=made_at, fingerprint=fingerprint
+        )
+        if claimant.stage is Stage.LOST:
+            state = controller.table.find(key)
+            if state is None or state.claim == claimant.claim:
+                return refuse_too_old()
+            return answer_repeated(state, fingerprint, time=self.services.wall_clock())
+        if not claimant.begin_sending(self.services.clock()):
+            controller.note_end(claimant, certainly_not_run=True, answer=None)
+            return refuse(Reason.CLAIM_LOG_UNAVAILABLE, retry_after=1.0)
+        exchange.send_by = claimant.send_by
+        exchange.on_finish(_ender(controller, claimant))
+        return None
+
+
+def _ender(controller, claimant):
+    async def end(exchange):
+        controller.note_end(
+            claimant,
+            certainly_not_run=_certainly_not_run(exchange),
+            answer=exchange.answer,
+        )
+
+    return end
+
+
+def _certainly_not_run(exchange):
+    outcome = exchange.outcome
+    if not exchange.dispatched:
+        return True
+    return isinstance(outcome, Refused) and outcome.run_state == RunState.NOT_RUN
+
+
+def _fingerprint(exchange):
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (exchange.method, exchange.path, exchange.query):
+        digest.update(part.encode() + b"\0")
+    digest.update(exchange.body)
+    return digest.hexdigest()
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -162,6 +162,24 @@
         return self
 
 
+class ClaimSettings(Section):
+    """``[claims]``: calls that may not be repeated."""
+
+    window: float = Field(
+        default=5.0,
+        ge=0.2,
+        le=60.0,
+        description="Seconds within which a claim has to be read back from the log "
+        "and the request sent.",
+    )
+    max_answer_bytes: int = Field(
+        default=8_388_608,
+        ge=0,
+        le=1_073_741_824,
+        description="Bytes of all answers kept for repeated calls.",
+    )
+
+
 class StewardshipSettings(Section):
     """``[stewardship]``: leases and bounds of the stewards of targets."""
 
@@ -262,6 +280,7 @@
     shutdown: ShutdownSettings = ShutdownSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     limits: LimitSettings = LimitSettings()
+    claims: ClaimSettings = ClaimSettings()
     stewardship: StewardshipSettings = StewardshipSettings()
     placement: PlacementSettings = PlacementSettings()
     log: LogSettings = LogSettings()
