Ask for a load permit only where a wanted adapter can be loaded

Cause: a permit was asked for while every wanted adapter was resident; it was given back and asked for again without end.

--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -150,7 +150,7 @@
         victims = self._victims(evicts_from, now) if needs_room else []
         commands = self._repeat_unloads(now)
         commands += self._use_permits(candidates, victims, now)
-        commands += self._ask_permit(candidates, victims)
+        commands += self._ask_permit(candidates, victims, now)
         if may_evict:
             self._plan_drains(candidates, victims, now)
         return commands
@@ -394,7 +394,7 @@
                 return name
         return None
 
-    def _ask_permit(self, candidates, victims):
+    def _ask_permit(self, candidates, victims, now):
         if self._permit_asked:
             return []
         in_progress = self.residency.count(AdapterState.LOADING) + self._permits
@@ -405,7 +405,7 @@
             self._permit_asked = True
             first = candidates[0]
             return [RequestLoadPermit(first.urgency, len(candidates))]
-        if not candidates and self.wanted and self.residency.free_slots() > 0:
+        if not candidates and self._next_wanted(now):
             self._permit_asked = True
             return [RequestLoadPermit(0, 0)]
         return []
