--- a/skylarkpost/daemon/parts.py
+++ b/skylarkpost/daemon/parts.py
@@ -5,12 +5,15 @@
 __all__ = ["PARTS", "import_parts"]
 
 PARTS = (
+    "skylarkpost.claims.controller",
+    "skylarkpost.claims.filter",
     "skylarkpost.config.controller",
     "skylarkpost.config.key_filter",
     "skylarkpost.config.profile_filter",
     "skylarkpost.frontend.identify",
     "skylarkpost.limits.controller",
     "skylarkpost.limits.filter",
+    "skylarkpost.membership.controller",
     "skylarkpost.placement.filter",
     "skylarkpost.platform.controllers",
     "skylarkpost.quarantine.controller",
