Withdraw the key of a stream that lasts long enough to see it end

Cause: the test asked for more tokens than the team's burst, so that the stream was refused at once; it also let a stream pass that ended by itself.

--- a/tests/processes/test_whole_path.py
+++ b/tests/processes/test_whole_path.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import json
 import subprocess
 import sys
@@ -6,6 +7,7 @@
 import pytest
 import pytest_asyncio
 
+from standins.answers import answer_tokens
 from standins.operations import Caller, issue_key, tool
 from tests.processes.fleets import (
     SECONDS_S,
@@ -17,6 +19,7 @@
 
 pytestmark = [pytest.mark.processes, pytest.mark.asyncio(loop_scope="module")]
 
+LONG_TOKENS = 60
 PROMPT = "wear report of kilometre 12"
 
 
@@ -27,10 +30,19 @@
 
 @pytest_asyncio.fixture(scope="module", loop_scope="module")
 async def running(directory):
-    async with running_fleet(directory) as fleet_and_caller:
+    slow = ("--step-time", "0.05")
+    async with running_fleet(directory, engine_arguments=slow) as fleet_and_caller:
         yield fleet_and_caller
 
 
+def long_answer(lora_name):
+    """Return options for which the answer to the prompt takes some seconds."""
+    for seed in itertools.count():
+        tokens = answer_tokens(lora_name, f"user: {PROMPT}", seed, 1000)
+        if len(tokens) >= LONG_TOKENS:
+            return {"seed": seed, "max_tokens": 1000}
+
+
 async def test_each_instance_answers_whole_and_streamed_on_the_right_adapter(running):
     fleet, caller = running
     options = {"seed": 3, "max_tokens": 20}
@@ -110,9 +122,9 @@
         caller.ask(
             "entry-4",
             "plan-1",
-            "a long answer " * 3,
+            PROMPT,
             on_chunk=lambda piece: begun.set(),
-            max_tokens=60_000,
+            **long_answer("corridor-1@1"),
         )
     )
     await asyncio.wait_for(begun.wait(), SECONDS_S)
@@ -126,7 +138,9 @@
     for instance in instances:
         await eventually(lambda i=instance: is_refused(i))
     reply = await asyncio.wait_for(stream, SECONDS_S)
-    assert reply.complete or reply.error["code"] == "key-withdrawn"
+    assert not reply.complete
+    assert reply.error["code"] == "key-withdrawn"
+    assert reply.error["run_state"] == "may-have-run"
 
 
 async def test_no_key_reaches_a_target_a_log_or_the_platform(running):
