--- /dev/null
+++ b/lab/__init__.py
@@ -0,0 +1,3 @@
+"""Replays, slopes and benchmarks: the tools that measure skylarkpost."""
+
+__all__ = []
--- /dev/null
+++ b/lab/figures.py
@@ -0,0 +1,234 @@
+"""The measures of a replay, from samples that can be pooled over seeds."""
+
+import collections
+import math
+import random
+from typing import NamedTuple
+
+__all__ = ["Sample", "collect", "pool", "quantile", "worst_over_best"]
+
+FEWEST_SAMPLES = 60
+SHUFFLES = 25
+
+
+class Sample(NamedTuple):
+    """What is kept of one or more replays.
+
+    Attributes
+    ----------
+    requests, answered, broken, over_rate : int
+        Counts of requests.
+    stalls : list of float
+        Seconds waited for a load, one for each request that waited.
+    refused_within_rate : int
+        Requests refused although their team was within its rate.
+    refused_late : int
+        Those of them after the first seconds of a fault.
+    first_token : dict of tuple to list of float
+        Seconds by (urgency, team).
+    entitled, served : dict of str to float
+        Tokens that each team was entitled to and got answered.
+    steps, step_tokens, preamble_hits, preamble_tokens, loads : int
+        Sums over all engines.
+    over_admitted : float
+        Most tokens that a team ever was beyond its rate and burst.
+    """
+
+    requests: int
+    answered: int
+    broken: int
+    over_rate: int
+    stalls: list
+    refused_within_rate: int
+    refused_late: int
+    first_token: dict
+    entitled: dict
+    served: dict
+    steps: int
+    step_tokens: int
+    preamble_hits: int
+    preamble_tokens: int
+    loads: int
+    over_admitted: float
+
+
+def quantile(values, fraction):
+    """Return a quantile by the nearest-rank rule.
+
+    Parameters
+    ----------
+    values : iterable of float
+        The sample; may be empty.
+    fraction : float
+        Between 0 and 1.
+
+    Returns
+    -------
+    float
+        0 for an empty sample.
+
+    Examples
+    --------
+    >>> quantile([3.0, 1.0, 2.0, 4.0], 0.5)
+    2.0
+    """
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    rank = math.ceil(fraction * len(ordered))
+    return ordered[max(rank, 1) - 1]
+
+
+def collect(replay, *, settled_at=math.inf):
+    """Collect the sample of one finished replay.
+
+    Parameters
+    ----------
+    replay : lab.replay.Replay
+        After its run.
+    settled_at : float
+        Virtual time after which refusals count as late ones, in seconds.
+
+    Returns
+    -------
+    Sample
+    """
+    jobs = replay.jobs
+    refused = [job for job in jobs if job.state == "refused"]
+    within = [job for job in refused if job.within_rate]
+    first_token = collections.defaultdict(list)
+    served = collections.Counter()
+    for job in jobs:
+        if job.first_token_at is not None and job.state != "broken":
+            request = job.request
+            taken = job.first_token_at - request.at
+            first_token[request.urgency, request.team].append(taken)
+            served[request.team] += job.cost
+    totals = replay.totals()
+    return Sample(
+        requests=len(jobs),
+        answered=sum(job.state == "answered" for job in jobs),
+        broken=sum(job.state == "broken" for job in jobs),
+        over_rate=len(refused) - len(within),
+        stalls=[job.stall_s for job in jobs if job.stall_s is not None],
+        refused_within_rate=len(within),
+        refused_late=sum(job.request.at > settled_at for job in within),
+        first_token=dict(first_token),
+        entitled=_entitled(replay),
+        served=dict(served),
+        over_admitted=replay.over_admitted,
+        **totals._asdict(),
+    )
+
+
+def _entitled(replay):
+    """Return the tokens that each team's demand and rate entitle it to."""
+    offered = collections.Counter()
+    for job in replay.jobs:
+        offered[job.request.team] += job.cost
+    entitled = {}
+    for team in replay.deployment.teams:
+        allowed = team.burst + team.rate * replay.trace[-1].at
+        entitled[team.name] = min(offered[team.name], allowed)
+    return entitled
+
+
+def pool(samples):
+    """Add up samples of several seeds.
+
+    Parameters
+    ----------
+    samples : list of Sample
+        At least one.
+
+    Returns
+    -------
+    Sample
+    """
+    fields = {}
+    for name in Sample._fields:
+        values = [getattr(sample, name) for sample in samples]
+        if name == "over_admitted":
+            fields[name] = max(values)
+        elif isinstance(values[0], dict):
+            fields[name] = _add_dicts(values)
+        elif isinstance(values[0], list):
+            fields[name] = [item for value in values for item in value]
+        else:
+            fields[name] = sum(values)
+    return Sample(**fields)
+
+
+def _add_dicts(dicts):
+    total = {}
+    for values in dicts:
+        for key, value in values.items():
+            total[key] = total[key] + value if key in total else value
+    return total
+
+
+def worst_over_best(first_token, fraction):
+    """Return the worst team's first-token quantile over the best team's.
+
+    Teams are compared at the same urgency; the widest ratio of all urgencies
+    counts. Teams with few samples at an urgency are left out there.
+
+    Parameters
+    ----------
+    first_token : dict of tuple to list of float
+        Seconds by (urgency, team).
+    fraction : float
+        Which quantile.
+
+    Returns
+    -------
+    float
+    """
+    widest = 1.0
+    for urgency in {key[0] for key in first_token}:
+        quantiles = [
+            quantile(times, fraction)
+            for key, times in first_token.items()
+            if key[0] == urgency and len(times) >= FEWEST_SAMPLES
+        ]
+        if len(quantiles) > 1:
+            widest = max(widest, max(quantiles) / min(quantiles))
+    return widest
+
+
+def chance_ratio(first_token, fraction, *, seed=1):
+    """Return the ratio that chance alone gives to teams served alike.
+
+    The times of each urgency are dealt out again to the teams at random.
+
+    Parameters
+    ----------
+    first_token : dict of tuple to list of float
+        Seconds by (urgency, team).
+    fraction : float
+        Which quantile.
+    seed : int
+        Seed of the shuffles.
+
+    Returns
+    -------
+    float
+        Median of several shuffles.
+    """
+    rng = random.Random(seed)
+    ratios = []
+    for _ in range(SHUFFLES):
+        ratios.append(worst_over_best(_deal_again(first_token, rng), fraction))
+    return quantile(ratios, 0.5)
+
+
+def _deal_again(first_token, rng):
+    dealt = {}
+    for urgency in sorted({key[0] for key in first_token}):
+        keys = sorted(key for key in first_token if key[0] == urgency)
+        times = [time for key in keys for time in first_token[key]]
+        rng.shuffle(times)
+        for key in keys:
+            count = len(first_token[key])
+            dealt[key], times = times[:count], times[count:]
+    return dealt
--- /dev/null
+++ b/lab/replay.py
@@ -0,0 +1,520 @@
+"""Replays one trace against one system in virtual time."""
+
+import collections
+import random
+from typing import NamedTuple
+
+from lab.buckets import TokenBucket
+from lab.engine import Engine
+from lab.scheduler import Scheduler
+from lab.weights import WeightStore
+
+__all__ = ["Job", "Replay", "System"]
+
+LOCAL_LINK_S = 0.0003
+REPORT_INTERVAL_S = 0.5
+REPORT_LAG_S = 0.5
+DEADLINE_S = 20.0
+BALANCER_LAG_S = 2.0
+CALLER_RETRY_S = 1.0
+DRAIN_S = 40.0
+
+
+class Job:
+    """One request on its way through the system.
+
+    Attributes
+    ----------
+    request : lab.traces.Request
+        What was recorded.
+    instance : lab.deployments.Instance or None
+        Where it entered last.
+    target : str or None
+        Engine that has it.
+    stall_s : float or None
+        Seconds that it waited until its adapter was loaded on the engine that
+        ran it, if that was after its arrival.
+    state : str
+        ``"waiting"``, ``"admitted"``, ``"running"``, ``"answered"``,
+        ``"refused"``, ``"broken"``.
+    reason : str
+        Why it was refused.
+    within_rate : bool
+        Whether its team was within its rate when it was refused.
+    """
+
+    __slots__ = (
+        "charged",
+        "first_token_at",
+        "instance",
+        "reason",
+        "request",
+        "stall_s",
+        "state",
+        "target",
+        "within_rate",
+    )
+
+    def __init__(self, request):
+        self.request = request
+        self.instance = None
+        self.target = None
+        self.stall_s = None
+        self.first_token_at = None
+        self.state = "waiting"
+        self.reason = ""
+        self.within_rate = False
+        self.charged = False
+
+    @property
+    def cost(self):
+        """Tokens charged at admission: the prompt and the allowed output."""
+        request = self.request
+        return request.preamble_tokens + request.tail_tokens + request.max_tokens
+
+
+class System:
+    """What a replayed system implements; the replay calls it.
+
+    Parameters
+    ----------
+    replay : Replay
+        Carries out what the system decides.
+    """
+
+    def __init__(self, *, replay):
+        self.replay = replay
+
+    def start(self):
+        """Begin; called once before the first request."""
+
+    def arrive(self, job):
+        """Take a request that entered at ``job.instance``."""
+        raise NotImplementedError
+
+    def rejected(self, job, target):
+        """Note that an engine refused a request before running it."""
+        raise NotImplementedError
+
+    def retry(self, job, target):
+        """Place a request again whose engine restarted before its first token."""
+        raise NotImplementedError
+
+    def finished(self, job, target):
+        """Note that a request has ended on a target."""
+
+    def expired(self, job):
+        """Forget a request that was not dispatched by its deadline."""
+
+    def reported(self, target, report):
+        """Take a load report of a target."""
+
+    def instance_lost(self, instance):
+        """Note that an instance died, with all its state."""
+
+    def instance_started(self, instance):
+        """Note that a replacement of a dead instance started, without state."""
+
+    def links_changed(self):
+        """Note that data centres were cut off or joined again."""
+
+
+class Engines(NamedTuple):
+    """Sums over all engines of one replay."""
+
+    steps: int
+    step_tokens: int
+    preamble_hits: int
+    preamble_tokens: int
+    loads: int
+
+
+class Replay:
+    """One run of one trace.
+
+    Parameters
+    ----------
+    deployment : lab.deployments.Deployment
+        Machines and teams.
+    trace : list of lab.traces.Request
+        What the callers send.
+    system : callable
+        Takes this replay, returns a `System`.
+    seed : int
+        Seed of the callers' choice of an instance and of the system.
+
+    Attributes
+    ----------
+    jobs : list of Job
+        All requests, in the order of the trace.
+    over_admitted : float
+        Most tokens by which a team was ever beyond its rate and burst.
+    in_flight : collections.Counter
+        Requests on their way, by engine and adapter.
+    cut : set of str
+        Data centres that are cut off from all others.
+    platform_up : bool
+        Whether the platform's log can be reached.
+    """
+
+    def __init__(self, *, deployment, trace, system, seed):
+        self.deployment = deployment
+        self.trace = trace
+        self.random = random.Random(f"replay-{seed}")
+        self.scheduler = Scheduler()
+        self.store = WeightStore(scheduler=self.scheduler)
+        self.engines = {
+            target.name: self._make_engine(target) for target in deployment.targets
+        }
+        self.live = list(deployment.instances)
+        self.lost_since = {}
+        self.cut = set()
+        self.platform_up = True
+        self.jobs = [Job(request) for request in trace]
+        self.over_admitted = 0.0
+        self.in_flight = collections.Counter()
+        self._loaded_at = {}
+        self._entitlements = {
+            team.name: TokenBucket(rate=team.rate, burst=team.burst)
+            for team in deployment.teams
+        }
+        self.system = system(self)
+
+    def _make_engine(self, target):
+        return Engine(
+            name=target.name,
+            data_centre=target.data_centre,
+            scheduler=self.scheduler,
+            store=self.store,
+            listener=self,
+        )
+
+    @property
+    def now(self):
+        """The present virtual time, in seconds."""
+        return self.scheduler.now
+
+    def run(self):
+        """Replay the whole trace.
+
+        Returns
+        -------
+        Replay
+            This object.
+        """
+        self.system.start()
+        for job in self.jobs:
+            self.scheduler.call_at(job.request.at, self._enter, job)
+        for name in self.engines:
+            phase = self.random.random() * REPORT_INTERVAL_S
+            self.scheduler.call_later(phase, self._take_report, name)
+        self.scheduler.run(until=self.trace[-1].at + DRAIN_S)
+        return self
+
+    def totals(self):
+        """Return the sums over all engines.
+
+        Returns
+        -------
+        Engines
+        """
+        engines = self.engines.values()
+        return Engines(
+            steps=sum(engine.steps for engine in engines),
+            step_tokens=sum(engine.step_tokens for engine in engines),
+            preamble_hits=sum(engine.preamble_hits for engine in engines),
+            preamble_tokens=sum(engine.preamble_tokens for engine in engines),
+            loads=self.store.loads,
+        )
+
+    # What the system may do.
+
+    def reachable(self, one, other):
+        """Return whether two data centres reach each other.
+
+        Parameters
+        ----------
+        one, other : str
+            Names of data centres.
+
+        Returns
+        -------
+        bool
+        """
+        return one == other or not (one in self.cut or other in self.cut)
+
+    def platform_reachable(self, data_centre):
+        """Return whether a data centre reaches the platform's log."""
+        return self.platform_up and data_centre not in self.cut
+
+    def send(self, one, other, callback, *args):
+        """Call back after the one-way delay between two data centres.
+
+        Nothing happens if they are cut off from each other.
+
+        Parameters
+        ----------
+        one, other : str
+            Names of data centres.
+        callback : callable
+            Called with `args`.
+        """
+        if self.reachable(one, other):
+            delay = LOCAL_LINK_S if one == other else self.deployment.link_s
+            self.scheduler.call_later(delay, callback, *args)
+
+    def admitted(self, job):
+        """Note that a request passed its team's limit.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        """
+        job.charged = True
+        job.state = "admitted"
+        bucket = self._entitlements[job.request.team]
+        bucket.charge(job.cost, now=self.now)
+        self.over_admitted = max(self.over_admitted, -bucket.level)
+
+    def refuse(self, job, reason):
+        """Refuse a request.
+
+        Parameters
+        ----------
+        job : Job
+            Not dispatched.
+        reason : str
+            Why.
+        """
+        assert job.state in ("waiting", "admitted")
+        bucket = self._entitlements[job.request.team]
+        affordable = bucket.level_at(self.now) >= job.cost
+        job.within_rate = job.charged or affordable
+        job.state = "refused"
+        job.reason = reason
+        if reason == "deadline-passed":
+            job.stall_s = self.now - job.request.at
+        self._refund(job, job.cost)
+
+    def dispatch(self, job, target, *, priority=0.0):
+        """Send a request to an engine.
+
+        Parameters
+        ----------
+        job : Job
+            Admitted before.
+        target : str
+            Name of the engine.
+        priority : float
+            Lower runs first.
+        """
+        assert job.state == "admitted", job.state
+        job.state = "running"
+        job.target = target
+        engine = self.engines[target]
+        self.in_flight[target, job.request.adapter] += 1
+        self.send(
+            job.instance.data_centre,
+            engine.data_centre,
+            self._submit,
+            job,
+            engine,
+            priority,
+        )
+
+    def _submit(self, job, engine, priority):
+        self.in_flight[engine.name, job.request.adapter] -= 1
+        if job.state != "running":
+            return
+        if not engine.submit(job, priority=priority):
+            job.state = "admitted"
+            job.target = None
+            self.system.rejected(job, engine.name)
+            return
+        loaded_at = self._loaded_at[engine.name, job.request.adapter]
+        if loaded_at > job.request.at:
+            job.stall_s = loaded_at - job.request.at
+
+    def load(self, data_centre, target, adapter, callback):
+        """Order an engine to load an adapter.
+
+        Parameters
+        ----------
+        data_centre : str
+            Where the order comes from.
+        target, adapter : str
+            Engine and adapter.
+        callback : callable
+            Called with whether it was loaded, back where the order came from.
+        """
+        engine = self.engines[target]
+
+        def done(loaded):
+            if loaded:
+                self._loaded_at[target, adapter] = self.now
+            self.send(engine.data_centre, data_centre, callback, loaded)
+
+        self.send(data_centre, engine.data_centre, engine.load, adapter, done)
+
+    def unload(self, data_centre, target, adapter, callback):
+        """Order an engine to unload an adapter.
+
+        Parameters
+        ----------
+        data_centre : str
+            Where the order comes from.
+        target, adapter : str
+            Engine and adapter.
+        callback : callable
+            Called with whether it was loaded before.
+        """
+        engine = self.engines[target]
+
+        def order():
+            was_loaded = engine.unload(adapter)
+            self.send(engine.data_centre, data_centre, callback, was_loaded)
+
+        self.send(data_centre, engine.data_centre, order)
+
+    # What the engines tell.
+
+    def first_token(self, job):
+        """Note the first token of a request."""
+        engine = self.engines[job.target]
+        local = job.instance.data_centre == engine.data_centre
+        link = LOCAL_LINK_S if local else self.deployment.link_s
+        job.first_token_at = self.now + link + self.deployment.caller_s
+
+    def finished(self, job):
+        """Note the end of a request."""
+        if job.state == "running":
+            job.state = "answered"
+        self._refund(job, job.request.max_tokens - job.request.output_tokens)
+        engine = self.engines[job.target]
+        self.send(
+            engine.data_centre,
+            job.instance.data_centre,
+            self.system.finished,
+            job,
+            job.target,
+        )
+
+    def aborted(self, job):
+        """Note that an engine restarted below a request."""
+        target = job.target
+        if job.state != "running":
+            return
+        if job.first_token_at is not None:
+            job.state = "broken"
+            self._refund(job, 0)
+        else:
+            job.state = "admitted"
+            job.target = None
+        engine = self.engines[target]
+        self.send(
+            engine.data_centre, job.instance.data_centre, self._abort_seen, job, target
+        )
+
+    def _abort_seen(self, job, target):
+        if job.state == "broken":
+            self.system.finished(job, target)
+        elif job.state == "admitted":
+            self.system.retry(job, target)
+
+    def _refund(self, job, tokens):
+        if job.charged:
+            job.charged = False
+            self._entitlements[job.request.team].refund(tokens, now=self.now)
+
+    # Callers and faults.
+
+    def _enter(self, job):
+        instance = self._choose_instance(job.request.data_centre)
+        if instance not in self.live:
+            self.scheduler.call_later(CALLER_RETRY_S, self._enter, job)
+            return
+        job.instance = instance
+        self.scheduler.call_later(self.deployment.caller_s, self._arrive, job)
+
+    def _choose_instance(self, data_centre):
+        """Return the instance that the balancer picks; it may be dead."""
+        known = [
+            instance
+            for instance in self.deployment.instances
+            if self.now - self.lost_since.get(instance, self.now) <= BALANCER_LAG_S
+        ]
+        near = [i for i in known if i.data_centre == data_centre]
+        return self.random.choice(near or known)
+
+    def _arrive(self, job):
+        if job.instance not in self.live:
+            self._enter(job)
+            return
+        self.scheduler.call_at(job.request.at + DEADLINE_S, self._deadline, job)
+        self.system.arrive(job)
+
+    def _deadline(self, job):
+        if job.state in ("waiting", "admitted"):
+            self.refuse(job, "deadline-passed")
+            self.system.expired(job)
+
+    def _take_report(self, name):
+        report = self.engines[name].report()
+        self.scheduler.call_later(REPORT_LAG_S, self._give_report, name, report)
+        self.scheduler.call_later(REPORT_INTERVAL_S, self._take_report, name)
+
+    def _give_report(self, name, report):
+        self.system.reported(name, report)
+
+    def restart_engines(self):
+        """Restart all engines empty."""
+        for engine in self.engines.values():
+            engine.restart()
+
+    def lose_instance(self, instance):
+        """Let an instance die; its callers come again through another one."""
+        self.live.remove(instance)
+        self.lost_since[instance] = self.now
+        self.system.instance_lost(instance)
+        for job in self.jobs:
+            if job.instance is instance and job.state in ("waiting", "admitted"):
+                job.state = "waiting"
+                job.charged = False
+                self.scheduler.call_later(CALLER_RETRY_S, self._enter, job)
+            elif job.instance is instance and job.state == "running":
+                job.state = "broken"
+
+    def replace_instance(self, instance):
+        """Start the replacement of a dead instance."""
+        self.live.append(instance)
+        del self.lost_since[instance]
+        self.system.instance_started(instance)
+
+    def set_platform(self, up):
+        """Begin or end an outage of the platform's log and instance list."""
+        self.platform_up = up
+        self.system.links_changed()
+
+    def cut_off(self, data_centre):
+        """Cut a data centre off from the others and from the platform.
+
+        Streams across the cut are broken.
+        """
+        self.cut.add(data_centre)
+        for job in self.jobs:
+            if job.state == "running":
+                engine = self.engines[job.target]
+                if not self.reachable(job.instance.data_centre, engine.data_centre):
+                    job.state = "broken"
+        self._links_changed()
+
+    def join(self, data_centre):
+        """End the cut of a data centre."""
+        self.cut.discard(data_centre)
+        self._links_changed()
+
+    def _links_changed(self):
+        for engine in self.engines.values():
+            engine.store_reachable = engine.data_centre not in self.cut
+        self.system.links_changed()
