Count the tokens that were used in the demo's check of team limits

Cause: the check counted what was charged at admission and not the refunds of answers that turned out shorter, so a team within its limits seemed over them.

--- a/standins/demo.py
+++ b/standins/demo.py
@@ -54,7 +54,8 @@
     reply : standins.operations.Reply
         The answer.
     tokens : int
-        Tokens charged at admission.
+        Tokens of the prompt and of the answer; what is charged at admission
+        for an answer that turns out shorter is refunded.
     right : bool
         Whether an answer is whole and of the right adapter and version.
     """
@@ -140,7 +141,7 @@
     async def _replay(self, request):
         await asyncio.sleep(request.at)
         prompt = _prompt(request)
-        first = []
+        pieces = []
         sent_at = time.monotonic()
         homes = [
             name
@@ -151,7 +152,7 @@
             homes[request.number % len(homes)],
             request.adapter,
             prompt,
-            on_chunk=lambda piece: first or first.append(time.monotonic()),
+            on_chunk=lambda piece: pieces.append(time.monotonic()),
             seed=request.number,
             max_tokens=request.max_tokens,
         )
@@ -159,9 +160,9 @@
         return Result(
             request=request,
             sent_at=sent_at - self.started_at,
-            first_token=first[0] - sent_at if first else None,
+            first_token=pieces[0] - sent_at if pieces else None,
             reply=reply,
-            tokens=estimate_prompt_tokens(content) + request.max_tokens,
+            tokens=estimate_prompt_tokens(content) + len(pieces),
             right=self._is_right(request, prompt, sent_at, reply),
         )
 
