Bound the cost of heartbeats in large fleets

Each tick looked at every member and each partner got two heartbeats a second. States are now judged four times a second, and the interval grows with the number of partners; with today's four instances it stays at 0.5 s.

--- a/skylarkpost/membership/__init__.py
+++ b/skylarkpost/membership/__init__.py
@@ -1,7 +1,8 @@
 """Which instances and targets are live, leaving or silent."""
 
+from skylarkpost.membership.commands import SendHeartbeat, StateChange
 from skylarkpost.membership.controller import MembershipController
-from skylarkpost.membership.core import MembershipCore, SendHeartbeat
+from skylarkpost.membership.core import MembershipCore
 from skylarkpost.membership.digests import DigestExchange
 from skylarkpost.membership.listing import TargetListing
 from skylarkpost.membership.member import Member, MemberState, TargetState
@@ -25,6 +26,7 @@
     "MembershipCore",
     "PauseDetector",
     "SendHeartbeat",
+    "StateChange",
     "TargetListing",
     "TargetState",
 ]
--- a/skylarkpost/membership/core.py
+++ b/skylarkpost/membership/core.py
@@ -1,68 +1,21 @@
 """Decides from heartbeats and lists which instances are live."""
 
-from typing import NamedTuple
-
+from skylarkpost.membership.commands import SendHeartbeat, StateChange
 from skylarkpost.membership.digests import DigestExchange
-from skylarkpost.membership.member import Member, MemberState, is_newer_boot
+from skylarkpost.membership.member import MemberState, is_newer_boot
 from skylarkpost.membership.messages import Heartbeat, HeartbeatReply, MemberInfo
+from skylarkpost.membership.partners import Partners
 from skylarkpost.membership.record import RelayedList
 from skylarkpost.membership.roster import Roster
-from skylarkpost.membership.selection import choose
 
-__all__ = ["MembershipCore", "SendHeartbeat", "StateChange"]
+__all__ = ["MembershipCore"]
 
-BEAT_INTERVAL_S = 0.5
 BEAT_JITTER = 0.1
 FORGET_AFTER_S = 10.0
-PARTNERS_PER_DATA_CENTRE = 2
-PROBE_ROTATION_S = 10.0
+JUDGE_INTERVAL_S = 0.25
 LIST_VERSION_BITS = 48
 
 
-class StateChange(NamedTuple):
-    """A member whose state changed.
-
-    Attributes
-    ----------
-    member : Member
-        As it is now.
-    before : MemberState or None
-        None if it was heard for the first time.
-    """
-
-    member: Member
-    before: MemberState | None
-
-
-class SendHeartbeat(NamedTuple):
-    """Command: send a heartbeat.
-
-    Attributes
-    ----------
-    instance, boot, address : str
-        To whom; the boot is empty if it is not known.
-    sequence : int
-        Tells apart the heartbeats to one instance.
-    sent_at : float
-        When it is sent, in seconds.
-    digest_version : int
-        Up to which version it carries digests.
-    heartbeat : Heartbeat
-        What to send.
-    on_new_connection : bool
-        Whether to drop the connection to it first.
-    """
-
-    instance: str
-    boot: str
-    address: str
-    sequence: int
-    sent_at: float
-    digest_version: int
-    heartbeat: Heartbeat
-    on_new_connection: bool
-
-
 class MembershipCore:
     """Membership as one instance sees it; does no I/O.
 
@@ -86,6 +39,12 @@
         The other instances.
     digests : DigestExchange
         Payloads that ride on heartbeats.
+    partners : Partners
+        Those that heartbeats are sent to.
+    list : tuple of MemberInfo
+        What is told to the other instances.
+    list_version : int
+        Rises when `list` changes.
     leaving : bool
         Whether this instance leaves.
     superseded : bool
@@ -106,8 +65,11 @@
         self.list_version = 1 + random.getrandbits(LIST_VERSION_BITS)
         self.list = ()
         self.sequence = 0
+        self.partners = Partners(instance=instance, data_centre=data_centre)
         self._listed = None
         self._changes = []
+        self._judged_at = -JUDGE_INTERVAL_S
+        self._judged_version = 0
 
     def tick(self, *, now):
         """Return the heartbeats that are due.
@@ -122,14 +84,14 @@
         list of SendHeartbeat
             Each has to be followed by `take_reply` or `take_miss`.
         """
-        self._forget_absent(now)
-        self._judge(now)
-        due = [
-            record
-            for record in self._partners(now)
-            if record.awaited is None and record.next_beat_at <= now
-        ]
-        return [self._beat(record, now) for record in due]
+        is_changed = self.roster.version != self._judged_version
+        if is_changed or now >= self._judged_at + JUDGE_INTERVAL_S:
+            self._forget_absent(now)
+            self._judge(now)
+            self.partners.refresh(self.roster.records.values(), now=now)
+            self._judged_at = now
+            self._judged_version = self.roster.version
+        return [self._beat(record, now) for record in self.partners.due(now=now)]
 
     def take_reply(self, command, reply, *, now):
         """Take the answer to a heartbeat.
@@ -265,7 +227,8 @@
         -------
         list of Member
         """
-        return [self._member(r) for r in self.roster.records.values()]
+        records = self.roster.records.values()
+        return [record.as_member(*self._state(record)) for record in records]
 
     def take_changes(self):
         """Return the members whose state changed since the last call.
@@ -280,7 +243,7 @@
 
     def _beat(self, record, now):
         jitter = self.random.uniform(1.0 - BEAT_JITTER, 1.0 + BEAT_JITTER)
-        record.next_beat_at = now + BEAT_INTERVAL_S * jitter
+        record.next_beat_at = now + self.partners.interval(record) * jitter
         self.sequence += 1
         record.awaited = self.sequence
         relayed = self.roster.list_of(record)
@@ -327,46 +290,27 @@
         """Note the states that changed, and renew the list for the peers."""
         infos = []
         for record in self.roster.records.values():
-            member = self._member(record)
-            self._note_state(record, member, now)
+            state, heard_at = self._state(record)
+            self._note_state(record, state, heard_at, now)
             if record.boot:
-                silent = member.state is MemberState.SILENT
-                infos.append(record.as_info(silent=silent))
-        members = tuple(sorted(infos))
+                infos.append(record.as_info(silent=state is MemberState.SILENT))
+        members = tuple(infos)
         if members != self.list:
             self.list = members
             self.list_version += 1
 
-    def _note_state(self, record, member, now):
-        if member.state is not MemberState.SILENT:
+    def _note_state(self, record, state, heard_at, now):
+        if state is not MemberState.SILENT:
             record.silent_since = None
         elif record.silent_since is None:
             record.silent_since = now
-        never_heard = member.last_heard_at is None
-        if member.state is not record.reported_state and not never_heard:
+        if state is not record.reported_state and heard_at is not None:
+            member = record.as_member(state, heard_at)
             self._changes.append(StateChange(member, record.reported_state))
-            record.reported_state = member.state
+            record.reported_state = state
 
-    def _partners(self, now):
-        """Return the instances that heartbeats are sent to."""
-        by_data_centre = {}
-        for record in self.roster.records.values():
-            by_data_centre.setdefault(record.data_centre, []).append(record)
-        partners = by_data_centre.pop(self.data_centre, [])
-        for records in by_data_centre.values():
-            partners += self._choose_partners(records, now)
-        return partners
-
-    def _choose_partners(self, records, now):
-        silent = {r.instance for r in records if r.is_unanswered and r.missed}
-        answering = [r.instance for r in records if r.instance not in silent]
-        chosen = choose(self.instance, answering, PARTNERS_PER_DATA_CENTRE)
-        # Silent ones are tried in turn, so that none is lost for good.
-        rotation = str(int(now / PROBE_ROTATION_S))
-        chosen += choose(self.instance, silent, PARTNERS_PER_DATA_CENTRE, rotation)
-        return [self.roster.records[instance] for instance in chosen]
-
-    def _member(self, record):
+    def _state(self, record):
+        """Return an instance's state and when it was heard."""
         heard_at = record.heard_at
         silent = record.is_unanswered
         if record.data_centre != self.data_centre:
@@ -374,12 +318,10 @@
             if relayed_at is not None and (silent or relayed_at > heard_at):
                 heard_at, silent = relayed_at, False
         if silent:
-            state = MemberState.SILENT
-        elif record.leaving:
-            state = MemberState.LEAVING
-        else:
-            state = MemberState.LIVE
-        return record.as_member(state, heard_at)
+            return MemberState.SILENT, heard_at
+        if record.leaving:
+            return MemberState.LEAVING, heard_at
+        return MemberState.LIVE, heard_at
 
     def _forget_absent(self, now):
         for record in list(self.roster.records.values()):
--- /dev/null
+++ b/skylarkpost/membership/partners.py
@@ -0,0 +1,106 @@
+"""Chooses the instances that heartbeats are sent to, and how often."""
+
+from skylarkpost.membership.selection import choose
+
+__all__ = ["Partners"]
+
+BEAT_INTERVAL_S = 0.5
+# Many partners get heartbeats less often, so that their cost stays bounded.
+BEATS_PER_S_WITHIN = 20.0
+BEATS_PER_S_BETWEEN = 8.0
+PARTNERS_PER_DATA_CENTRE = 2
+PROBE_ROTATION_S = 10.0
+
+
+class Partners:
+    """All instances of the own data centre, and a few of each other one.
+
+    Parameters
+    ----------
+    instance, data_centre : str
+        The instance that sends the heartbeats.
+
+    Attributes
+    ----------
+    within, between : list of PeerRecord
+        Partners in the own and in the other data centres.
+    interval_within, interval_between : float
+        Seconds between two heartbeats to one of them.
+    """
+
+    def __init__(self, *, instance, data_centre):
+        self.instance = instance
+        self.data_centre = data_centre
+        self.within = []
+        self.between = []
+        self.interval_within = BEAT_INTERVAL_S
+        self.interval_between = BEAT_INTERVAL_S
+
+    def refresh(self, records, *, now):
+        """Choose anew.
+
+        Parameters
+        ----------
+        records : iterable of PeerRecord
+            All other instances.
+        now : float
+            The present time, in seconds.
+        """
+        by_data_centre = {}
+        for record in records:
+            by_data_centre.setdefault(record.data_centre, []).append(record)
+        self.within = by_data_centre.pop(self.data_centre, [])
+        self.between = []
+        for others in by_data_centre.values():
+            self.between += self._choose(others, now)
+        self.interval_within = _interval(self.within, BEATS_PER_S_WITHIN)
+        self.interval_between = _interval(self.between, BEATS_PER_S_BETWEEN)
+
+    def due(self, *, now):
+        """Return the partners that are to be sent a heartbeat.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of PeerRecord
+        """
+        return [
+            record
+            for record in (*self.within, *self.between)
+            if record.awaited is None and record.next_beat_at <= now
+        ]
+
+    def interval(self, record):
+        """Return the time between two heartbeats to an instance.
+
+        Parameters
+        ----------
+        record : PeerRecord
+            The instance.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        if record.data_centre == self.data_centre:
+            return self.interval_within
+        return self.interval_between
+
+    def _choose(self, records, now):
+        by_instance = {record.instance: record for record in records}
+        silent = {r.instance for r in records if r.is_unanswered and r.missed}
+        answering = by_instance.keys() - silent
+        chosen = choose(self.instance, answering, PARTNERS_PER_DATA_CENTRE)
+        # Silent ones are tried in turn, so that none is lost for good.
+        rotation = str(int(now / PROBE_ROTATION_S))
+        chosen += choose(self.instance, silent, PARTNERS_PER_DATA_CENTRE, rotation)
+        return [by_instance[instance] for instance in chosen]
+
+
+def _interval(partners, beats_per_s):
+    return max(BEAT_INTERVAL_S, len(partners) / beats_per_s)
--- a/skylarkpost/membership/record.py
+++ b/skylarkpost/membership/record.py
@@ -1,6 +1,6 @@
 """State that the membership core keeps for each other instance."""
 
-from skylarkpost.membership.member import Member, MemberState
+from skylarkpost.membership.member import Member
 from skylarkpost.membership.messages import MemberInfo
 
 __all__ = ["MISSED_BEFORE_PROBE", "PeerRecord", "RelayedList"]
@@ -125,7 +125,7 @@
             self.boot,
             self.address,
             self.data_centre,
-            MemberState(state),
+            state,
             heard_at,
         )
 
--- a/skylarkpost/membership/roster.py
+++ b/skylarkpost/membership/roster.py
@@ -10,7 +10,7 @@
 MAX_RECORDS = 2000
 MAX_DEAD = 4000
 # An instance that another one still hears may have been silent for this long.
-RELAYED_AGE_S = 2.5
+RELAYED_AGE_S = 5.0
 
 
 class Roster:
@@ -25,6 +25,8 @@
     ----------
     records : dict of str to PeerRecord
         By instance.
+    version : int
+        Rises when an instance is added, replaced or dropped.
     lists : dict of str to dict of str to RelayedList
         What peers told, by data centre and instance.
     dead : OrderedDict of (str, str) to None
@@ -34,6 +36,7 @@
     def __init__(self, *, on_remove):
         self.on_remove = on_remove
         self.records = {}
+        self.version = 0
         self.lists = {}
         self.dead = OrderedDict()
 
@@ -169,6 +172,7 @@
             The instance.
         """
         del self.records[record.instance]
+        self.version += 1
         self.lists.get(record.data_centre, {}).pop(record.instance, None)
         self.on_remove(record.key)
 
@@ -184,6 +188,7 @@
         )
         record.leaving = info.leaving
         self.records[info.instance] = record
+        self.version += 1
         return record
 
     def _replace(self, record, info, now):
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -152,7 +152,7 @@
     simulation = Simulation(places)
     simulation.run(5.0)
     core = simulation.nodes["a-0"].core
-    partners = {r.instance for r in core._partners(simulation.now)}
+    partners = {r.instance for r in (*core.partners.within, *core.partners.between)}
     assert len([p for p in partners if p.startswith("b")]) == 2
     assert set(simulation.states("a-0").values()) == {"live"}
     ended = next(p for p in partners if p.startswith("b"))
