--- a/tests/stewardship/test_steward.py
+++ b/tests/stewardship/test_steward.py
@@ -52,7 +52,8 @@
             done = self.engine.unload(command.lora_name, command.boot, 7)
             return steward.order_ended(command, now, succeeded=done)
         elif isinstance(command, FenceTarget):
-            return steward.fence_ended(command, now, succeeded=True)
+            seen = self.engine.admits(command.boot, command.fencing_number)
+            return steward.fence_ended(command, now, succeeded=seen)
         return []
 
     def report(self, now):
@@ -121,6 +122,20 @@
     assert bench.engine.evicted_in_use == 0
 
 
+def test_a_report_that_was_held_up_on_the_way_proves_nothing_later():
+    bench = Bench(target=FakeTarget(slots=1))
+    bench.ask("r1", "a@1", 1.0)
+    bench.report(2.0)
+    bench.ask("r2", "b@1", 3.0)
+    held_up = bench.engine.report(12.9)
+    bench.tick(13.1)
+    assert not bench.steward.book.tickets
+    bench.carry_out(bench.steward.report(held_up, 14.5), 14.5)
+    assert bench.engine.resident == {"a@1"}
+    bench.report(14.6)
+    assert bench.engine.resident == {"b@1"}
+
+
 def test_an_uncertain_end_counts_as_use_until_a_report_shows_none():
     bench = Bench(target=FakeTarget(slots=1))
     bench.ask("r1", "a@1", 1.0)
@@ -193,6 +208,8 @@
     bench.ask("r1", "a@1", 0.2)
     bench.ask("r2", "c@1", 0.2)
     assert ("r1" in bench.granted) == fencing
+    if fencing:
+        assert not bench.engine.unload("a@1", bench.engine.boot, 6)
     assert bench.engine.resident == {"a@1", "b@1"}
     for step in range(1, 200):
         bench.report(step * 0.1)
