--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -51,7 +51,6 @@
             print(fault, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     configure_logging(instance=settings.instance.id, level=settings.log.level)
-    logging.getLogger("grpc").setLevel(logging.WARNING)
     asyncio.run(serve(settings))
 
 
@@ -67,7 +66,7 @@
     services = Services(settings=settings, seed=None)
     services.open_http()
     services.log = LogClient(
-        base_url=settings.platform.log_url, session=lambda: services.http
+        base_url=settings.platform.log_url, session_source=lambda: services.http
     )
     instance = Instance(services=services)
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/limits/test_fleet.py
@@ -0,0 +1,98 @@
+"""The limit of a team over a whole fleet, under random faults."""
+
+import pytest
+
+from skylarkpost.limits import TeamLimit
+from tests.limits.fleet import INSTANCES, Fleet
+
+LIMIT = TeamLimit(200.0, 1000.0)
+FAULTS = (
+    "pause",
+    "restart",
+    "restarts in a row",
+    "cut",
+    "platform cut",
+    "log outage",
+    "loss",
+    "late",
+    "leave",
+    "limit change",
+)
+RUN_S = 200
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_a_team_at_five_times_its_rate_never_gets_more_than_its_limit(seed):
+    faults = FAULTS[seed % 3 :: 1 + seed % 3]
+    fleet = Fleet(
+        seed=seed,
+        limits={"large": LIMIT},
+        retention=60.0,
+        faults=faults,
+        fault_interval=(8, 20, 45)[seed // 8],
+    )
+    fleet.traffic(
+        "large",
+        names=lambda now: sorted(INSTANCES),
+        interval=0.2,
+        tokens=(5, 400),
+        seconds=RUN_S,
+    )
+    fleet.run(RUN_S + 5)
+    assert fleet.admitted["large"]
+    assert set(fleet.faults) == set(faults)
+    fleet.check("large", LIMIT)
+
+
+def shifting(now):
+    return [sorted(INSTANCES)[int(now / 7) % 4]]
+
+
+@pytest.mark.parametrize(
+    "names",
+    [lambda now: ["e1"], lambda now: sorted(INSTANCES), shifting],
+    ids=["one", "all", "shifting"],
+)
+def test_a_team_within_its_rate_is_refused_nothing(names):
+    fleet = Fleet(seed=5, limits={"small": LIMIT})
+    fleet.run(3)
+    # 195 tokens a second on average, in requests of up to 390.
+    fleet.traffic("small", names=names, interval=1.0, tokens=(0, 390), seconds=300)
+    fleet.run(305)
+    assert len(fleet.admitted["small"]) == 300
+    assert fleet.refused["small"] == []
+
+
+def test_an_owner_that_wakes_up_after_a_takeover_charges_nothing_unread():
+    fleet = Fleet(seed=6, limits={"team": LIMIT})
+    fleet.run(3)
+    node = fleet.nodes["e1"]
+    owned = set(node.keeper.active_slots())
+    assert owned
+    node.paused_until = fleet.now + 30
+    fleet.run(29)
+    assert owned <= set(fleet.nodes["e2"].keeper.active_slots())
+    # The log is out of reach just when the former owner wakes up, and nobody
+    # holds its shares in a pool.
+    fleet.log_down_until = fleet.now + 10
+    fleet.cuts["a"] = fleet.now + 10
+    fleet.run(1.02)
+    node.core.lender.advance(fleet.now)
+    assert node.core.draw_at_home("team", 1, now=fleet.now) is None
+    assert not node.keeper.may_use(fleet.now)
+
+
+def test_a_dead_holder_costs_refusals_until_its_leases_have_ended():
+    fleet = Fleet(seed=7, limits={"team": LIMIT})
+    fleet.run(5)
+    holder = fleet.nodes["e1"].core.holder_of("team", sorted(INSTANCES))
+    others = [name for name in sorted(INSTANCES) if name != holder]
+    fleet.traffic(
+        "team", names=lambda now: others, interval=0.5, tokens=(30, 60), seconds=60
+    )
+    fleet.run(10)
+    assert fleet.refused["team"] == []
+    killed_at = fleet.now
+    fleet.nodes[holder].dead = True
+    fleet.run(50)
+    assert max(at for at, _ in fleet.refused["team"]) < killed_at + 5
