Join stewardship to membership, and wait a few seconds for a steward

Cause: summaries are sent only when they change, so a quiet target looked unknown after 5 s; a request that came while a stewardship changed hands was refused at once although a steward was there seconds later. Leaving instances stay stewards until they have handed over.

Ruled out: asking every neighbour to be heard before a steward acts while the log is out. One crashed neighbour would stop the others; who was not paused cannot have missed a claim, and after a pause the wait covers the rest.

--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -126,6 +126,22 @@
             if each.at < horizon:
                 del sent[ticket_id]
 
+    def note_alive(self, target, now):
+        """Note that the steward whose summary is known is alive.
+
+        Summaries are sent when they change; one that does not change stays
+        true as long as its steward is heard.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        now : float
+            The present time, in seconds.
+        """
+        if target in self.heard_at:
+            self.heard_at[target] = now
+
     def note_sent(self, target, ticket_id, request, now):
         """Note that a ticket was asked for.
 
--- a/skylarkpost/stewardship/authority.py
+++ b/skylarkpost/stewardship/authority.py
@@ -29,16 +29,18 @@
     """The lease on which an instance acts for all of its targets.
 
     It is confirmed by a fresh read of the log, since a newer claim would have
-    been seen, or by having heard every live neighbour in the same data centre,
-    since only these can have claimed without the instance knowing. After a
-    pause nothing from before counts.
+    been seen. Where the log cannot be read, nobody else of the data centre can
+    have appended a claim since; the authority goes on as long as the live
+    neighbours are heard and tell of no newer claim. After a pause nothing from
+    before counts: a neighbour may have claimed, and gone silent since.
 
     Parameters
     ----------
     lease : float
         Seconds for which one confirmation lasts.
     settle : float
-        Seconds after a pause within which any neighbour would be heard.
+        Seconds after a pause until neighbours count: all that are alive have
+        been heard by then, and what others have ordered has ended.
     gap : float
         Seconds between two ticks that count as a pause.
 
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -1,9 +1,12 @@
 """Joins stewardship and placement to the network, the log and the peers."""
 
 import asyncio
+import contextlib
 import logging
+import math
 
 from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.placement.outstanding import ServicePlacer
 from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
@@ -28,10 +31,14 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
+PUBLISH_S = 0.5
 RENEWAL_CHECK_S = 0.5
 PAUSE_GAP_S = 1.0
 DISPATCH_MARGIN_S = 1.0
 RANK_DELAY_S = 1.0
+START_SETTLE_S = 1.0
+NO_TARGET_PATIENCE_S = 5.0
+NO_TARGET_PAUSE_S = 0.2
 TOPIC = "targets"
 NEVER = float("-inf")
 GONE = ("leaving", "absent")
@@ -74,7 +81,9 @@
         self.table = StewardshipTable()
         self.directory = Directory(table=self.table)
         self.authority = Authority(
-            lease=settings.authority_lease, settle=settings.silence, gap=PAUSE_GAP_S
+            lease=settings.authority_lease,
+            settle=settings.authority_lease + settings.order_linger,
+            gap=PAUSE_GAP_S,
         )
         self.engines = EngineClient(
             session_source=lambda: services.http, clock=services.clock
@@ -114,6 +123,7 @@
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
         self.started_at = services.clock()
         self.last_heard = {}
+        self.published_at = -math.inf
         self.background = [
             BackgroundTask(name=f"stewardship-{name}")
             for name in ("tick", "poll", "claims", "renewals", "returns")
@@ -213,29 +223,14 @@
         """
         if not exchange.is_model_request:
             return self._acquire_service(exchange, avoid, now)
-        request = self._placement_request(exchange)
-        engines = [
-            target
-            for target in self._engines()
-            if target.pool == exchange.profile.base_model
-            and self._takes_work(target.name)
-        ]
-        ranked = self.placer.rank(request, engines, now, avoid=avoid)
-        by_name = {target.name: target for target in engines}
-        asked = {}
-
-        def note_asked(target, ticket_id):
-            asked[target] = ticket_id
-            self.placer.note_sent(target, ticket_id, request, self.services.clock())
-
-        outcome = await self.desk.acquire(
-            exchange, [by_name[name] for name, _ in ranked], on_asked=note_asked
-        )
-        chosen = getattr(outcome, "target", None)
-        for target, ticket_id in asked.items():
-            if target != chosen:
-                self.placer.note_ended(target, ticket_id)
-        return outcome
+        deadline = min(exchange.deadline, now + NO_TARGET_PATIENCE_S)
+        while True:
+            outcome = await self._acquire_engine(exchange, avoid)
+            is_final = getattr(outcome, "reason", None) is not Reason.NO_TARGET
+            is_late = self.services.clock() + NO_TARGET_PAUSE_S >= deadline
+            if is_final or is_late or not self._engines_of(exchange):
+                return outcome
+            await _wait_for_cancel(exchange, NO_TARGET_PAUSE_S)
 
     def release(self, ticket, *, unused_tokens=0, certain=True, succeeded=True):
         """Give a ticket back.
@@ -293,6 +288,35 @@
         """
         return self.directory.steward(target, self._members())
 
+    async def _acquire_engine(self, exchange, avoid):
+        now = self.services.clock()
+        request = self._placement_request(exchange)
+        engines = self._engines_of(exchange)
+        ranked = self.placer.rank(request, engines, now, avoid=avoid)
+        by_name = {target.name: target for target in engines}
+        asked = {}
+
+        def note_asked(target, ticket_id):
+            asked[target] = ticket_id
+            self.placer.note_sent(target, ticket_id, request, self.services.clock())
+
+        outcome = await self.desk.acquire(
+            exchange, [by_name[name] for name, _ in ranked], on_asked=note_asked
+        )
+        chosen = getattr(outcome, "target", None)
+        for target, ticket_id in asked.items():
+            if target != chosen:
+                self.placer.note_ended(target, ticket_id)
+        return outcome
+
+    def _engines_of(self, exchange):
+        return [
+            target
+            for target in self._engines()
+            if target.pool == exchange.profile.base_model
+            and self._takes_work(target.name)
+        ]
+
     def _acquire_service(self, exchange, avoid, now):
         store = self.services.controllers["config"].store
         targets = [
@@ -332,11 +356,12 @@
         return self.membership.target_state(target) not in GONE
 
     def _members(self):
-        members = self.membership.reachable(self.services.clock())
-        found = {member.instance: member for member in members}
-        own = _OwnMember(self.services)
-        found.setdefault(own.instance, own)
-        return found
+        members = self.membership.members(self.services.clock())
+        return {
+            member.instance: member
+            for member in members
+            if member.state is not MemberState.SILENT
+        }
 
     def _peers(self):
         return [
@@ -344,13 +369,16 @@
                 member.instance,
                 member.boot,
                 member.data_centre,
-                self.services.draining
-                if member.instance == self.services.instance
-                else getattr(member, "leaving", False),
+                self._is_leaving(member),
             )
             for member in self._members().values()
         ]
 
+    def _is_leaving(self, member):
+        if member.instance == self.services.instance:
+            return self.services.draining
+        return member.state is MemberState.LEAVING
+
     def _may_go_alone(self, target):
         claim = self.table.full.get(target.name)
         if claim is None or self.services.state_log.available:
@@ -389,14 +417,20 @@
         for name, seat in list(self.keeper.seats.items()):
             seat.steward.closed = not self._takes_work(name)
             seat.tick()
-        summaries = [seat.steward.summary(now) for seat in self.keeper.seats.values()]
+        summaries = [seat.summary(now) for seat in self.keeper.seats.values()]
         for summary in summaries:
             self.directory.note_summary(summary)
             self.placer.note_summary(summary, now)
-        self.membership.publish(TOPIC, encode_summaries(summaries))
+        members = self._members()
+        for target, summary in self.placer.summaries.items():
+            if summary.steward in members:
+                self.placer.note_alive(target, now)
+        if now - self.published_at >= PUBLISH_S:
+            self.published_at = now
+            self.membership.publish(TOPIC, encode_summaries(summaries))
 
     def _confirm_authority(self, now):
-        resumed_at = getattr(self.membership, "last_resumed_at", None)
+        resumed_at = self.membership.last_resumed_at
         if resumed_at is not None and resumed_at > self.authority.resumed_at:
             self.authority.resumed(resumed_at)
         for member in self.membership.reachable(now):
@@ -424,7 +458,7 @@
         while True:
             await asyncio.sleep(TICK_S)
             now = self.services.clock()
-            if now - self.started_at < self.settings.silence or self.services.leaving:
+            if now - self.started_at < START_SETTLE_S or self.services.leaving:
                 continue
             if self.services.state_log.fresh_at is None:
                 continue
@@ -441,13 +475,9 @@
             await self.desk.renew()
 
 
-class _OwnMember:
-    def __init__(self, services):
-        self.instance = services.instance
-        self.boot = services.boot
-        self.address = services.peer_address
-        self.data_centre = services.data_centre
-        self.leaving = services.draining
+async def _wait_for_cancel(exchange, seconds):
+    with contextlib.suppress(TimeoutError):
+        await asyncio.wait_for(exchange.cancel_event.wait(), seconds)
 
 
 def _seat_status(seat, now):
--- a/skylarkpost/stewardship/election.py
+++ b/skylarkpost/stewardship/election.py
@@ -164,7 +164,7 @@
         if self.own.instance not in order:
             return None
         delay = order.index(self.own.instance) * self.rank_delay
-        if holder is None or not holder.released:
+        if holder is not None and not holder.released:
             delay += self.silence
         if now - since < delay:
             return None
--- a/skylarkpost/stewardship/keeper.py
+++ b/skylarkpost/stewardship/keeper.py
@@ -240,9 +240,8 @@
         seat = self.handing_over.pop(claim.target, None)
         if seat is None:
             return
-        members = self.services.controllers["membership"].reachable(
-            self.services.clock()
-        )
+        membership = self.services.controllers["membership"]
+        members = membership.members(self.services.clock())
         address = next(
             (m.address for m in members if m.instance == claim.instance), None
         )
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -70,6 +70,7 @@
         self.on_stale = on_stale
         self.silent_since = None
         self.predecessor = None
+        self.last_summary = None
         self.tasks = set()
         self.closed = False
         self._waiters = {}
@@ -163,6 +164,24 @@
         for each in book.barred:
             self.steward.slots.barred[each.lora_name] = now + each.remaining
 
+    def summary(self, now):
+        """Return the steward's summary; the one before if nothing changed.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        TargetSummary
+        """
+        made = self.steward.summary(now)
+        known = self.last_summary
+        if known is None or made != known._replace(made_at=now):
+            self.last_summary = made
+        return self.last_summary
+
     def tick(self):
         """Let the steward act on the time, and drop abandoned requests."""
         now = self.clock()
