Run one suspect at a time on an engine; keep calls of replaced channels

Two causes, found by reading: - Two requests that were beside each other at a crash could be retried on the same engine; if that one crashed, the innocent one counted two crashes and was quarantined. The steward is the one place that sees all instances' requests, so it lets one suspect at a time to its engine. - Replacing a silent channel closed it at once and raised CancelledError in every other call on it, which ended requests that waited for a ticket there.

Ruled out for the second: never closing, which leaks a connection for each silent peer. It closes after a grace, and a call that is cancelled from below is a failed call.

--- a/skylarkpost/rpc/channels.py
+++ b/skylarkpost/rpc/channels.py
@@ -7,6 +7,7 @@
 
 __all__ = ["CallFailed", "PeerChannels", "call_peer"]
 
+CLOSE_GRACE_S = 5.0
 CHANNEL_OPTIONS = (
     ("grpc.enable_retries", 0),
     ("grpc.use_local_subchannel_pool", 1),
@@ -68,7 +69,8 @@
         """
         channel = self.channels.pop(address, None)
         if channel is not None:
-            task = asyncio.get_running_loop().create_task(channel.close())
+            closing = channel.close(grace=CLOSE_GRACE_S)
+            task = asyncio.get_running_loop().create_task(closing)
             self._closing.add(task)
             task.add_done_callback(self._closing.discard)
 
@@ -106,3 +108,8 @@
             grpc.StatusCode.FAILED_PRECONDITION,
         )
         return CallFailed(code=error.code().name, maybe_carried_out=not refused)
+    except asyncio.CancelledError:
+        # gRPC raises this as well when the channel is closed under the call.
+        if asyncio.current_task().cancelling():
+            raise
+        return CallFailed(code="CANCELLED", maybe_carried_out=True)
--- a/skylarkpost/stewardship/book.py
+++ b/skylarkpost/stewardship/book.py
@@ -64,6 +64,16 @@
         """
         return bool(self._by_adapter.get(lora_name))
 
+    def has_suspect(self):
+        """Return whether a request may run that may have crashed an engine.
+
+        Returns
+        -------
+        bool
+        """
+        out = (*self.tickets.values(), *self.lapsed.values())
+        return any(ticket.suspect for ticket in out)
+
     def was_returned(self, ticket_id):
         """Return whether a ticket has come back, perhaps before its request.
 
--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -194,6 +194,7 @@
             urgency=profile.urgency,
             tokens=max(1, exchange.prompt_tokens + exchange.output_tokens),
             deadline=exchange.deadline,
+            suspect=exchange.suspect,
         )
 
     async def _ask(self, exchange, target, request):
@@ -283,6 +284,7 @@
             team=request.team,
             weight=request.weight,
             tokens=request.tokens,
+            suspect=request.suspect,
         )
 
     def _ticket(self, target, request, grant, sent_at):
@@ -302,6 +304,7 @@
             team=request.team,
             weight=request.weight,
             tokens=request.tokens,
+            suspect=request.suspect,
         )
 
     def _abandon(self, target, ticket_id):
--- a/skylarkpost/stewardship/holder.py
+++ b/skylarkpost/stewardship/holder.py
@@ -39,6 +39,8 @@
         Weight of the team.
     tokens : int
         Tokens that were charged.
+    suspect : bool
+        Whether an engine crashed once while the request ran on it.
     """
 
     ticket_id: str
@@ -55,6 +57,7 @@
     team: str = ""
     weight: float = 1.0
     tokens: int = 0
+    suspect: bool = False
 
 
 class TicketReturn(NamedTuple):
--- a/skylarkpost/stewardship/messages.py
+++ b/skylarkpost/stewardship/messages.py
@@ -41,6 +41,8 @@
         Tokens of the prompt plus the most that may be generated.
     deadline : float
         End of the wait, in seconds of the steward's clock.
+    suspect : bool
+        Whether an engine crashed once while the request ran on it.
     """
 
     ticket_id: str
@@ -51,6 +53,7 @@
     urgency: int
     tokens: int
     deadline: float
+    suspect: bool = False
 
 
 class HeldTicket(NamedTuple):
@@ -66,6 +69,8 @@
         Tokens that the team was charged.
     granted_at, expires_at : float
         Seconds of the steward's clock.
+    suspect : bool
+        From the request.
     """
 
     ticket_id: str
@@ -76,6 +81,7 @@
     tokens: int
     granted_at: float
     expires_at: float
+    suspect: bool = False
 
 
 class AdapterLoad(NamedTuple):
--- a/skylarkpost/stewardship/queue.py
+++ b/skylarkpost/stewardship/queue.py
@@ -137,13 +137,15 @@
             self._unblock(entry)
         return entry
 
-    def pop(self, now):
+    def pop(self, now, *, suspects=True):
         """Remove the ready request that goes next.
 
         Parameters
         ----------
         now : float
             The present time, in seconds.
+        suspects : bool
+            Whether a request may go that may have crashed an engine.
 
         Returns
         -------
@@ -152,7 +154,7 @@
         best, best_key = None, None
         for key in list(self._ready):
             head = self._head(self._ready, key)
-            if head is None:
+            if head is None or (head.request.suspect and not suspects):
                 continue
             rank = self.order(head, shares=self.shares, ageing=self.ageing, now=now)
             if best is None or rank < best_key:
@@ -311,4 +313,5 @@
 
 
 def _flow(entry):
-    return (entry.request.team, entry.request.urgency)
+    request = entry.request
+    return (request.team, request.urgency, request.suspect)
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -437,7 +437,8 @@
     def _grant_all(self, now):
         commands = []
         while self._room() > 0:
-            entry = self.queue.pop(now)
+            # One suspect at a time, so that a crash shows which one it was.
+            entry = self.queue.pop(now, suspects=not self.book.has_suspect())
             if entry is None:
                 break
             commands.append(self._grant(entry, now))
@@ -455,6 +456,7 @@
             tokens=request.tokens,
             granted_at=now,
             expires_at=now + self.policy.ticket_lease,
+            suspect=request.suspect,
         )
         self.book.add(held)
         assert self.book.occupied() <= self.batch_limit + self.policy.batch_slack
--- a/skylarkpost/stewardship/wire.py
+++ b/skylarkpost/stewardship/wire.py
@@ -49,6 +49,7 @@
         urgency=request.urgency,
         tokens=request.tokens,
         remaining=max(0.0, request.deadline - now),
+        suspect=request.suspect,
     )
 
 
@@ -63,6 +64,7 @@
         urgency=min(9, ask.urgency),
         tokens=ask.tokens,
         deadline=now + ask.remaining,
+        suspect=ask.suspect,
     )
 
 
@@ -143,6 +145,7 @@
         weight=ticket.weight,
         tokens=ticket.tokens,
         holder=holder,
+        suspect=ticket.suspect,
     )
 
 
@@ -157,6 +160,7 @@
         tokens=message.tokens,
         granted_at=now,
         expires_at=now,
+        suspect=message.suspect,
     )
 
 
--- a/tests/stewardship/test_queue.py
+++ b/tests/stewardship/test_queue.py
@@ -116,3 +116,13 @@
         blocked = {w.lora_name: w.count for w in fair.blocked_adapters(now)}
         kept = [r.lora_name for r in waiting.values() if r.lora_name not in usable]
         assert blocked == {name: kept.count(name) for name in kept}
+
+
+def test_a_suspect_waits_aside_and_holds_nobody_up():
+    fair = queue()
+    suspect = request("s")._replace(suspect=True)
+    fair.add(suspect, ready=True, now=0.0)
+    fair.add(request("a"), ready=True, now=1.0)
+    assert fair.pop(2.0, suspects=False).request.ticket_id == "a"
+    assert fair.pop(2.0, suspects=False) is None
+    assert fair.pop(2.0).request.ticket_id == "s"
--- a/tests/stewardship/test_steward.py
+++ b/tests/stewardship/test_steward.py
@@ -253,3 +253,14 @@
     bench.ask("r1", "a@1", 1.0)
     bench.ask("r1", "a@1", 1.1)
     assert len(bench.steward.book) == 1
+
+
+def test_only_one_suspect_runs_on_an_engine_at_a_time():
+    bench = Bench()
+    bench.ask("s1", "a@1", 1.0, suspect=True)
+    bench.ask("s2", "a@1", 1.0, suspect=True)
+    bench.ask("r1", "a@1", 1.0)
+    assert {"s1", "r1"} <= bench.granted.keys()
+    assert "s2" not in bench.granted
+    bench.give_back("s1", 2.0)
+    assert "s2" in bench.granted
