Bound the loads from the weight store over all instances

The reserved pool #weight-store is borrowed in the same manner; a share that has just changed pools counts for loads in transit only after a second, since its last holder's loads may not have ended. An instance that leaves tells its peers first, so that they draw elsewhere.

--- a/skylarkpost/limits/__init__.py
+++ b/skylarkpost/limits/__init__.py
@@ -16,6 +16,7 @@
     SlotKeeper,
 )
 from skylarkpost.limits.lender import Grant, ShareLender, SlotShare, TeamLimit
+from skylarkpost.limits.permits import LoadPermit, LoadPermits, LoadWait
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
 from skylarkpost.limits.rendezvous import choose_instance
 from skylarkpost.limits.slots import SlotOwner, SlotState, SlotTable, Succession
@@ -28,6 +29,9 @@
     "DrawGranted",
     "DrawRefused",
     "Grant",
+    "LoadPermit",
+    "LoadPermits",
+    "LoadWait",
     "Neighbour",
     "NoShares",
     "PoolHolder",
--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -8,7 +8,9 @@
 from skylarkpost.limits.exchange import ShareExchange
 from skylarkpost.limits.keeper import AppendRecord, Neighbour, SlotKeeper
 from skylarkpost.limits.lender import ShareLender, TeamLimit
+from skylarkpost.limits.loading import acquire_load_permit
 from skylarkpost.limits.messages import decode_answer, encode_ask, encode_return
+from skylarkpost.limits.permits import WEIGHT_STORE, LoadPermits
 from skylarkpost.limits.pool import PoolHolder
 from skylarkpost.limits.service import LimitsServicer
 from skylarkpost.limits.slots import SlotOwner, SlotTable
@@ -23,7 +25,9 @@
 PEER_TIMEOUT_S = 0.5
 MAX_TASKS = 2000
 RECORD_TYPES = ("slot-claim", "slot-confirm", "slot-release")
-LEAVING = "leaving"
+LIVE = "live"
+# Those that leave still lend, take shares back and are asked to yield.
+REACHABLE = (LIVE, "leaving")
 
 
 @register_controller("limits", order=30)
@@ -41,6 +45,8 @@
         Which share slots this instance may use.
     core : ShareExchange
         Lends, borrows and charges.
+    permits : LoadPermits
+        Permits to load adapters, as far as their pool is held here.
     """
 
     def __init__(self, *, services):
@@ -68,6 +74,16 @@
             ),
             pools=PoolHolder(holder=prefix, lease=self.settings.lease),
         )
+        self.permits = LoadPermits(
+            core=self.core,
+            total_slots=max(1, total),
+            rate=self.settings.loads_per_second,
+            in_transit=self.settings.loads_in_transit,
+            prefix=prefix,
+        )
+        self.core.lender.set_team(
+            WEIGHT_STORE, self.permits.limit, now=services.clock()
+        )
         self.asked_members = ()
         self.asked_at = float("-inf")
         self.logged_slots = frozenset()
@@ -88,6 +104,8 @@
         """Return the pools and release the slots. See `Controller.leave`."""
         self.keeper.releasing = True
         self.core.leaving = True
+        # The peers have to choose other pool holders before anything else.
+        await self.services.controllers["membership"].leave()
         self._return_shares()
         deadline = self.services.clock() + self.settings.lease * 2
         while self._is_lending() and self.services.clock() < deadline:
@@ -145,8 +163,13 @@
         list of str
             Those that can be reached and are not leaving.
         """
-        members = self._reachable()
-        return sorted(m.instance for m in members if m.state != LEAVING)
+        own = self.services.instance
+        return sorted(
+            member.instance
+            for member in self._reachable()
+            if member.state == LIVE
+            and not (self.core.leaving and member.instance == own)
+        )
 
     def address_of(self, instance):
         """Return the peer address of a reachable instance.
@@ -165,6 +188,23 @@
                 return member.address
         return None
 
+    async def acquire_load_permit(self, *, urgency, waiting):
+        """Wait a few seconds for a permit to load from the weight store.
+
+        Parameters
+        ----------
+        urgency : int
+            Of the most urgent request that waits; not used yet.
+        waiting : int
+            Adapters that are waited for; not used yet.
+
+        Returns
+        -------
+        HeldPermit or None
+            To be released when the load has ended; None if there was none.
+        """
+        return await acquire_load_permit(self)
+
     def keep_task(self, coroutine):
         """Run something in the background until the instance stops.
 
@@ -329,7 +369,8 @@
 
     def _reachable(self):
         membership = self.services.controllers["membership"]
-        return membership.reachable(self.services.clock())
+        members = membership.members(self.services.clock())
+        return [member for member in members if member.state in REACHABLE]
 
     def _stub(self, address):
         return limits_pb2_grpc.LimitsStub(self.services.peers.get(address))
--- a/skylarkpost/limits/pool.py
+++ b/skylarkpost/limits/pool.py
@@ -57,12 +57,15 @@
         Capacity.
     ends_at : float
         When the share may no longer be used.
+    joined_at : float
+        When it came into the pool.
     """
 
     lender: str
     rate: float
     burst: float
     ends_at: float
+    joined_at: float
 
 
 @dataclass(kw_only=True)
@@ -119,7 +122,7 @@
         if grant.lease_id in pool.leases:
             return False
         pool.bucket.add(rate=grant.rate, burst=grant.burst, level=grant.level, now=now)
-        lease = PoolLease(lender, grant.rate, grant.burst, ends_at)
+        lease = PoolLease(lender, grant.rate, grant.burst, ends_at, now)
         pool.leases[grant.lease_id] = lease
         return True
 
@@ -143,8 +146,8 @@
         if lease is None:
             return
         ends_at = max(lease.ends_at, asked_at + self.lease)
-        pool.leases[grant.lease_id] = PoolLease(
-            lease.lender, grant.rate, grant.burst, ends_at
+        pool.leases[grant.lease_id] = lease._replace(
+            rate=grant.rate, burst=grant.burst, ends_at=ends_at
         )
         if (lease.rate, lease.burst) != (grant.rate, grant.burst):
             self._fit(pool, now=now)
--- a/skylarkpost/limits/service.py
+++ b/skylarkpost/limits/service.py
@@ -7,6 +7,7 @@
     encode_answer,
     encode_draw,
 )
+from skylarkpost.limits.permits import LoadPermit, LoadWait
 from skylarkpost.rpc import limits_pb2, limits_pb2_grpc
 
 __all__ = ["LimitsServicer"]
@@ -61,3 +62,20 @@
             return limits_pb2.YieldSlotReply(yielded=False)
         self.controller.keeper.yield_slot(request.slot, request.claim)
         return limits_pb2.YieldSlotReply(yielded=True)
+
+    async def TakePermit(self, request, context):  # noqa: N802
+        """Let a peer load an adapter."""
+        answer = self.controller.permits.take(now=self.clock())
+        if isinstance(answer, LoadPermit):
+            return limits_pb2.TakePermitReply(permit=answer.permit, has_shares=True)
+        return limits_pb2.TakePermitReply(
+            has_shares=isinstance(answer, LoadWait),
+            retry_after=getattr(answer, "seconds", 0.0),
+        )
+
+    async def ReleasePermit(self, request, context):  # noqa: N802
+        """Note that a peer's load has ended."""
+        self.controller.permits.release(
+            request.permit, unused=request.unused, now=self.clock()
+        )
+        return limits_pb2.ReleasePermitReply()
--- a/tests/limits/test_controller.py
+++ b/tests/limits/test_controller.py
@@ -7,8 +7,10 @@
 
 from skylarkpost.daemon import Services
 from skylarkpost.filters import Exchange
+from skylarkpost.limits import LoadPermit, LoadWait
 from skylarkpost.limits.controller import LimitsController
 from skylarkpost.limits.filter import TeamLimitFilter
+from skylarkpost.limits.loading import HeldPermit, ask_once
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.platform import Appended
 from skylarkpost.settings import Settings
@@ -62,12 +64,15 @@
 
 class FakeMembership:
     def __init__(self):
-        self.members = []
+        self.known = []
 
-    def reachable(self, now):
-        return self.members
+    def members(self, now):
+        return self.known
 
-    neighbours = reachable
+    neighbours = members
+
+    async def leave(self):
+        pass
 
 
 class Fleet:
@@ -106,14 +111,14 @@
         services.controllers["membership"] = self.membership
         part = services.controllers["limits"] = LimitsController(services=services)
         store.callbacks[0](SimpleNamespace(item=TEAM), self.now)
-        self.membership.members.append(
+        self.membership.known.append(
             Member(name, services.boot, f"127.0.0.1:{port}", "dc", "live", self.now)
         )
         return part
 
-    async def settle(self):
+    async def settle(self, steps=12):
         """Let every part tick until nothing is left to do."""
-        for _ in range(12):
+        for _ in range(steps):
             self.now += 0.5
             for part in self.parts:
                 part._tick()
@@ -193,8 +198,8 @@
 ):
     holder = fleet.parts[0].core.holder_of("depot", ["e0", "e1"])
     other = next(part for part in fleet.parts if part.services.instance != holder)
-    fleet.membership.members = [
-        member for member in fleet.membership.members if member.instance != holder
+    fleet.membership.known = [
+        member for member in fleet.membership.known if member.instance != holder
     ]
     refusal = await filter_of(other).apply(request(fleet, 100))
     assert refusal.reason == Reason.LIMIT_UNREACHABLE
@@ -213,3 +218,36 @@
     assert release["type"] == "slot-release"
     assert release["balances"]["depot"] == pytest.approx(500.0)
     assert leaving.status()["own_slots"] == []
+
+
+async def test_loads_are_bounded_in_number_and_rate_over_all_instances(fleet):
+    answers = [await ask_once(part) for part in fleet.parts * 2]
+    # The burst is one load for each of the two slots.
+    assert sum(isinstance(answer, LoadPermit) for answer in answers) == 2
+    part = fleet.parts[0]
+    held = []
+    for _ in range(15):
+        await fleet.settle(steps=1)
+        answers.append(await ask_once(part))
+        if isinstance(answers[-1], LoadPermit):
+            held.append(HeldPermit(controller=part, permit=answers[-1]))
+    assert sum(isinstance(answer, LoadPermit) for answer in answers) == 8
+    held[0].release()
+    await fleet.settle(steps=1)
+    assert await fleet.parts[1].acquire_load_permit(urgency=1, waiting=1)
+
+
+async def test_an_unused_permit_gives_its_token_back(fleet):
+    for part in fleet.parts * 2:
+        permit = await part.acquire_load_permit(urgency=1, waiting=1)
+        permit.release(unused=True)
+        while part.tasks:
+            await asyncio.sleep(0.005)
+
+
+async def test_loads_in_transit_of_a_share_that_moved_have_time_to_end(fleet):
+    pools = [part.core.pools.leases_of("#weight-store") for part in fleet.parts]
+    part = fleet.parts[0 if pools[0] else 1]
+    joined_at = min(lease.joined_at for lease in (pools[0] or pools[1]).values())
+    assert part.permits.take(now=joined_at + 0.5) == LoadWait(seconds=0.1)
+    assert isinstance(part.permits.take(now=joined_at + 1.0), LoadPermit)
