Wait for every owner before a claim that was never confirmed

The fold now keeps all of them until a claim is confirmed. A restarted instance claims the slots of its own earlier run without waiting first; the wait after the claim is what counts.

--- a/skylarkpost/limits/__init__.py
+++ b/skylarkpost/limits/__init__.py
@@ -19,9 +19,10 @@
 from skylarkpost.limits.permits import LoadPermit, LoadPermits, LoadWait
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
 from skylarkpost.limits.rendezvous import choose_instance
-from skylarkpost.limits.slots import SlotOwner, SlotState, SlotTable, Succession
+from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotState, SlotTable, Succession
 
 __all__ = [
+    "ANYONE",
     "AppendRecord",
     "Ask",
     "AskAnswer",
--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -13,7 +13,7 @@
 from skylarkpost.limits.permits import WEIGHT_STORE, LoadPermits
 from skylarkpost.limits.pool import PoolHolder
 from skylarkpost.limits.service import LimitsServicer
-from skylarkpost.limits.slots import SlotOwner, SlotTable
+from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotTable
 from skylarkpost.platform import BackgroundTask
 from skylarkpost.rpc import CallFailed, call_peer, limits_pb2, limits_pb2_grpc
 
@@ -268,7 +268,7 @@
             self.keep_task(self._append(command))
             return
         for member in self._reachable():
-            if command.owner is None or command.owner.instance == member.instance:
+            if command.owner.instance in (ANYONE.instance, member.instance):
                 self.keep_task(self._ask_to_yield(member, command))
 
     async def _append(self, command):
@@ -281,14 +281,17 @@
         )
 
     async def _ask_to_yield(self, member, command):
-        boot = command.owner.boot if command.owner else ""
         request = limits_pb2.YieldSlotRequest(
-            slot=command.slot, claim=command.claim, boot=boot
+            slot=command.slot, claim=command.claim, boot=command.owner.boot
         )
         stub = self._stub(member.address)
         reply = await call_peer(stub.YieldSlot, request, timeout=PEER_TIMEOUT_S)
-        if command.owner and not isinstance(reply, CallFailed) and reply.yielded:
-            self.keeper.note_yielded(command.slot, self.services.clock())
+        if isinstance(reply, CallFailed) or not reply.yielded:
+            return
+        # Of an unknown owner, silence alone tells.
+        if command.owner != ANYONE:
+            now = self.services.clock()
+            self.keeper.note_yielded(command.slot, command.owner, now)
 
     def _ask_all(self, candidates):
         for member in self._reachable():
--- a/skylarkpost/limits/keeper.py
+++ b/skylarkpost/limits/keeper.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from skylarkpost.limits.lender import SlotShare
+from skylarkpost.limits.lender import CLOCK_MARGIN, SlotShare
 from skylarkpost.limits.rendezvous import choose_instance
 from skylarkpost.limits.slots import SlotOwner, Succession
 
@@ -17,7 +17,9 @@
 YIELD_INTERVAL_S = 0.5
 # Part of the retention after which a record is written anew.
 CONFIRM_PART = 1 / 3
-SILENCE_MARGIN_S = 1.0
+# Heartbeats may be this late, and one of them may be lost.
+SILENCE_MARGIN_S = 2.0
+LEND_MARGIN_S = 1.0
 
 
 class Neighbour(NamedTuple):
@@ -54,27 +56,28 @@
 
     Parameters
     ----------
-    owner : SlotOwner or None
-        The former owner; None stands for all instances of the data centre.
+    owner : SlotOwner
+        The former owner; `ANYONE` stands for all instances of the data centre.
     slot : str
         The slot.
     claim : int
         Offset of the claim that replaced its own.
     """
 
-    owner: SlotOwner | None
+    owner: SlotOwner
     slot: str
     claim: int
 
 
 @dataclass(kw_only=True)
 class _Pending:
-    """A slot that was claimed while its last owner had not released it."""
+    """A claimed slot that others may still use under earlier claims."""
 
     claim: int
-    previous: SlotOwner | None
-    silent_since: float
-    usable_at: float | None = None
+    predecessors: tuple
+    since: float
+    # When nothing that a predecessor did can have effect any more.
+    ended_at: dict = field(default_factory=dict)
     asked_at: float = NEVER
 
 
@@ -128,7 +131,7 @@
         self.slots = slots
         self.table = table
         self.authority = authority
-        self.lend_time = lease * 1.1 + SILENCE_MARGIN_S
+        self.lend_time = lease * CLOCK_MARGIN + LEND_MARGIN_S
         self.silence = authority + SILENCE_MARGIN_S
         self.confirm_interval = retention * CONFIRM_PART
         self.active = {}
@@ -217,19 +220,21 @@
         self.yielded[slot] = max(claim, self.yielded.get(slot, claim))
         return True
 
-    def note_yielded(self, slot, now):
-        """Note that the former owner of a claimed slot has given it up.
+    def note_yielded(self, slot, owner, now):
+        """Note that a former owner of a claimed slot has given it up.
 
         Parameters
         ----------
         slot : str
             The slot.
+        owner : SlotOwner
+            The former owner.
         now : float
             The present time, in seconds.
         """
         pending = self.pending.get(slot)
-        if pending is not None and pending.usable_at is None:
-            pending.usable_at = now + self.lend_time
+        if pending is not None:
+            pending.ended_at.setdefault(owner, now + self.lend_time)
 
     def tick(self, now, *, log_time, neighbours):
         """Decide what to do about each slot.
@@ -296,19 +301,36 @@
         pending = self.pending.get(slot)
         if pending is None or pending.claim != state.claim:
             pending = self.pending[slot] = _Pending(
-                claim=state.claim, previous=state.previous, silent_since=now
+                claim=state.claim, predecessors=state.predecessors, since=now
             )
-        heard_at = _last_heard(neighbours, pending.previous)
-        pending.silent_since = max(pending.silent_since, heard_at, self.listening_since)
-        if pending.usable_at is None and now - pending.silent_since > self.silence:
-            pending.usable_at = pending.silent_since + self.silence + self.lend_time
-        if pending.usable_at is not None and now >= pending.usable_at:
+        for owner in pending.predecessors:
+            self._note_silence(pending, owner, now, neighbours)
+        waiting_for = [
+            owner
+            for owner in pending.predecessors
+            if now < pending.ended_at.get(owner, float("inf"))
+        ]
+        if not waiting_for:
             del self.pending[slot]
             return self._activate(slot, state, now)
-        if pending.usable_at is None and now - pending.asked_at >= YIELD_INTERVAL_S:
-            pending.asked_at = now
-            return [AskToYield(owner=pending.previous, slot=slot, claim=state.claim)]
-        return []
+        if now - pending.asked_at < YIELD_INTERVAL_S:
+            return []
+        pending.asked_at = now
+        return [
+            AskToYield(owner=owner, slot=slot, claim=state.claim)
+            for owner in waiting_for
+            if owner not in pending.ended_at
+        ]
+
+    def _note_silence(self, pending, owner, now, neighbours):
+        if owner in pending.ended_at:
+            return
+        heard_at = _last_heard(neighbours, owner)
+        silent_since = max(pending.since, heard_at, self.listening_since)
+        if now - silent_since > self.silence:
+            # What a silent owner has lent, it lent before it went silent.
+            wait = max(self.silence, self.lend_time)
+            pending.ended_at[owner] = silent_since + wait
 
     def _tick_other(self, slot, state, now, log_time, neighbours):
         if self.releasing or not self.may_use(now):
@@ -316,8 +338,7 @@
         if not self.table.claimable(slot, log_time):
             return []
         expected = self.table.expected(slot, log_time)
-        is_free = state is None or state.released
-        if not is_free and self._was_heard(state.owner, now, neighbours):
+        if self._is_in_use(state, now, neighbours):
             self.attempts.free_since.pop(slot, None)
             return []
         free_since = self.attempts.free_since.setdefault(slot, now)
@@ -359,8 +380,13 @@
         self.active.pop(slot, None)
         self.pending.pop(slot, None)
 
-    def _was_heard(self, owner, now, neighbours):
-        heard_at = max(self.listening_since, _last_heard(neighbours, owner))
+    def _is_in_use(self, state, now, neighbours):
+        if state is None or state.released:
+            return False
+        if state.owner.instance == self.owner.instance:
+            # An earlier run of this instance: no reason to wait for it.
+            return False
+        heard_at = max(self.listening_since, _last_heard(neighbours, state.owner))
         return now - heard_at <= self.silence
 
     def _is_preferred(self, slot, neighbours):
--- a/skylarkpost/limits/slots.py
+++ b/skylarkpost/limits/slots.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field, replace
 from typing import NamedTuple, TypedDict
 
-__all__ = ["SlotOwner", "SlotRecord", "SlotState", "SlotTable", "Succession"]
+__all__ = ["ANYONE", "SlotOwner", "SlotRecord", "SlotState", "SlotTable", "Succession"]
 
 
 class Succession(enum.StrEnum):
@@ -58,6 +58,10 @@
     boot: str
 
 
+# Stands for an owner whose records have expired.
+ANYONE = SlotOwner("", "")
+
+
 @dataclass(frozen=True, kw_only=True)
 class SlotState:
     """What the log says about one slot.
@@ -77,8 +81,9 @@
         owner, or by the last owner to this one.
     succession : Succession
         How it came to its owner; ``FIRST`` only if nobody ever had it before.
-    previous : SlotOwner or None
-        The owner from whom it was taken over, if known.
+    predecessors : tuple of SlotOwner
+        Everyone who may still use the slot under an earlier claim: the last
+        owner that confirmed its claim, and all who claimed since.
     """
 
     claim: int
@@ -87,7 +92,7 @@
     released: bool = False
     balances: dict = field(default_factory=dict)
     succession: Succession = Succession.TAKEN_OVER
-    previous: SlotOwner | None = None
+    predecessors: tuple[SlotOwner, ...] = ()
 
 
 class SlotTable:
@@ -214,7 +219,7 @@
             renewed_at=time,
             balances=state.balances if handed_over else {},
             succession=succession,
-            previous=state.owner if state else None,
+            predecessors=self._predecessors(state),
         )
         return True
 
@@ -223,6 +228,13 @@
             return Succession.FIRST if self.complete else Succession.TAKEN_OVER
         return Succession.RELEASED if state.released else Succession.TAKEN_OVER
 
+    def _predecessors(self, state):
+        if state is None:
+            return () if self.complete else (ANYONE,)
+        if state.released:
+            return ()
+        return (*state.predecessors, state.owner)
+
     def _is_beyond_judgement(self, slot, expects, time):
         if self.complete:
             return False
@@ -240,6 +252,8 @@
         self.states[slot] = replace(
             state,
             renewed_at=time,
+            # Its owner waits for all of them before it confirms.
+            predecessors=(),
             released=released,
             balances=record.get("balances", {}) if released else state.balances,
         )
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -7,6 +7,7 @@
 import random
 
 from skylarkpost.limits import (
+    ANYONE,
     AppendRecord,
     DrawGranted,
     Neighbour,
@@ -100,13 +101,15 @@
 
     def ask_to_yield(self, command):
         for other in list(self.fleet.nodes.values()):
-            if other.owner == command.owner:
+            if command.owner in (other.owner, ANYONE) and other.dc == self.dc:
                 self.fleet.send(self, other, lambda o=other: self._yield_at(o, command))
 
     def _yield_at(self, other, command):
         other.keeper.yield_slot(command.slot, command.claim)
         self.fleet.send(
-            other, self, lambda: self.keeper.note_yielded(command.slot, self.fleet.now)
+            other,
+            self,
+            lambda: self.keeper.note_yielded(command.slot, other.owner, self.fleet.now),
         )
 
     def read_log(self):
@@ -268,6 +271,8 @@
             self.at(self.now + self.random.uniform(5, 100), None, self._striker(kind))
 
     def start(self, name):
+        if name in self.nodes and not self.nodes[name].dead:
+            return
         self.nodes[name] = Node(self, name, next(self.boots))
 
     def change_limits(self, part):
--- a/tests/limits/test_slots.py
+++ b/tests/limits/test_slots.py
@@ -73,3 +73,14 @@
 def test_a_malformed_record_is_passed_over(table):
     assert not table.apply({"type": "slot-claim", "slot": 3}, 0, 0.0)
     assert not table.apply(record("confirm", OLD), 1, 0.0)
+
+
+def test_an_owner_before_a_claim_that_was_never_confirmed_is_not_forgotten(table):
+    later = SlotOwner("e2", "b3")
+    table.apply(record("claim", OLD, expects=None), 0, 0.0)
+    table.apply(record("confirm", OLD, claim=0), 1, 0.1)
+    table.apply(record("claim", NEW, expects=0), 2, 10.0)
+    table.apply(record("claim", later, expects=2), 3, 11.0)
+    assert table.states["a/0"].predecessors == (OLD, NEW)
+    table.apply(record("confirm", later, claim=3), 4, 20.0)
+    assert table.states["a/0"].predecessors == ()
