--- a/skylarkpost/limits/__init__.py
+++ b/skylarkpost/limits/__init__.py
@@ -16,11 +16,13 @@
     SlotKeeper,
 )
 from skylarkpost.limits.lender import Grant, ShareLender, SlotShare, TeamLimit
+from skylarkpost.limits.permits import LoadPermit, LoadPermits, LoadWait
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
 from skylarkpost.limits.rendezvous import choose_instance
-from skylarkpost.limits.slots import SlotOwner, SlotState, SlotTable, Succession
+from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotState, SlotTable, Succession
 
 __all__ = [
+    "ANYONE",
     "AppendRecord",
     "Ask",
     "AskAnswer",
@@ -28,6 +30,9 @@
     "DrawGranted",
     "DrawRefused",
     "Grant",
+    "LoadPermit",
+    "LoadPermits",
+    "LoadWait",
     "Neighbour",
     "NoShares",
     "PoolHolder",
