--- a/skylarkpost/stewardship/queue.py
+++ b/skylarkpost/stewardship/queue.py
@@ -219,6 +219,20 @@
         """
         return [e for e in self.entries.values() if e.request.lora_name == lora_name]
 
+    def is_blocked(self, lora_name):
+        """Return whether requests wait for an adapter that cannot be used.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+
+        Returns
+        -------
+        bool
+        """
+        return lora_name in self._blocked
+
     def blocked_adapters(self, now):
         """Return the adapters that requests wait for.
 
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -144,10 +144,13 @@
             return [self._refuse(request, reason, now)]
         self.slots.demand.add(request.lora_name, now=now)
         ready = self.slots.is_usable(request.lora_name)
+        is_new = not ready and not self.queue.is_blocked(request.lora_name)
         displaced = self.queue.add(request, ready=ready, now=now)
         commands = []
         if displaced is not None:
             commands.append(self._refuse(displaced.request, Reason.QUEUE_FULL, now))
+        if not is_new:
+            return commands + self._refill(now)
         return commands + self._advance(now)
 
     def return_ticket(self, ticket_id, now, *, unused_tokens=0, certain=True):
@@ -175,6 +178,8 @@
             self.service_time += SMOOTHING * (out_for - self.service_time)
             refund = min(unused_tokens, ticket.tokens)
             self.queue.shares.refund(ticket.team, weight=ticket.weight, cost=refund)
+        if ticket is None or self.book.in_use(ticket.lora_name):
+            return self._refill(now)
         return self._advance(now)
 
     def renew(self, tickets, now):
@@ -418,14 +423,27 @@
         settled = self.policy.ticket_lease + self.policy.lease_margin
         return max(self._evicts_from, self.authority.gained_at + settled)
 
-    def _advance(self, now):
-        self.book.lapse(now)
-        commands = [
+    def _refill(self, now):
+        commands = self._refuse_expired(now)
+        if self._may_act(now) and self._may_grant(now):
+            commands += self._grant_all(now)
+        return commands
+
+    def _refuse_expired(self, now):
+        return [
             self._refuse(entry.request, Reason.QUEUE_TIMEOUT, now)
             for entry in self.queue.expire(now)
         ]
-        is_idle = self.retired or self.boot is None
-        if is_idle or not self.authority.is_valid(now):
+
+    def _may_act(self, now):
+        if self.retired or self.boot is None:
+            return False
+        return self.authority.is_valid(now)
+
+    def _advance(self, now):
+        self.book.lapse(now)
+        commands = self._refuse_expired(now)
+        if not self._may_act(now):
             return commands
         if self._must_fence:
             return commands + self._fence(now)
