Skip malformed log records instead of ending the follower

A record that a handler could not make sense of ended the follower of its stream on every instance, and one that is no JSON object made every read that holds it fail. Both are skipped now, the same way everywhere; the first kind is logged and counted. Broken invariants still stop the process.

--- a/skylarkpost/platform/log_client.py
+++ b/skylarkpost/platform/log_client.py
@@ -1,6 +1,7 @@
 """HTTP client of the platform's append-only log."""
 
 import time
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -40,7 +41,7 @@
 
     offset: int
     time: float
-    data: dict
+    data: Any
 
 
 class ReadAnswer(msgspec.Struct):
@@ -160,7 +161,7 @@
             decoded = msgspec.json.decode(answer, type=ReadAnswer)
         except msgspec.DecodeError as error:
             return LogUnavailable(detail=f"answer not understood: {error}")
-        records = [LogRecord(r.offset, r.time, r.data) for r in decoded.records]
+        records = [_record(on_wire) for on_wire in decoded.records]
         return Records(
             first_offset=decoded.first_offset,
             next_offset=decoded.next_offset,
@@ -188,3 +189,9 @@
         except TimeoutError:
             self.sessions.note_silence(self.base_url, now=self.clock())
             raise
+
+
+def _record(on_wire):
+    """Return a record; what is no object cannot stop those after it."""
+    data = on_wire.data if isinstance(on_wire.data, dict) else {}
+    return LogRecord(on_wire.offset, on_wire.time, data)
--- a/skylarkpost/platform/log_follower.py
+++ b/skylarkpost/platform/log_follower.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import msgspec
+
 from skylarkpost.eventlog import log_event
 from skylarkpost.platform.log_client import READ_LIMIT
 from skylarkpost.platform.outcomes import LogUnavailable
@@ -18,6 +20,9 @@
 # Lets records that come close together arrive in one answer.
 PAUSE_AFTER_RECORDS_S = 0.01
 
+# What a handler may raise for a record that is not as it should be.
+MALFORMED_RECORD_ERRORS = (KeyError, TypeError, ValueError, msgspec.MsgspecError)
+
 
 class LogFollower:
     """Reads a stream in order, for ever, from a given offset.
@@ -52,6 +57,8 @@
         When the last read was started that reached the end of the stream.
     available : bool
         Whether the last read was answered.
+    malformed : int
+        Records that a handler could not make sense of.
     """
 
     def __init__(
@@ -77,6 +84,7 @@
         self.fresh_at = None
         self.available = False
         self.failures = 0
+        self.malformed = 0
         self.handlers = {}
         self.background = BackgroundTask(name=f"follow-{stream}")
 
@@ -89,7 +97,9 @@
             The record's ``type``; None stands for all types.
         handler : callable
             ``handler(record, offset, time, now)``: the record, its offset, the
-            log's wall clock when it was appended, and the present time.
+            log's wall clock when it was appended, and the present time. A
+            record for which it raises an error of lookup, type or value is
+            logged and skipped; an `AssertionError` stops the process.
         """
         self.handlers.setdefault(record_type, []).append(handler)
 
@@ -163,10 +173,26 @@
         assert record.offset == self.applied_offset, "the stream has a hole"
         # A handler that looks at `applied_offset` sees this record as applied.
         self.applied_offset = record.offset + 1
-        handlers = self.handlers.get(record.data.get("type"), ())
+        kind = record.data.get("type")
+        handlers = self.handlers.get(kind, ()) if isinstance(kind, str) else ()
         now = self.clock()
         for handler in (*handlers, *self.handlers.get(None, ())):
-            handler(record.data, record.offset, record.time, now)
+            try:
+                handler(record.data, record.offset, record.time, now)
+            except MALFORMED_RECORD_ERRORS as error:
+                self._note_malformed(record, error)
+
+    def _note_malformed(self, record, error):
+        # Every instance skips the same record, and goes on with the next one.
+        self.malformed += 1
+        log_event(
+            logger,
+            "log-record-malformed",
+            level=logging.ERROR,
+            stream=self.stream,
+            offset=record.offset,
+            error=repr(error),
+        )
 
     def _pass_gap(self, wanted, first_offset):
         self.applied_offset = first_offset
--- a/tests/platform/test_log_client.py
+++ b/tests/platform/test_log_client.py
@@ -108,3 +108,10 @@
         assert client.instances["e-1"].data_centre == "yaba"
         assert not client.available
         await client.stop()
+
+
+async def test_a_record_that_is_no_object_hides_none_after_it():
+    async with log_pair() as (_, log):
+        await log.append("s", ["no object", {"type": "a"}])
+        piece = await log.read("s", from_offset=0)
+        assert [r.data for r in piece.records] == [{}, {"type": "a"}]
--- a/tests/platform/test_log_follower.py
+++ b/tests/platform/test_log_follower.py
@@ -1,5 +1,7 @@
 import random
 
+import pytest
+
 from skylarkpost.platform import LogFollower, LogRecord, LogUnavailable, Records
 
 
@@ -114,3 +116,26 @@
     assert len(set(pauses)) == len(pauses)
     log.down = False
     assert await follower.read_once() == 0.0
+
+
+async def test_a_malformed_record_is_counted_and_stops_none_after_it():
+    _, log, follower, seen = build()
+    follower.subscribe("b", lambda record, *_: record["absent"])
+    log.add(1)
+    log.add(1, kind="b")
+    log.add(1, kind=["no", "name"])
+    log.add(1)
+    await follower.read_once()
+    assert seen == [0, 3]
+    assert (follower.malformed, follower.applied_offset) == (1, 4)
+
+
+async def test_a_broken_invariant_is_not_taken_for_a_malformed_record():
+    def break_invariant(*_):
+        raise AssertionError
+
+    _, log, follower, _ = build()
+    follower.subscribe("b", break_invariant)
+    log.add(1, kind="b")
+    with pytest.raises(AssertionError):
+        await follower.read_once()
