Go on with heartbeats to a member whatever one of them ended in

A heartbeat that failed in a way the channel does not name left the member waiting for its answer for ever: no further heartbeat, no silence. It counts as missed now. The sender of a heartbeat is looked up only for its digests.

--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -252,11 +252,8 @@
         """
         now = self.services.clock()
         reply, digests = self.core.take_heartbeat(heartbeat, now=now)
-        sender = heartbeat.sender
-        member = next(
-            (m for m in self.core.members() if m.instance == sender.instance), None
-        )
         for digest in digests:
+            member = self.core.member(heartbeat.sender.instance)
             for callback in self.subscribers.get(digest.topic, ()):
                 callback(member, digest.payload, now)
         return reply
@@ -280,18 +277,28 @@
             await asyncio.sleep(PAUSE_TICK_S)
 
     async def _send(self, command):
+        try:
+            answer = await self._call(command)
+            if isinstance(answer, CallFailed):
+                self.services.metrics.count_event("heartbeat-missed")
+            else:
+                self._take_answer(command, decode_reply(answer))
+        finally:
+            # Nothing is missed if the answer was taken.
+            self.core.take_miss(command, now=self.services.clock())
+
+    async def _call(self, command):
+        peers = self.services.peers
         if command.on_new_connection:
-            self.services.peers.renew(command.address)
+            peers.renew(command.address)
             self.services.metrics.count_event("peer-channel-renewed")
-        channel = self.services.peers.get(command.address)
-        stub = membership_pb2_grpc.MembershipStub(channel)
+        stub = membership_pb2_grpc.MembershipStub(peers.get(command.address))
         message = encode_heartbeat(command.heartbeat)
-        answer = await call_peer(stub.Beat, message, timeout=BEAT_TIMEOUT_S)
+        return await call_peer(stub.Beat, message, timeout=BEAT_TIMEOUT_S)
+
+    def _take_answer(self, command, reply):
         now = self.services.clock()
-        if isinstance(answer, CallFailed):
-            self.core.take_miss(command, now=now)
-            self.services.metrics.count_event("heartbeat-missed")
-        elif not self.core.take_reply(command, decode_reply(answer), now=now):
+        if not self.core.take_reply(command, reply, now=now):
             self.services.metrics.count_event("heartbeat-answer-dropped")
 
     def _note_sent(self, task):
--- a/skylarkpost/membership/core.py
+++ b/skylarkpost/membership/core.py
@@ -230,6 +230,21 @@
         records = self.roster.records.values()
         return [record.as_member(*self._state(record)) for record in records]
 
+    def member(self, instance):
+        """Return one other instance.
+
+        Parameters
+        ----------
+        instance : str
+            Its id; it has to be known.
+
+        Returns
+        -------
+        Member
+        """
+        record = self.roster.records[instance]
+        return record.as_member(*self._state(record))
+
     def take_changes(self):
         """Return the members whose state changed since the last call.
 
--- a/tests/membership/test_controller.py
+++ b/tests/membership/test_controller.py
@@ -101,3 +101,21 @@
             assert member.state is MemberState.LEAVING
         await until(lambda: first.degraded() != [])
         assert [m.instance for m in first.reachable(one.clock())] == ["e-1"]
+
+
+async def test_a_heartbeat_that_fails_in_an_odd_way_is_missed_and_not_the_last():
+    services = build_services("e-1", free_port(), 1)
+    controller = MembershipController(services=services)
+    core = controller.core
+    listed = ListedInstance("e-2", "entry", "127.0.0.1:9", "ikeja", "live")
+    core.take_listed([listed], now=0.0)
+    (command,) = core.tick(now=0.0)
+
+    def get(address):
+        raise RuntimeError
+
+    services.peers.get = get
+    with pytest.raises(RuntimeError):
+        await controller._send(command)
+    assert core.roster.records["e-2"].missed == 1
+    assert [c.instance for c in core.tick(now=5.0)] == ["e-2"]
