--- a/tests/standins/test_engine.py
+++ b/tests/standins/test_engine.py
@@ -213,3 +213,62 @@
         ):
             async with http.get(f"/seen?contains={text}") as response:
                 assert (await response.json())["count"] == count
+
+
+async def test_a_stream_outlives_its_connection_for_a_short_time_only():
+    async with engine(step_time=0.02, resume_window=0.1) as (stand_in, http):
+        await order(http, "load")
+        async with ask(http, "r.1", stream=True, max_tokens=60) as response:
+            await read_events(response, count=1)
+        stream = stand_in.model.streams["r.1"]
+        async with asyncio.timeout(5.0):
+            while stream.active:
+                await asyncio.sleep(0.01)
+        assert stream.state == "cancelled"
+
+
+async def test_a_frozen_engine_accepts_and_does_nothing():
+    async with engine(step_time=0.02) as (stand_in, http):
+        await order(http, "load")
+        async with ask(http, "r.1", stream=True) as response:
+            first = await read_events(response, count=1)
+            stand_in.switches.frozen = True
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2), http.get("/load"):
+                    pass
+            stand_in.switches.frozen = False
+            rest = await read_events(response)
+        assert text_of(first + rest) == answer_tokens("a@1", "hello", None, 6)
+
+
+async def test_reports_lag_and_cache_events_come_late_and_with_gaps():
+    async with engine() as (stand_in, http):
+        async with http.get("/load") as response:
+            first = await response.json()
+        await order(http, "load")
+        stand_in.switches.report_lag = 1000.0
+        async with http.get("/load") as response:
+            assert (await response.json())["taken_at"] <= first["taken_at"]
+        async with ask(http, "r.1", "x" * 512 * 40) as response:
+            await response.read()
+        stand_in.switches.event_lag = 1000.0
+        async with http.get("/events?after=0") as response:
+            assert (await response.json())["events"] == []
+        stand_in.switches.event_lag = 0.0
+        stand_in.switches.event_gaps = 0.5
+        async with http.get("/events?after=0") as response:
+            answer = await response.json()
+        assert answer["next"] == 40
+        assert 0 < len(answer["events"]) < 40
+
+
+async def test_cached_prefixes_move_to_another_engine():
+    async with engine() as (_, source), engine() as (stand_in, destination):
+        await order(source, "load")
+        async with ask(source, "r.1", "x" * 1024) as response:
+            await response.read()
+        async with source.post("/kv/export") as response:
+            exported = await response.json()
+        async with destination.post("/kv/import", json=exported):
+            pass
+        assert list(stand_in.model.cache.blocks) == prefix_hashes("a@1", "x" * 1024)
