Let a team within its rate wait while its shares are handed over

Cause: for a moment after a graceful shutdown the new pool holder has not borrowed the shares yet, and a team within its rate was refused with limit-unreachable; seen in the shutdown test over processes.

Ruled out: handing pools over before leaving only, which does not help when the holder dies. The wait is bounded by limits.patience and applies only to teams that are within their rate.

--- a/skylarkpost/limits/filter.py
+++ b/skylarkpost/limits/filter.py
@@ -1,11 +1,16 @@
 """Refuses requests of teams that are over their rate."""
 
+import asyncio
+
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.limits.drawing import ChargeRefused, charge_request, refund_request
 from skylarkpost.outcomes import Reason, Refused, RunState
 
 __all__ = ["TeamLimitFilter"]
 
+FIRST_PAUSE_S = 0.1
+PAUSE_GROWTH = 1.5
+
 
 @register_filter("team-limit", order=50)
 class TeamLimitFilter(Filter):
@@ -27,12 +32,28 @@
         tokens = self._tokens(exchange)
         if tokens > limit.burst:
             return _too_large(tokens, limit)
-        charged = await charge_request(controller, team, tokens)
+        charged = await self._charge(exchange, tokens)
         if isinstance(charged, ChargeRefused):
             return self._refuse(team, charged)
         exchange.on_finish(self._refund_later(controller, charged))
         return None
 
+    async def _charge(self, exchange, tokens):
+        """Charge a request; wait if its team's shares are being handed over."""
+        controller = self.services.controllers["limits"]
+        waited = 0.0
+        pause = FIRST_PAUSE_S
+        while True:
+            charged = await charge_request(controller, exchange.team, tokens)
+            if not isinstance(charged, ChargeRefused) or not charged.within_rate:
+                return charged
+            if waited >= controller.settings.patience:
+                return charged
+            if await _is_cancelled_within(exchange, pause):
+                return charged
+            waited += pause
+            pause *= PAUSE_GROWTH
+
     def _tokens(self, exchange):
         if exchange.is_model_request:
             return exchange.prompt_tokens + exchange.output_tokens
@@ -64,6 +85,14 @@
         return refund
 
 
+async def _is_cancelled_within(exchange, seconds):
+    try:
+        await asyncio.wait_for(exchange.cancel_event.wait(), seconds)
+    except TimeoutError:
+        return False
+    return True
+
+
 def _too_large(tokens, limit):
     return Refused(
         reason=Reason.OVER_RATE,
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -136,6 +136,13 @@
         le=5.0,
         description="Seconds until a pool holder that does not answer is given up.",
     )
+    patience: float = Field(
+        default=2.0,
+        ge=0.0,
+        le=30.0,
+        description="Seconds for which a request of a team that is within its "
+        "rate waits for shares that are being handed over.",
+    )
     service_call: int = Field(
         default=50,
         ge=0,
--- a/tests/limits/test_controller.py
+++ b/tests/limits/test_controller.py
@@ -96,7 +96,11 @@
                     "log_url": "http://127.0.0.1:1",
                     "instance_list_url": "http://127.0.0.1:1",
                 },
-                "limits": {"slots": {"dc-e0": 1, "dc-e1": 1}, "draw_deadline": 5},
+                "limits": {
+                    "slots": {"dc-e0": 1, "dc-e1": 1},
+                    "draw_deadline": 5,
+                    "patience": 0.0,
+                },
             }
         )
         services = Services(
@@ -251,3 +255,21 @@
     joined_at = min(lease.joined_at for lease in (pools[0] or pools[1]).values())
     assert part.permits.take(now=joined_at + 0.5) == LoadWait(seconds=0.1)
     assert isinstance(part.permits.take(now=joined_at + 1.0), LoadPermit)
+
+
+async def test_a_team_within_its_rate_waits_for_shares_that_are_handed_over(fleet):
+    part = fleet.parts[0]
+    membership, part.services.controllers["membership"] = (
+        part.services.controllers["membership"],
+        FakeMembership(),
+    )
+    part.keeper.unconfirmed_since = fleet.now
+    refused = await filter_of(part).apply(request(fleet, 100))
+    assert refused.reason is Reason.LIMIT_UNREACHABLE
+    part.settings = part.settings.model_copy(update={"patience": 30.0})
+    waiting = asyncio.create_task(filter_of(part).apply(request(fleet, 100)))
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    part.services.controllers["membership"] = membership
+    part.keeper.unconfirmed_since = None
+    assert await waiting is None
