--- a/skylarkpost/config/store.py
+++ b/skylarkpost/config/store.py
@@ -1,13 +1,9 @@
 """The configuration as one instance knows it."""
 
-from typing import NamedTuple
-
+from skylarkpost.config.catalogue import ItemCatalogue
 from skylarkpost.config.change_ids import ChangeIds
-from skylarkpost.config.items import Key
-from skylarkpost.config.kinds import KINDS, build_item
 from skylarkpost.config.offset_times import OffsetTimes
 from skylarkpost.config.records import RecordError, parse_change, parse_restatement
-from skylarkpost.config.table import Entry, ItemTable
 from skylarkpost.config.verdicts import (
     Accepted,
     Conflict,
@@ -18,32 +14,10 @@
     Stale,
 )
 
-__all__ = ["ConfigStore", "ItemChange"]
-
-
-class ItemChange(NamedTuple):
-    """A change of one item, as subscribers see it.
-
-    Attributes
-    ----------
-    kind, name : str
-        The item.
-    version : int
-        Its version from now on.
-    item : NamedTuple or None
-        What it is now; None if it was removed.
-    previous : NamedTuple or None
-        What it was before.
-    """
+__all__ = ["ConfigStore"]
 
-    kind: str
-    name: str
-    version: int
-    item: tuple | None
-    previous: tuple | None
 
-
-class ConfigStore:
+class ConfigStore(ItemCatalogue):
     """Applies the records of the ``config`` stream, in the order of the log.
 
     The verdict on a record follows from the records before it alone, so all
@@ -73,14 +47,13 @@
     """
 
     def __init__(self, *, first_offset=0):
+        super().__init__()
         self.applied_offset = first_offset - 1
         self.floor = first_offset
-        self.tables = {kind: ItemTable(kind=kind) for kind in KINDS}
         self.change_ids = ChangeIds()
         self.times = OffsetTimes()
         self.held = None if first_offset == 0 else {}
         self._mentions = {}
-        self._subscribers = {kind: [] for kind in KINDS}
         self._appliers = {
             "change": self._apply_change,
             "restatement": self._apply_restatement,
@@ -185,59 +158,6 @@
         self.floor = max(self.floor, entry.version)
         table.remove(name)
 
-    def subscribe(self, kind, callback):
-        """Have a function called for each change of an item of one kind.
-
-        Parameters
-        ----------
-        kind : str
-            A registered kind.
-        callback : callable
-            Called with the `ItemChange` and the present time.
-        """
-        self._subscribers[kind].append(callback)
-
-    def profile(self, name):
-        """Return a profile, or None."""
-        return self.item("profile", name)
-
-    def key(self, key_hash):
-        """Return a key, also a withdrawn one that is still remembered, or None."""
-        entry = self.tables["key"].get(key_hash)
-        if entry is not None and entry.item is None:
-            return Key(key_hash=key_hash, team="", label="", withdrawn=True)
-        return None if entry is None else entry.item
-
-    def team(self, name):
-        """Return a team, or None."""
-        return self.item("team", name)
-
-    def route(self, name):
-        """Return a route, or None."""
-        return self.item("route", name)
-
-    def target(self, name):
-        """Return a target, or None."""
-        return self.item("target", name)
-
-    def item(self, kind, name):
-        """Return the item of a kind and name, or None."""
-        entry = self.tables[kind].get(name)
-        return None if entry is None else entry.item
-
-    def items(self, kind):
-        """Yield each item of a kind, without tombstones."""
-        table = self.tables[kind]
-        for name in table.names():
-            item = self.item(kind, name)
-            if item is not None:
-                yield item
-
-    def version(self, kind, name):
-        """Return the version of an item; 0 if there is none."""
-        entry = self.tables[kind].get(name)
-        return 0 if entry is None or entry.item is None else entry.version
-
     def _apply_change(self, record, offset, time, now):
         change = parse_change(record)
         lateness = time - change["made_at"]
@@ -318,31 +238,3 @@
         verdict = Accepted(version=offset + 1, previous_version=expected)
         self.change_ids.add(change, verdict, time=time)
         return verdict
-
-    def _put(self, kind, name, version, stated, mentioned, body, now):
-        table = self.tables[kind]
-        before = table.get(name)
-        assert before is None or before.version < version, "a version went back"
-        item = None if body is None else build_item(kind, name, version, body)
-        table.put(name, Entry(version, stated, mentioned, item))
-        previous = None if before is None else before.item
-        self._notify(ItemChange(kind, name, version, item, previous), now)
-
-    def _notify_differences(self, kind, before, now):
-        after = self.tables[kind]
-        for name in after.names():
-            if name not in before or after.header(name)[0] != before.header(name)[0]:
-                entry = after.get(name)
-                old = before.get(name)
-                previous = None if old is None else old.item
-                change = ItemChange(kind, name, entry.version, entry.item, previous)
-                self._notify(change, now)
-        for name in before.names():
-            previous = before.get(name)
-            if name not in after and previous.item is not None:
-                change = ItemChange(kind, name, previous.version, None, previous.item)
-                self._notify(change, now)
-
-    def _notify(self, change, now):
-        for callback in self._subscribers[change.kind]:
-            callback(change, now)
