--- /dev/null
+++ b/lab/limiting.py
@@ -0,0 +1,331 @@
+"""Replays the cores of `skylarkpost.limits` on all instances."""
+
+import functools
+
+from lab.statelog import StateLog
+from skylarkpost.limits import (
+    AppendRecord,
+    DrawGranted,
+    DrawRefused,
+    Neighbour,
+    PoolHolder,
+    ShareExchange,
+    ShareLender,
+    SlotKeeper,
+    SlotOwner,
+    SlotTable,
+    TeamLimit,
+)
+
+__all__ = ["WEIGHT_STORE", "LimitedInstance", "Limits"]
+
+WEIGHT_STORE = "weight-store"
+WEIGHT_STORE_RATE = 3.0
+WEIGHT_STORE_BURST = 8.0
+LEASE_S = 4.0
+AUTHORITY_S = 2.0
+RETENTION_S = 86400.0
+TICK_S = 0.25
+ASK_S = 1.0
+CALL_TIMEOUT_S = 0.25
+PATIENCE_S = 1.0
+
+
+class LimitedInstance:
+    """The limit cores of one run of one instance.
+
+    Parameters
+    ----------
+    instance : lab.deployments.Instance
+        The instance.
+    boot : str
+        Id of the run.
+    slots : list of str
+        Share slots of its data centre.
+    total_slots : int
+        Share slots of the fleet.
+    limits : dict of str to TeamLimit
+        By team, the weight store included.
+    now : float
+        The present time, in seconds.
+    """
+
+    def __init__(self, *, instance, boot, slots, total_slots, limits, now):
+        self.instance = instance
+        self.owner = SlotOwner(instance.name, boot)
+        self.table = SlotTable(retention=RETENTION_S)
+        self.next_offset = 0
+        self.keeper = SlotKeeper(
+            owner=self.owner,
+            slots=slots,
+            table=self.table,
+            authority=AUTHORITY_S,
+            lease=LEASE_S,
+            retention=RETENTION_S,
+            now=now,
+        )
+        prefix = f"{instance.name}/{boot}"
+        lender = ShareLender(owner=prefix, total_slots=total_slots, lease=LEASE_S)
+        for team, limit in limits.items():
+            lender.set_team(team, limit, now=now)
+        self.exchange = ShareExchange(
+            owner=self.owner,
+            keeper=self.keeper,
+            lender=lender,
+            pools=PoolHolder(holder=prefix, lease=LEASE_S),
+        )
+
+
+class Limits:
+    """The limits of all instances, and the messages between them.
+
+    Parameters
+    ----------
+    replay : lab.replay.Replay
+        Carries the messages.
+    view : lab.membership.View
+        Which instances each instance knows.
+    """
+
+    def __init__(self, *, replay, view):
+        self.replay = replay
+        self.view = view
+        self.log = StateLog(replay=replay)
+        self.running = {}
+        self.boots = 0
+        self.limits = {
+            team.name: TeamLimit(team.rate, team.burst)
+            for team in replay.deployment.teams
+        }
+        self.limits[WEIGHT_STORE] = TeamLimit(WEIGHT_STORE_RATE, WEIGHT_STORE_BURST)
+        self.slots = [
+            (f"slot-{number}", instance.data_centre)
+            for number, instance in enumerate(replay.deployment.instances)
+        ]
+
+    def start(self, instance):
+        """Start the cores of one instance.
+
+        Parameters
+        ----------
+        instance : lab.deployments.Instance
+            The instance.
+        """
+        self.boots += 1
+        cores = LimitedInstance(
+            instance=instance,
+            boot=f"boot-{self.boots}",
+            slots=[name for name, home in self.slots if home == instance.data_centre],
+            total_slots=len(self.slots),
+            limits=self.limits,
+            now=self.replay.now,
+        )
+        self.running[instance.name] = cores
+        self.replay.scheduler.call_later(0.0, self._tick, cores)
+        self.replay.scheduler.call_later(ASK_S * self.boots / 10, self._ask, cores)
+
+    def lose(self, instance):
+        """Forget all that a dead instance held."""
+        del self.running[instance.name]
+
+    def is_running(self, cores):
+        """Return whether this run of an instance still goes on."""
+        return self.running.get(cores.instance.name) is cores
+
+    def draw(self, instance, team, tokens, done, *, first_at=None):
+        """Charge a team through its pool.
+
+        Parameters
+        ----------
+        instance : lab.deployments.Instance
+            Where the request entered.
+        team : str
+            Whom to charge.
+        tokens : float
+            How much.
+        done : callable
+            Called with ``(holder, receipt)`` or ``(None, reason)``.
+        first_at : float or None
+            When it was tried first, in seconds.
+        """
+        cores = self.running.get(instance.name)
+        if cores is None:
+            return
+        first_at = self.replay.now if first_at is None else first_at
+        members = self.view.members(instance)
+        holder = cores.exchange.holder_of(team, members)
+        if holder == instance.name:
+            answer = cores.exchange.draw_pooled(team, tokens, now=self.replay.now)
+            self._take_draw(cores, team, tokens, done, first_at, holder, answer)
+            return
+        call = _Call(self.replay, instance, self.view.instance(holder))
+        call.run(
+            functools.partial(self._serve_draw, holder, team, tokens),
+            functools.partial(
+                self._take_draw, cores, team, tokens, done, first_at, holder
+            ),
+        )
+
+    def refund(self, instance, holder, team, receipt, tokens):
+        """Put back what a request did not use.
+
+        Parameters
+        ----------
+        instance : lab.deployments.Instance
+            Where the request entered.
+        holder : str
+            Instance that charged it.
+        team : str
+            Who was charged.
+        receipt : skylarkpost.limits.Receipt
+            Of the charge.
+        tokens : float
+            How much comes back.
+        """
+        home = self.view.instance(holder).data_centre
+        self.replay.send(
+            instance.data_centre, home, self._refund, holder, team, receipt, tokens
+        )
+
+    def _refund(self, holder, team, receipt, tokens):
+        cores = self.running.get(holder)
+        if cores is not None:
+            cores.exchange.refund(team, receipt, tokens, now=self.replay.now)
+
+    def _serve_draw(self, holder, team, tokens):
+        cores = self.running.get(holder)
+        if cores is None:
+            return _LOST
+        return cores.exchange.draw_pooled(team, tokens, now=self.replay.now)
+
+    def _take_draw(self, cores, team, tokens, done, first_at, holder, answer):
+        if not self.is_running(cores):
+            return
+        if isinstance(answer, DrawGranted):
+            done(holder, answer.receipt)
+            return
+        if isinstance(answer, DrawRefused):
+            done(None, "over-rate")
+            return
+        now = self.replay.now
+        receipt = cores.exchange.draw_at_home(team, tokens, now=now)
+        if receipt is not None:
+            done(cores.instance.name, receipt)
+        elif now - first_at < PATIENCE_S:
+            again = functools.partial(
+                self.draw, cores.instance, team, tokens, done, first_at=first_at
+            )
+            self.replay.scheduler.call_later(CALL_TIMEOUT_S, again)
+        else:
+            done(None, "limit-unreachable")
+
+    def _tick(self, cores):
+        if not self.is_running(cores):
+            return
+        now = self.replay.now
+        if self.replay.platform_reachable(cores.instance.data_centre):
+            self._read_log(cores, now)
+        neighbours = [
+            Neighbour(self.running[name].owner, now)
+            for name in self.view.neighbours(cores.instance)
+            if name in self.running
+        ]
+        commands = cores.keeper.tick(now, log_time=now, neighbours=neighbours)
+        for command in commands:
+            self._carry_out(cores, command)
+        self.replay.scheduler.call_later(TICK_S, self._tick, cores)
+
+    def _read_log(self, cores, now):
+        for record in self.log.records[cores.next_offset :]:
+            cores.table.apply(record.data, record.offset, record.time)
+        cores.next_offset = len(self.log.records)
+        cores.table.note_caught_up()
+        cores.keeper.note_log_read(now, now)
+
+    def _carry_out(self, cores, command):
+        home = cores.instance.data_centre
+        if isinstance(command, AppendRecord):
+            self.log.append(command.record, data_centre=home)
+            return
+        owner = command.owner
+        other = self.running.get(owner.instance) if owner else None
+        if other is not None and other.owner == owner:
+            other.keeper.yield_slot(command.slot, command.claim)
+            cores.keeper.note_yielded(command.slot, self.replay.now)
+
+    def _ask(self, cores):
+        if not self.is_running(cores):
+            return
+        members = self.view.members(cores.instance)
+        for lender in members:
+            ask = cores.exchange.ask_for(lender, members)
+            if ask is not None:
+                self._send_ask(cores, lender, ask)
+            returns = cores.exchange.returns_to(lender, members, now=self.replay.now)
+            self._send_returns(cores, lender, returns)
+        self.replay.scheduler.call_later(ASK_S, self._ask, cores)
+
+    def _send_ask(self, cores, lender, ask):
+        asked_at = self.replay.now
+        call = _Call(self.replay, cores.instance, self.view.instance(lender))
+        call.run(
+            functools.partial(self._serve_ask, lender, ask),
+            functools.partial(self._take_answer, cores, lender, asked_at),
+        )
+
+    def _serve_ask(self, lender, ask):
+        cores = self.running.get(lender)
+        if cores is None:
+            return _LOST
+        members = self.view.members(cores.instance)
+        return cores.exchange.answer(ask, members, now=self.replay.now)
+
+    def _take_answer(self, cores, lender, asked_at, answer):
+        if not self.is_running(cores) or answer is _LOST:
+            return
+        returns = cores.exchange.take_answer(
+            lender, answer, asked_at=asked_at, now=self.replay.now
+        )
+        self._send_returns(cores, lender, returns)
+
+    def _send_returns(self, cores, lender, returns):
+        home = cores.instance.data_centre
+        other = self.view.instance(lender).data_centre
+        for message in returns:
+            self.replay.send(home, other, self._take_return, lender, message)
+
+    def _take_return(self, lender, message):
+        cores = self.running.get(lender)
+        if cores is not None:
+            cores.exchange.take_return(message, now=self.replay.now)
+
+
+_LOST = object()
+
+
+class _Call:
+    """One call between two instances, with a timeout."""
+
+    def __init__(self, replay, caller, callee):
+        self.replay = replay
+        self.caller = caller
+        self.callee = callee
+        self.taken = False
+
+    def run(self, serve, take):
+        """Call `serve` there, then `take` here with its answer or `_LOST`."""
+        self.take = take
+        self.replay.scheduler.call_later(CALL_TIMEOUT_S, self._end, _LOST)
+        home, other = self.caller.data_centre, self.callee.data_centre
+        self.replay.send(home, other, self._serve, serve)
+
+    def _serve(self, serve):
+        answer = serve()
+        if answer is not _LOST:
+            home, other = self.caller.data_centre, self.callee.data_centre
+            self.replay.send(other, home, self._end, answer)
+
+    def _end(self, answer):
+        if not self.taken:
+            self.taken = True
+            self.take(answer)
