Judge former partners by the others, and end no boot by hearsay

An instance of another data centre that was heard once and was no partner any more stayed live for ever on its old proof of life; it is dropped now when the partnership ends. A restarted process whose clock was set back was refused for good when it came while the old boot still counted as live; it is taken once the old boot is silent. A list of a peer that told of a newer boot ended one that answered; the newer boot has to tell of itself. Being superseded ends when those who said so say otherwise or are forgotten.

--- a/skylarkpost/membership/core.py
+++ b/skylarkpost/membership/core.py
@@ -47,8 +47,6 @@
         Rises when `list` changes.
     leaving : bool
         Whether this instance leaves.
-    superseded : bool
-        Whether another boot has taken this one's place.
     """
 
     def __init__(self, *, instance, boot, address, data_centre, random):
@@ -58,9 +56,9 @@
         self.data_centre = data_centre
         self.random = random
         self.digests = DigestExchange()
-        self.roster = Roster(on_remove=self.digests.forget)
+        self.roster = Roster(on_remove=self._forget)
         self.leaving = False
-        self.superseded = False
+        self._superseded_by = set()
         # Another boot of this instance begins with another version.
         self.list_version = 1 + random.getrandbits(LIST_VERSION_BITS)
         self.list = ()
@@ -71,6 +69,11 @@
         self._judged_at = -JUDGE_INTERVAL_S
         self._judged_version = 0
 
+    @property
+    def superseded(self):
+        """Whether another boot has taken this one's place."""
+        return bool(self._superseded_by)
+
     def tick(self, *, now):
         """Return the heartbeats that are due.
 
@@ -111,7 +114,10 @@
             Whether it proves that the instance runs; late answers do not.
         """
         assert command.sent_at <= now, "an answer came before its heartbeat"
-        self.superseded = self.superseded or reply.superseded
+        if reply.superseded:
+            self._superseded_by.add(command.instance)
+        else:
+            self._superseded_by.discard(command.instance)
         record = self._settle(command)
         if record is None:
             return False
@@ -160,7 +166,8 @@
         newer = []
         if sender.instance == self.instance:
             replaced = is_newer_boot(self.boot, sender.boot)
-            self.superseded = self.superseded or not replaced
+            if not replaced:
+                self._superseded_by.add(sender.instance)
         else:
             record = self.roster.meet(sender, now=now)
             replaced = record is None and self.roster.is_dead(sender)
@@ -338,6 +345,10 @@
             return MemberState.LEAVING, heard_at
         return MemberState.LIVE, heard_at
 
+    def _forget(self, member):
+        self.digests.forget(member)
+        self._superseded_by.discard(member[0])
+
     def _forget_absent(self, now):
         for record in list(self.roster.records.values()):
             since = record.silent_since
--- a/skylarkpost/membership/partners.py
+++ b/skylarkpost/membership/partners.py
@@ -50,9 +50,14 @@
         for record in records:
             by_data_centre.setdefault(record.data_centre, []).append(record)
         self.within = by_data_centre.pop(self.data_centre, [])
+        before = self.between
         self.between = []
         for others in by_data_centre.values():
             self.between += self._choose(others, now)
+        chosen = {record.instance for record in self.between}
+        for record in before:
+            if record.instance not in chosen:
+                record.stop_hearing()
         self.interval_within = _interval(self.within, BEATS_PER_S_WITHIN)
         self.interval_between = _interval(self.between, BEATS_PER_S_BETWEEN)
 
--- a/skylarkpost/membership/record.py
+++ b/skylarkpost/membership/record.py
@@ -85,6 +85,13 @@
         if self.heard_at is None or at > self.heard_at:
             self.heard_at = at
 
+    def stop_hearing(self):
+        """Drop the proof of life; from now on others tell of this instance."""
+        self.awaited = None
+        if not self.is_unanswered:
+            self.heard_at = None
+            self.missed = 0
+
     def as_info(self, *, silent):
         """Return what is told to other instances of it.
 
--- a/skylarkpost/membership/roster.py
+++ b/skylarkpost/membership/roster.py
@@ -53,7 +53,8 @@
         Returns
         -------
         PeerRecord or None
-            None if another boot has taken its place.
+            None if another boot has taken its place, or a newer one is not
+            silent yet.
         """
         key = (info.instance, info.boot)
         if key in self.dead:
@@ -71,7 +72,6 @@
         if record.missed > MISSED_BEFORE_PROBE:
             # Its clock may have been set back; the other may also come again.
             return self._replace(record, info, now)
-        self._bury(key)
         return None
 
     def is_dead(self, info):
@@ -104,8 +104,9 @@
         if record is None:
             self._add(info, now)
         elif is_newer_boot(info.boot, record.boot):
-            self._bury(record.key)
-            self._replace(record, info, now)
+            # One that answers is replaced by what the new boot tells itself.
+            if record.is_unanswered:
+                self._replace(record, info, now)
         elif info.boot == record.boot:
             record.leaving = record.leaving or info.leaving
         elif record.is_unanswered and not info.boot:
--- a/tests/membership/simulation.py
+++ b/tests/membership/simulation.py
@@ -33,6 +33,7 @@
         self.cut = set()
         self.loss = 0.0
         self.longest_delay = 0.005
+        self.clock_error = 0.0
         self.listed = True
         self.unlisted = set()
         for name in self.places:
@@ -50,7 +51,7 @@
         self.now = end
 
     def start(self, name):
-        boot = f"{int((1000 + self.now) * 1000):x}-{next(self.order):04x}"
+        boot = f"{int((1000 + self.now + self.clock_error) * 1000):x}-{next(self.order):04x}"
         core = MembershipCore(
             instance=name,
             boot=boot,
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -70,6 +70,20 @@
     assert not new.core.superseded
 
 
+def test_a_restart_whose_clock_was_set_back_is_taken_once_the_old_boot_is_silent():
+    simulation = settled()
+    simulation.clock_error = -500.0
+    simulation.end("e-2")
+    simulation.run(0.2)
+    restarted = simulation.start("e-2").core
+    simulation.run(6.0)
+    for name in ("e-1", "e-3", "e-4"):
+        core = simulation.nodes[name].core
+        assert core.roster.records["e-2"].boot == restarted.boot
+        assert simulation.states(name)["e-2"] == "live"
+    assert not restarted.superseded
+
+
 def test_digests_go_out_once_and_again_to_a_new_boot():
     simulation = settled()
     digests = simulation.nodes["e-1"].core.digests
@@ -172,6 +186,40 @@
     assert list(simulation.states("a-0").values()).count("live") == 5
 
 
+def test_one_that_is_no_partner_any_more_is_judged_by_the_others():
+    places = {"a-0": "a"} | {f"b-{i}": "b" for i in range(5)}
+    simulation = Simulation(places)
+    simulation.run(5.0)
+    core = simulation.nodes["a-0"].core
+    best = core.partners.between[0].instance
+    before = {r.instance for r in core.partners.between}
+    simulation.end(best)
+    simulation.run(5.0)
+    (substitute,) = {r.instance for r in core.partners.between} - before
+    simulation.restart(best)
+    simulation.run(15.0)
+    assert {r.instance for r in core.partners.between} == before
+    assert set(simulation.states("a-0").values()) == {"live"}
+    simulation.end(substitute)
+    simulation.run(5.0)
+    assert simulation.states("a-0")[substitute] == "silent"
+    simulation.restart(substitute)
+    simulation.run(5.0)
+    assert simulation.states("a-0")[substitute] == "live"
+    boots = {m.instance: m.boot for m in core.members()}
+    assert boots[substitute] == simulation.nodes[substitute].core.boot
+
+
+def test_hearsay_of_a_newer_boot_ends_none_that_answers():
+    simulation = settled()
+    core = simulation.nodes["e-1"].core
+    known = core.roster.records["e-2"].as_info(silent=False)
+    core.roster.hear_of(known._replace(boot="ffffffff-0"), now=simulation.now)
+    simulation.run(2.0)
+    assert simulation.states("e-1")["e-2"] == "live"
+    assert core.roster.records["e-2"].boot == known.boot
+
+
 FAULT = st.one_of(
     st.tuples(st.just("restart"), st.sampled_from(sorted(PLACES)), st.none()),
     st.tuples(st.just("replace"), st.sampled_from(sorted(PLACES)), st.floats(0.3, 8.0)),
