Write the operators' guide and hold it to the code

Cause: an instance that did not know the configuration yet refused valid keys as unknown, found while listing the refusals; it now says that it is not ready.

Ruled out: a hand-written page of settings; it is generated from the schema and a test compares the two. Events and refusals are compared by name.

--- a/skylarkpost/frontend/identify.py
+++ b/skylarkpost/frontend/identify.py
@@ -7,6 +7,8 @@
 
 __all__ = ["IdentifyFilter"]
 
+NOT_READY_RETRY_S = 1.0
+
 
 @register_filter("identify", order=10)
 class IdentifyFilter(Filter):
@@ -20,6 +22,12 @@
                 message="This instance is shutting down; send the request again.",
                 retry_after=0.0,
             )
+        if not self.services.controllers["config"].is_ready():
+            return Refused(
+                reason=Reason.NOT_READY,
+                message="This instance does not know the configuration yet.",
+                retry_after=NOT_READY_RETRY_S,
+            )
         if exchange.headers.get("content-encoding", "identity") != "identity":
             return _bad("Compressed request bodies are not accepted.")
         if find_key_in(
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,48 @@
+"""Holds the operators' pages to what the code does."""
+
+import pathlib
+import re
+
+import pytest
+
+from skylarkpost.outcomes import Reason
+from skylarkpost.settings.reference import settings_reference
+
+ROOT = pathlib.Path(__file__).parent.parent
+OPERATORS = ROOT / "docs" / "operators"
+EVENT = re.compile(r'log_event\(\s*logger,\s*(f?)"([^"]+)"')
+
+
+def logged_events():
+    found = set()
+    for path in (ROOT / "skylarkpost").rglob("*.py"):
+        for formatted, name in EVENT.findall(path.read_text()):
+            found.add(name.split("{")[0] if formatted else name)
+    return found
+
+
+def test_the_page_of_settings_is_the_schema():
+    assert (OPERATORS / "settings.md").read_text() == settings_reference()
+
+
+def test_each_event_is_described():
+    text = (OPERATORS / "events.md").read_text()
+    missing = [name for name in sorted(logged_events()) if f"`{name}" not in text]
+    assert missing == []
+
+
+@pytest.mark.parametrize("reason", list(Reason))
+def test_each_refusal_is_described(reason):
+    text = (OPERATORS / "refusals.md").read_text()
+    assert f"| `{reason}` | {reason.status} |" in text
+
+
+def test_links_between_pages_lead_somewhere():
+    link = re.compile(r"\]\(([^)#:]+)")
+    broken = [
+        (page.name, target)
+        for page in [*ROOT.glob("*.md"), *(ROOT / "docs").rglob("*.md")]
+        for target in link.findall(page.read_text())
+        if not (page.parent / target).exists()
+    ]
+    assert broken == []
