Ask the log or a peer again after a pause, before keys are judged

A process that comes back from a pause may deal with requests before it has read of a withdrawal. All requests share one read; without an answer in 2 s the instance goes on. Taking the check out fails tests/config/test_controller.py.

--- a/skylarkpost/config/controller.py
+++ b/skylarkpost/config/controller.py
@@ -7,6 +7,7 @@
 from skylarkpost.config.peers import ConfigService
 from skylarkpost.config.replica import ConfigReplica
 from skylarkpost.config.restating import Restater, choose_restater
+from skylarkpost.config.resume_guard import ResumeGuard
 from skylarkpost.config.verdicts import Invalid
 from skylarkpost.config.withdrawals import WithdrawalWatch
 from skylarkpost.daemon.controllers import Controller, register_controller
@@ -55,6 +56,9 @@
         )
         self.follower.subscribe(None, self._take)
         self.learner = PeerLearner(services=services, replica=self.replica)
+        self.resume_guard = ResumeGuard(
+            services=services, replica=self.replica, learner=self.learner
+        )
         self.restater = Restater(
             writer=services.instance,
             retention=services.settings.platform.log_retention,
@@ -124,6 +128,11 @@
         profiles = self.store.tables["profile"].items_with(team)
         return sorted(profile for profile in profiles if team in profile.teams)
 
+    async def confirm_after_pause(self):
+        """Return once the configuration is up to date after a pause, if any."""
+        await self.resume_guard.confirm()
+        self.follower.skip_to(self.replica.next_offset)
+
     async def tick(self):
         """Look after what no record drives; called every `TICK_S`."""
         now = self.services.clock()
--- a/skylarkpost/config/key_filter.py
+++ b/skylarkpost/config/key_filter.py
@@ -13,7 +13,9 @@
 
     async def apply(self, exchange):
         """Judge the key of one request. See `Filter.apply`."""
-        store = self.services.controllers["config"].store
+        config = self.services.controllers["config"]
+        await config.confirm_after_pause()
+        store = config.store
         key = store.key(exchange.key_hash) if exchange.key_hash else None
         if key is not None and not key.withdrawn:
             exchange.team = key.team
--- /dev/null
+++ b/skylarkpost/config/resume_guard.py
@@ -0,0 +1,111 @@
+"""Brings the configuration up to date after the process was paused."""
+
+import asyncio
+import logging
+
+from skylarkpost.config.peers import read_from_peer
+from skylarkpost.eventlog import log_event
+from skylarkpost.platform import LogUnavailable
+from skylarkpost.rpc import CallFailed
+
+__all__ = ["ResumeGuard"]
+
+logger = logging.getLogger(__name__)
+
+CONFIG_STREAM = "config"
+CONFIRM_TIMEOUT_S = 2.0
+NEVER_S = float("-inf")
+
+
+class ResumeGuard:
+    """Holds requests after a pause until the log or a peer was asked again.
+
+    A paused process does not see withdrawals, and may deal with requests that
+    arrived meanwhile before it has read them.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        The log and the channels to peers.
+    replica : ConfigReplica
+        This instance's copy.
+    learner : PeerLearner
+        Knows the membership.
+    """
+
+    def __init__(self, *, services, replica, learner):
+        self.services = services
+        self.replica = replica
+        self.learner = learner
+        self.confirmed_at = NEVER_S
+        self._reading = None
+
+    async def confirm(self):
+        """Return once the configuration is confirmed since the last pause.
+
+        Notes
+        -----
+        If neither the log nor a peer answers within `CONFIRM_TIMEOUT_S`, the
+        instance goes on with what it has, as it does without a pause.
+        """
+        membership = self.learner.membership
+        resumed_at = None if membership is None else membership.last_resumed_at
+        if resumed_at is None or resumed_at <= self.confirmed_at:
+            return
+        if self._reading is None:
+            self._reading = asyncio.create_task(self._read_in_time())
+        await asyncio.shield(self._reading)
+
+    async def _read_in_time(self):
+        started_at = self.services.clock()
+        source = None
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                source = await self._read_log() or await self._read_peers()
+        except TimeoutError:
+            self.services.metrics.count_event("config-unconfirmed-after-pause")
+        finally:
+            self.confirmed_at = started_at
+            self._reading = None
+        log_event(
+            logger,
+            "config-confirmed-after-pause",
+            source=source or "nothing",
+            applied_offset=self.replica.applied_offset,
+        )
+
+    async def _read_log(self):
+        while True:
+            wanted = self.replica.next_offset
+            answer = await self.services.log.read(
+                CONFIG_STREAM, from_offset=wanted, wait=0.0
+            )
+            if isinstance(answer, LogUnavailable) or answer.first_offset > wanted:
+                return None
+            self._take(answer.records)
+            if self.replica.next_offset >= answer.next_offset:
+                return "log"
+
+    async def _read_peers(self):
+        now = self.services.clock()
+        for instance, member in self.learner.reachable(now).items():
+            answer = await read_from_peer(
+                self.services.peers,
+                member.address,
+                from_offset=self.replica.next_offset,
+                snapshot=False,
+            )
+            if isinstance(answer, CallFailed):
+                continue
+            self._take(answer.records)
+            if answer.snapshot is not None:
+                self.replica.take_snapshot(answer.snapshot, now=now)
+            return instance
+        return None
+
+    def _take(self, records):
+        now = self.services.clock()
+        for record in records:
+            self.replica.take(
+                record=record.data, offset=record.offset, time=record.time, now=now
+            )
--- a/tests/config/test_controller.py
+++ b/tests/config/test_controller.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 import random
 import types
@@ -62,6 +63,7 @@
         self.members = []
         self.published = {}
         self.callbacks = {}
+        self.last_resumed_at = None
 
     def reachable(self, now):
         return list(self.members)
@@ -214,6 +216,35 @@
     assert controller.follower.applied_offset == 3
 
 
+async def test_after_a_pause_the_log_is_asked_before_a_key_is_judged(log):
+    membership = FakeMembership()
+    controller = make_controller(log, membership=membership)
+    log.publish("depot", {"rate": 10.0, "burst": 100.0})
+    await read_to_end(controller)
+    log.publish("depot", None)
+    await controller.confirm_after_pause()
+    assert controller.store.team("depot") is not None
+    membership.last_resumed_at = controller.services.clock()
+    await asyncio.gather(*(controller.confirm_after_pause() for _ in range(3)))
+    assert controller.store.team("depot") is None
+    assert controller.follower.applied_offset == 2
+    log.publish("depot", {"rate": 10.0, "burst": 100.0})
+    await controller.confirm_after_pause()
+    assert controller.store.team("depot") is None
+
+
+async def test_after_a_pause_without_the_log_a_peer_is_asked(log, pair):
+    controller, peer = pair
+    await read_to_end(peer)
+    await read_to_end(controller)
+    log.publish("depot", {"rate": 10.0, "burst": 100.0})
+    await read_to_end(peer)
+    membership = controller.services.controllers["membership"]
+    membership.last_resumed_at = controller.services.clock()
+    await controller.confirm_after_pause()
+    assert controller.store.team("depot") is not None
+
+
 async def test_items_are_restated_before_the_log_forgets_them(log):
     controller = make_controller(log)
     log.publish("depot", {"rate": 10.0, "burst": 100.0})
--- a/tests/config/test_filters.py
+++ b/tests/config/test_filters.py
@@ -19,18 +19,28 @@
 ]
 
 
+class FakeConfig:
+    """A store that is always up to date."""
+
+    def __init__(self):
+        self.store = ConfigStore()
+
+    async def confirm_after_pause(self):
+        pass
+
+
 @pytest.fixture
 def services():
-    store = ConfigStore()
+    config = FakeConfig()
     services = types.SimpleNamespace(
-        controllers={"config": types.SimpleNamespace(store=store)},
+        controllers={"config": config},
         exchanges={},
         metrics=Metrics(),
         settings=types.SimpleNamespace(
             requests=types.SimpleNamespace(default_max_tokens=256)
         ),
     )
-    store.subscribe("key", WithdrawalWatch(services=services).note_key_change)
+    config.store.subscribe("key", WithdrawalWatch(services=services).note_key_change)
     for kind, name, body in ITEMS:
         publish(services, kind, name, body)
     return services
