--- a/skylarkpost/limits/__init__.py
+++ b/skylarkpost/limits/__init__.py
@@ -1,24 +1,15 @@
 """Rate and burst of teams over all instances together."""
 
+from skylarkpost.limits.asks import Ask, AskAnswer, Return, TeamGrant, TeamLease
 from skylarkpost.limits.bucket import Receipt, TokenBucket
-from skylarkpost.limits.exchange import (
-    Ask,
-    AskAnswer,
-    Return,
-    ShareExchange,
-    TeamGrant,
-    TeamLease,
-)
-from skylarkpost.limits.keeper import (
-    AppendRecord,
-    AskToYield,
-    Neighbour,
-    SlotKeeper,
-)
-from skylarkpost.limits.lender import Grant, ShareLender, SlotShare, TeamLimit
+from skylarkpost.limits.commands import AppendRecord, AskToYield, Neighbour
+from skylarkpost.limits.exchange import ShareExchange
+from skylarkpost.limits.keeper import SlotKeeper
+from skylarkpost.limits.lender import ShareLender
 from skylarkpost.limits.permits import LoadPermit, LoadPermits, LoadWait
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
 from skylarkpost.limits.rendezvous import choose_instance
+from skylarkpost.limits.shares import Grant, SlotShare, TeamLimit
 from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotState, SlotTable, Succession
 
 __all__ = [
--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -5,14 +5,16 @@
 
 from skylarkpost.daemon.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
+from skylarkpost.limits.borrowing import PEER_TIMEOUT_S, Borrower
+from skylarkpost.limits.commands import AppendRecord, Neighbour
 from skylarkpost.limits.exchange import ShareExchange
-from skylarkpost.limits.keeper import AppendRecord, Neighbour, SlotKeeper
-from skylarkpost.limits.lender import ShareLender, TeamLimit
+from skylarkpost.limits.keeper import SlotKeeper
+from skylarkpost.limits.lender import ShareLender
 from skylarkpost.limits.loading import acquire_load_permit
-from skylarkpost.limits.messages import decode_answer, encode_ask, encode_return
 from skylarkpost.limits.permits import WEIGHT_STORE, LoadPermits
 from skylarkpost.limits.pool import PoolHolder
 from skylarkpost.limits.service import LimitsServicer
+from skylarkpost.limits.shares import TeamLimit
 from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotTable
 from skylarkpost.platform import BackgroundTask
 from skylarkpost.rpc import CallFailed, call_peer, limits_pb2, limits_pb2_grpc
@@ -22,7 +24,6 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
-PEER_TIMEOUT_S = 0.5
 MAX_TASKS = 2000
 RECORD_TYPES = ("slot-claim", "slot-confirm", "slot-release")
 LIVE = "live"
@@ -84,8 +85,7 @@
         self.core.lender.set_team(
             WEIGHT_STORE, self.permits.limit, now=services.clock()
         )
-        self.asked_members = ()
-        self.asked_at = float("-inf")
+        self.borrower = Borrower(controller=self, renewal=self.settings.renewal)
         self.logged_slots = frozenset()
         self.task = BackgroundTask(name="limits")
         self.tasks = set()
@@ -106,7 +106,7 @@
         self.core.leaving = True
         # The peers have to choose other pool holders before anything else.
         await self.services.controllers["membership"].leave()
-        self._return_shares()
+        self.borrower.return_shares()
         deadline = self.services.clock() + self.settings.lease * 2
         while self._is_lending() and self.services.clock() < deadline:
             await asyncio.sleep(TICK_S)
@@ -166,11 +166,22 @@
         own = self.services.instance
         return sorted(
             member.instance
-            for member in self._reachable()
+            for member in self.reachable()
             if member.state == LIVE
             and not (self.core.leaving and member.instance == own)
         )
 
+    def reachable(self):
+        """Return the instances that can be reached, also those that leave.
+
+        Returns
+        -------
+        list of skylarkpost.membership.Member
+        """
+        membership = self.services.controllers["membership"]
+        members = membership.members(self.services.clock())
+        return [member for member in members if member.state in REACHABLE]
+
     def address_of(self, instance):
         """Return the peer address of a reachable instance.
 
@@ -183,7 +194,7 @@
         -------
         str or None
         """
-        for member in self._reachable():
+        for member in self.reachable():
             if member.instance == instance:
                 return member.address
         return None
@@ -255,19 +266,13 @@
         for command in commands:
             self._carry_out(command)
         self._log_slots()
-        candidates = tuple(self.candidates())
-        is_due = now - self.asked_at >= self.settings.renewal
-        if is_due or candidates != self.asked_members:
-            self.asked_at = now
-            self.asked_members = candidates
-            self._return_shares()
-            self._ask_all(candidates)
+        self.borrower.tick(now)
 
     def _carry_out(self, command):
         if isinstance(command, AppendRecord):
             self.keep_task(self._append(command))
             return
-        for member in self._reachable():
+        for member in self.reachable():
             if command.owner.instance in (ANYONE.instance, member.instance):
                 self.keep_task(self._ask_to_yield(member, command))
 
@@ -293,55 +298,6 @@
             now = self.services.clock()
             self.keeper.note_yielded(command.slot, command.owner, now)
 
-    def _ask_all(self, candidates):
-        for member in self._reachable():
-            ask = self.core.ask_for(member.instance, candidates)
-            if ask is None:
-                continue
-            if member.instance == self.services.instance:
-                self._ask_self(ask, candidates)
-            else:
-                self.keep_task(self._ask_peer(member, ask))
-
-    def _ask_self(self, ask, candidates):
-        now = self.services.clock()
-        answer = self.core.answer(ask, candidates, now=now)
-        for returned in self.core.take_answer(
-            self.services.instance, answer, asked_at=now, now=now
-        ):
-            self.core.take_return(returned, now=now)
-
-    async def _ask_peer(self, member, ask):
-        asked_at = self.services.clock()
-        stub = self._stub(member.address)
-        reply = await call_peer(stub.Lend, encode_ask(ask), timeout=PEER_TIMEOUT_S)
-        if isinstance(reply, CallFailed):
-            self.services.metrics.count_event("limit-lend-failed")
-            return
-        returns = self.core.take_answer(
-            member.instance,
-            decode_answer(reply),
-            asked_at=asked_at,
-            now=self.services.clock(),
-        )
-        for returned in returns:
-            self.keep_task(self._send_return(member.address, returned))
-
-    def _return_shares(self):
-        candidates = self.candidates()
-        for member in self._reachable():
-            now = self.services.clock()
-            for returned in self.core.returns_to(member.instance, candidates, now=now):
-                if member.instance == self.services.instance:
-                    self.core.take_return(returned, now=now)
-                else:
-                    self.keep_task(self._send_return(member.address, returned))
-
-    async def _send_return(self, address, returned):
-        request = encode_return(returned)
-        stub = self._stub(address)
-        await call_peer(stub.ReturnShare, request, timeout=PEER_TIMEOUT_S)
-
     def _set_team(self, team, now):
         if team is not None:
             limit = TeamLimit(team.rate, team.burst)
@@ -370,10 +326,5 @@
             if m.instance != self.services.instance and m.last_heard_at is not None
         ]
 
-    def _reachable(self):
-        membership = self.services.controllers["membership"]
-        members = membership.members(self.services.clock())
-        return [member for member in members if member.state in REACHABLE]
-
     def _stub(self, address):
         return limits_pb2_grpc.LimitsStub(self.services.peers.get(address))
--- a/skylarkpost/limits/keeper.py
+++ b/skylarkpost/limits/keeper.py
@@ -1,13 +1,14 @@
 """Decides which share slots this instance claims, uses and confirms."""
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
-from skylarkpost.limits.lender import CLOCK_MARGIN, SlotShare
+from skylarkpost.limits.commands import AppendRecord, AskToYield
+from skylarkpost.limits.lender import CLOCK_MARGIN
 from skylarkpost.limits.rendezvous import choose_instance
-from skylarkpost.limits.slots import SlotOwner, Succession
+from skylarkpost.limits.shares import SlotShare
+from skylarkpost.limits.slots import Succession
 
-__all__ = ["AppendRecord", "AskToYield", "Neighbour", "SlotKeeper"]
+__all__ = ["SlotKeeper"]
 
 NEVER = float("-inf")
 # An append without an answer is given up on after this long.
@@ -22,53 +23,6 @@
 LEND_MARGIN_S = 1.0
 
 
-class Neighbour(NamedTuple):
-    """Another instance of the same data centre, as it was last heard of.
-
-    Attributes
-    ----------
-    owner : SlotOwner
-        Instance and boot.
-    last_heard_at : float
-        When its last message came, in seconds.
-    """
-
-    owner: SlotOwner
-    last_heard_at: float
-
-
-@dataclass(frozen=True, kw_only=True)
-class AppendRecord:
-    """Command: append a record to the `state` stream.
-
-    Parameters
-    ----------
-    record : SlotRecord
-        The record.
-    """
-
-    record: dict
-
-
-@dataclass(frozen=True, kw_only=True)
-class AskToYield:
-    """Command: tell the former owner that its slot has been claimed.
-
-    Parameters
-    ----------
-    owner : SlotOwner
-        The former owner; `ANYONE` stands for all instances of the data centre.
-    slot : str
-        The slot.
-    claim : int
-        Offset of the claim that replaced its own.
-    """
-
-    owner: SlotOwner
-    slot: str
-    claim: int
-
-
 @dataclass(kw_only=True)
 class _Pending:
     """A claimed slot that others may still use under earlier claims."""
--- a/skylarkpost/limits/messages.py
+++ b/skylarkpost/limits/messages.py
@@ -1,9 +1,9 @@
 """Turns the messages of the limits core into protobuf and back."""
 
+from skylarkpost.limits.asks import Ask, AskAnswer, Return, TeamGrant, TeamLease
 from skylarkpost.limits.bucket import Receipt
-from skylarkpost.limits.exchange import Ask, AskAnswer, Return, TeamGrant, TeamLease
-from skylarkpost.limits.lender import Grant
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares
+from skylarkpost.limits.shares import Grant
 from skylarkpost.limits.slots import SlotOwner
 from skylarkpost.rpc import limits_pb2
 
--- a/skylarkpost/limits/permits.py
+++ b/skylarkpost/limits/permits.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from skylarkpost.limits.bucket import Receipt
-from skylarkpost.limits.lender import TeamLimit
 from skylarkpost.limits.pool import DrawRefused, NoShares
+from skylarkpost.limits.shares import TeamLimit
 
 __all__ = ["WEIGHT_STORE", "LoadPermit", "LoadPermits", "LoadWait"]
 
