Count what a load costs the others when a target is chosen

Cause: adapters were loaded where their hash put them, also where every slot held something worth more than elsewhere. A summary now tells the demand for the adapter that would leave next, and a load away from home or over a wanted adapter is charged in the score. Prompt prefixes are told apart by adapter, since engines share no cache between adapters.

--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -230,6 +230,7 @@
             outstanding=self._outstanding(summary, sent),
             is_resident=is_resident,
             home_rank=home_rank,
+            victim_worth=0.0 if summary is None else summary.victim_worth,
         )
 
     def _is_older(self, summary, known, now):
--- a/skylarkpost/placement/scores.py
+++ b/skylarkpost/placement/scores.py
@@ -28,6 +28,8 @@
         Whether the adapter is resident, or on its way by our own request.
     home_rank : int
         Rank of the target by rendezvous hash for the adapter; 0 is its home.
+    victim_worth : float
+        Decayed count of requests for the adapter that a load would replace.
     """
 
     target: str
@@ -38,6 +40,7 @@
     outstanding: int
     is_resident: bool
     home_rank: int
+    victim_worth: float
 
 
 def register_score(name):
@@ -82,17 +85,26 @@
 def first_token(view):
     """Return the expected time to the first token.
 
-    A target that is not the adapter's home is charged a part of what the
-    additional copy costs the others: a slot and a load.
+    A load also costs the others: a copy away from the adapter's home takes a
+    slot more, and the adapter that leaves has to be loaded again by those who
+    want it.
     """
     wait = view.queue_wait + view.load_wait + view.prefill + view.distance
     if not view.is_resident:
-        wait += AWAY_PENALTY_S * min(view.home_rank, MAX_PENALISED_RANK)
+        wait += _cost_to_others(view)
     return (wait, view.home_rank)
 
 
-AWAY_PENALTY_S = 0.25
+def _cost_to_others(view):
+    away = AWAY_PENALTY_S * min(view.home_rank, MAX_PENALISED_RANK)
+    victim = VICTIM_PENALTY_S * min(view.victim_worth, MAX_PENALISED_WORTH)
+    return away + victim
+
+
+AWAY_PENALTY_S = 0.6
+VICTIM_PENALTY_S = 0.6
 MAX_PENALISED_RANK = 4
+MAX_PENALISED_WORTH = 5.0
 
 
 @register_score("least-loaded")
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -340,12 +340,14 @@
 
     def _placement_request(self, exchange):
         profile = exchange.profile
+        lora_name = lora_name_of(profile)
+        prompt = prompt_text(exchange.content)
         return PlacementRequest(
-            lora_name=lora_name_of(profile),
+            lora_name=lora_name,
             needs_adapter=bool(profile.adapter),
             urgency=profile.urgency,
             prompt_tokens=exchange.prompt_tokens,
-            preamble=preamble_hash(prompt_text(exchange.content)),
+            preamble=preamble_hash(f"{lora_name}\n{prompt}"),
         )
 
     def _engines(self):
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -258,6 +258,24 @@
         """
         self.wanted = list(lora_names)[: self.residency.slots]
 
+    def victim_worth(self, now):
+        """Return the demand for the adapter that would leave next.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Decayed count of its requests; 0 if a slot is free.
+        """
+        if self.residency.free_slots():
+            return 0.0
+        usable = self.residency.usable()
+        return min((self.demand.value(name, now) for name in usable), default=0.0)
+
     def usage(self, lora_name, now):
         """Return what the eviction policy knows of an adapter.
 
--- a/skylarkpost/stewardship/summary.py
+++ b/skylarkpost/stewardship/summary.py
@@ -39,6 +39,9 @@
         Expected seconds until one more adapter is resident.
     free_slots : int
         Slots that nothing takes.
+    victim_worth : float
+        Decayed count of requests for the adapter that would leave next; 0 if
+        a slot is free.
     made_at : float
         Seconds of the steward's clock.
     resident : frozenset of int
@@ -58,6 +61,7 @@
     service_time: float
     load_wait: float
     free_slots: int
+    victim_worth: float
     made_at: float
     resident: frozenset[int]
 
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -27,6 +27,7 @@
         "service_time": 2.0,
         "load_wait": 0.6,
         "free_slots": 1,
+        "victim_worth": 0.0,
         "made_at": 0.0,
         "resident": frozenset(),
     }
@@ -58,6 +59,14 @@
     assert made.rank(REQUEST, ENGINES, 1.1)[0][0] != "e-3"
 
 
+def test_a_load_goes_where_the_adapter_that_leaves_is_worth_least():
+    home = rendezvous_order("a@1", [e.name for e in ENGINES])[0]
+    worths = {e.name: 4.0 for e in ENGINES} | {"e-2": 0.1}
+    made = placer(*(summary(e.name, victim_worth=worths[e.name]) for e in ENGINES))
+    assert home != "e-2"
+    assert made.rank(REQUEST, ENGINES, 0.1)[0][0] == "e-2"
+
+
 def test_one_stale_report_of_an_idle_target_does_not_draw_every_request():
     made = placer(*(summary(e.name, room=2) for e in ENGINES))
     chosen = []
