--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -7,6 +7,7 @@
 import random
 
 from skylarkpost.limits import (
+    ANYONE,
     AppendRecord,
     DrawGranted,
     Neighbour,
@@ -92,6 +93,7 @@
             fleet.now, log_time=fleet.now, neighbours=neighbours
         )
         self.core.sync(fleet.now)
+        fleet.note_slots()
         for command in commands:
             if isinstance(command, AppendRecord):
                 fleet.append(self, command.record)
@@ -100,13 +102,15 @@
 
     def ask_to_yield(self, command):
         for other in list(self.fleet.nodes.values()):
-            if other.owner == command.owner:
+            if command.owner in (other.owner, ANYONE) and other.dc == self.dc:
                 self.fleet.send(self, other, lambda o=other: self._yield_at(o, command))
 
     def _yield_at(self, other, command):
         other.keeper.yield_slot(command.slot, command.claim)
         self.fleet.send(
-            other, self, lambda: self.keeper.note_yielded(command.slot, self.fleet.now)
+            other,
+            self,
+            lambda: self.keeper.note_yielded(command.slot, other.owner, self.fleet.now),
         )
 
     def read_log(self):
@@ -268,6 +272,8 @@
             self.at(self.now + self.random.uniform(5, 100), None, self._striker(kind))
 
     def start(self, name):
+        if name in self.nodes and not self.nodes[name].dead:
+            return
         self.nodes[name] = Node(self, name, next(self.boots))
 
     def change_limits(self, part):
@@ -332,7 +338,7 @@
         Unlike the history of admissions, this notices minted tokens at once,
         whether or not they are spent.
         """
-        self._note_slots()
+        self.note_slots()
         for team, limit in self.limits.items():
             tokens = sum(node.tokens(team) for node in self.nodes.values())
             tokens += self.in_flight[team] + self.charged[team]
@@ -343,7 +349,7 @@
             assert surplus <= highest + 1e-3, f"{surplus - highest:.1f} tokens minted"
             self.highest[team] = surplus
 
-    def _note_slots(self):
+    def note_slots(self):
         for node in self.nodes.values():
             for slot, share in node.core.lender.slots.items():
                 if (slot, share.claim) not in self.seen_shares:
