--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -6,9 +6,8 @@
 
 from skylarkpost.eventlog import log_event
 from skylarkpost.outcomes import Reason, Refused, RunState
-from skylarkpost.rpc import CallFailed, stewardship_pb2_grpc
+from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
 from skylarkpost.rpc import stewardship_pb2 as pb
-from skylarkpost.stewardship.calls import call_steward
 from skylarkpost.stewardship.holder import Ticket
 from skylarkpost.stewardship.messages import GrantTicket, RefuseTicket, TicketRequest
 from skylarkpost.stewardship.wire import (
@@ -246,7 +245,7 @@
         peers = self.services.peers
         stub = stewardship_pb2_grpc.StewardshipStub(peers.get(steward.address))
         ask = ask_to_wire(request, target.name, now)
-        answer = await call_steward(stub.RequestTicket, ask, timeout=ASK_TIMEOUT_S)
+        answer = await call_peer(stub.RequestTicket, ask, timeout=ASK_TIMEOUT_S)
         if isinstance(answer, CallFailed):
             peers.renew(steward.address)
             return answer
@@ -337,9 +336,7 @@
                 certain=each.certain,
             )
         stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
-        answer = await call_steward(
-            stub.ReturnTickets, message, timeout=BATCH_TIMEOUT_S
-        )
+        answer = await call_peer(stub.ReturnTickets, message, timeout=BATCH_TIMEOUT_S)
         if isinstance(answer, CallFailed):
             self.services.peers.renew(address)
         else:
@@ -348,7 +345,7 @@
     async def _send_renewals(self, address, instance, messages):
         sent_at = self.services.clock()
         stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
-        answer = await call_steward(
+        answer = await call_peer(
             stub.RenewTickets,
             pb.TicketRenewals(tickets=messages),
             timeout=BATCH_TIMEOUT_S,
--- a/skylarkpost/stewardship/keeper.py
+++ b/skylarkpost/stewardship/keeper.py
@@ -5,8 +5,7 @@
 
 from skylarkpost.eventlog import log_event
 from skylarkpost.platform import Appended
-from skylarkpost.rpc import CallFailed, stewardship_pb2_grpc
-from skylarkpost.stewardship.calls import call_steward
+from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
 from skylarkpost.stewardship.election import ClaimTarget
 from skylarkpost.stewardship.seat import StewardSeat
 from skylarkpost.stewardship.steward import Powers, TargetSteward
@@ -253,9 +252,7 @@
         stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
         deadline = self.services.clock() + HAND_OVER_PATIENCE_S
         while self.services.clock() < deadline:
-            answer = await call_steward(
-                stub.HandOver, book, timeout=HAND_OVER_TIMEOUT_S
-            )
+            answer = await call_peer(stub.HandOver, book, timeout=HAND_OVER_TIMEOUT_S)
             if not isinstance(answer, CallFailed) and answer.taken:
                 return
             await asyncio.sleep(LEAVE_POLL_S)
