Date load reports by the engine's uptime

Cause: how old a report may be was a setting; an engine that lags more would have had idle adapters proved by reports from before their last use.

Ruled out: to subtract the round trip from each report; it bounds when it was handed out, not when it was taken.

Conclusion: where the engine tells its uptime, a report of any age is dated; the setting remains for engines that do not.

--- a/skylarkpost/stewardship/residency.py
+++ b/skylarkpost/stewardship/residency.py
@@ -211,6 +211,21 @@
         adapter = self.adapters.get(lora_name)
         return None if adapter is None else adapter.idle_at
 
+    def note_uptime(self, boot, uptime, *, asked_at):
+        """Note how long a run of the engine has lasted; dates its reports.
+
+        Parameters
+        ----------
+        boot : str
+            The run.
+        uptime : float
+            Seconds since its start, without a lag.
+        asked_at : float
+            When the engine was asked, in seconds of the own clock.
+        """
+        if boot == self.boot:
+            self._clock.note_uptime(uptime, asked_at=asked_at)
+
     def apply_report(self, report, *, now):
         """Take in a load report.
 
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -19,6 +19,7 @@
     OrderDone,
     OrderFailed,
     OrderRefused,
+    TargetHealth,
 )
 
 __all__ = ["StewardSeat"]
@@ -30,6 +31,7 @@
 UNLOAD_TIMEOUT_S = 1.5
 LOAD_TIMEOUT_S = 30.0
 PERMIT_RETRY_S = 0.2
+UPTIME_INTERVAL_S = 60.0
 FENCE_NAME = "skylarkpost-fence@0"
 STALE = "stale-fencing-number"
 
@@ -71,6 +73,8 @@
         self.silent_since = None
         self.predecessor = None
         self.last_summary = None
+        self.uptime_boot = None
+        self.uptime_at = None
         self.tasks = set()
         self.closed = False
         self._waiters = {}
@@ -208,6 +212,19 @@
                 target=self.steward.target.name,
                 boot=self.steward.boot,
             )
+        await self._ask_uptime(report.boot)
+
+    async def _ask_uptime(self, boot):
+        is_known = boot == self.uptime_boot
+        if is_known and self.clock() - self.uptime_at < UPTIME_INTERVAL_S:
+            return
+        health = await self.engines.health(self.steward.target.address)
+        if isinstance(health, TargetHealth) and health.uptime is not None:
+            self.uptime_boot = health.boot
+            self.uptime_at = health.answered_at
+            self.steward.slots.residency.note_uptime(
+                health.boot, health.uptime, asked_at=health.asked_at
+            )
 
     def carry_out(self, commands):
         """Carry out what the steward decided.
