--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -5,7 +5,6 @@
 
 from skylarkpost.outcomes import Reason
 from skylarkpost.stewardship.demand import Demand
-from skylarkpost.stewardship.eviction import AdapterUsage, eviction_policy
 from skylarkpost.stewardship.fairness import FairShares
 from skylarkpost.stewardship.loads import LoadBackoff
 from skylarkpost.stewardship.messages import (
@@ -16,6 +15,7 @@
     UnloadAdapter,
 )
 from skylarkpost.stewardship.residency import HOLDS_COPY, AdapterState, Residency
+from skylarkpost.stewardship.victims import VictimChooser
 
 __all__ = ["SlotPlanner"]
 
@@ -42,10 +42,8 @@
 
     Attributes
     ----------
-    copies : dict of str to int
-        Targets that hold an adapter, as far as known; set from outside.
-    pinned : set of str
-        Adapters that are never evicted.
+    victims : VictimChooser
+        Chooses the adapter that leaves.
     barred : dict of str to float
         Adapters that an earlier unload order may still reach, and until when;
         they are not used on this target.
@@ -65,19 +63,22 @@
         self.demand = Demand(half_life=policy.demand_half_life)
         self.backoff = LoadBackoff(first=policy.backoff_first, most=policy.backoff_most)
         self.load_shares = FairShares()
-        self.evict_order = eviction_policy(policy.eviction)
-        self.copies = {}
-        self.pinned = set()
         self.barred = {}
         self.wanted = []
         self.load_cost = FIRST_LOAD_COST_S
         self.evictions = 0
+        self.victims = VictimChooser(
+            residency=self.residency,
+            book=book,
+            queue=queue,
+            demand=self.demand,
+            eviction=policy.eviction,
+        )
         self._orders = {}
         self._order_numbers = itertools.count(1)
         self._permits = 0
         self._permit_at = None
         self._permit_asked = False
-        self._adopted = set()
         self._kept = set()
 
     def is_usable(self, lora_name):
@@ -147,7 +148,9 @@
         may_evict = evicts_from is not None and now >= evicts_from
         candidates = self._candidates(now)
         needs_room = may_evict and candidates
-        victims = self._victims(evicts_from, now) if needs_room else []
+        victims = []
+        if needs_room:
+            victims = self.victims.choose(evicts_from, self.load_cost, now)
         commands = self._repeat_unloads(now)
         commands += self._use_permits(candidates, victims, now)
         commands += self._ask_permit(candidates, victims, now)
@@ -226,7 +229,7 @@
             self._restart(before, now)
         for name in change.lost:
             self.queue.set_ready(name, ready=False)
-            self._adopted.discard(name)
+            self.victims.adopted.discard(name)
         for name in change.gained:
             self._adopt(name, now)
         refusals = []
@@ -258,48 +261,6 @@
         """
         self.wanted = list(lora_names)[: self.residency.slots]
 
-    def victim_worth(self, now):
-        """Return the demand for the adapter that would leave next.
-
-        Parameters
-        ----------
-        now : float
-            The present time, in seconds.
-
-        Returns
-        -------
-        float
-            Decayed count of its requests; 0 if a slot is free.
-        """
-        if self.residency.free_slots():
-            return 0.0
-        usable = self.residency.usable()
-        return min((self.demand.value(name, now) for name in usable), default=0.0)
-
-    def usage(self, lora_name, now):
-        """Return what the eviction policy knows of an adapter.
-
-        Parameters
-        ----------
-        lora_name : str
-            The adapter.
-        now : float
-            The present time, in seconds.
-
-        Returns
-        -------
-        AdapterUsage
-        """
-        since = self.residency.adapters[lora_name].since
-        idle_since = self.book.last_end.get(lora_name, since)
-        return AdapterUsage(
-            lora_name=lora_name,
-            demand=self.demand.value(lora_name, now),
-            idle_for=0.0 if self.book.in_use(lora_name) else now - idle_since,
-            load_cost=self.load_cost,
-            copies=max(1, self.copies.get(lora_name, 1)),
-        )
-
     def _candidates(self, now):
         blocked = [
             waiters
@@ -316,43 +277,6 @@
         share = self.load_shares.start_tag(team)
         return (-waiters.urgency, share, -waiters.count, waiters.oldest.sequence)
 
-    def _victims(self, evicts_from, now):
-        idle = [
-            name
-            for name in self.residency.adapters
-            if self._is_evictable(name, evicts_from)
-        ]
-        waited_for = self.queue.ready_adapters()
-        idle = [name for name in idle if name not in waited_for]
-        return sorted(idle, key=lambda name: self._evict_key(name, now))
-
-    def _evict_key(self, name, now):
-        is_draining = self.residency.state(name) is AdapterState.DRAINING
-        return (not is_draining, self.evict_order(self.usage(name, now)), name)
-
-    def _is_evictable(self, name, evicts_from):
-        if not self.holds(name) or name in self.pinned:
-            return False
-        if self.book.in_use(name):
-            return False
-        used_at = self.residency.used_at(name)
-        if used_at is not None and used_at > self.book.last_end.get(name, 0.0):
-            return False
-        doubt = self._doubt_at(name, evicts_from)
-        idle_at = self.residency.idle_at(name)
-        if doubt is None:
-            return True
-        return idle_at is not None and idle_at > doubt
-
-    def _doubt_at(self, name, evicts_from):
-        since = self.residency.adapters[name].since
-        times = [self.book.doubt_at.get(name)]
-        if name in self._adopted:
-            times.append(since)
-        if since <= evicts_from:
-            times.append(evicts_from)
-        return max((each for each in times if each is not None), default=None)
-
     def _use_permits(self, candidates, victims, now):
         commands = []
         while self._permits and candidates and self.residency.free_slots():
@@ -384,14 +308,14 @@
         assert self.residency.state(name) is None
         self._permits -= 1
         self.residency.set_state(name, AdapterState.LOADING, now=now, pending=True)
-        self._adopted.discard(name)
+        self.victims.adopted.discard(name)
         return LoadAdapter(
             self._next_order(name), name, self.residency.boot, self.fencing_number
         )
 
     def _order_unload(self, name, now):
         assert not self.book.in_use(name), f"unload of {name}, which is in use"
-        assert name not in self.pinned
+        assert name not in self.victims.pinned
         self.residency.set_state(name, AdapterState.UNLOADING, now=now, pending=True)
         self.queue.set_ready(name, ready=False)
         self.evictions += 1
@@ -450,10 +374,10 @@
             for name, adapter in self.residency.adapters.items()
             if adapter.state is AdapterState.RESIDENT
             and adapter.since <= oldest
-            and name not in self.pinned
+            and name not in self.victims.pinned
         ]
         if names:
-            name = min(names, key=lambda each: self._evict_key(each, now))
+            name = min(names, key=lambda n: self.victims.key(n, self.load_cost, now))
             self.residency.set_state(name, AdapterState.DRAINING, now=now)
             self.queue.set_ready(name, ready=False)
 
@@ -505,7 +429,7 @@
         return refusals
 
     def _adopt(self, name, now):
-        self._adopted.add(name)
+        self.victims.adopted.add(name)
         if name in self.barred:
             self.residency.set_state(name, AdapterState.UNLOADING, now=now)
         else:
@@ -528,7 +452,7 @@
 
     def _restart(self, before, now):
         self._orders = {}
-        self._adopted = set()
+        self.victims.adopted.clear()
         self._kept = set()
         self.barred = {}
         for name in before:
