--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -15,13 +15,13 @@
 from skylarkpost.stewardship.queue import FairQueue
 from skylarkpost.stewardship.slots import SlotPlanner
 from skylarkpost.stewardship.summary import TargetSummary, adapter_hash
+from skylarkpost.stewardship.takeover import Takeover
 
 __all__ = ["Powers", "TargetSteward"]
 
 FIRST_SERVICE_TIME_S = 2.0
 SMOOTHING = 0.05
 LEAST_RETRY_S = 0.2
-FENCE_RETRY_S = 0.5
 REPORT_PATIENCE_S = 3.0
 URGENCIES = range(10)
 
@@ -108,12 +108,12 @@
             queue=self.queue,
             book=self.book,
         )
-        self._must_fence = predecessor and target.fencing
-        self._fence_asked_at = None
-        self._grants_from = now
-        self._evicts_from = now
-        if predecessor and not target.fencing:
-            self._wait_for_predecessor(now)
+        self.takeover = Takeover(
+            policy=self.policy,
+            fencing=target.fencing,
+            predecessor=predecessor,
+            now=now,
+        )
 
     @property
     def boot(self):
@@ -225,7 +225,7 @@
         self.batch_limit = report.batch_limit
         if change.restarted:
             self.book.clear()
-            self._must_fence = False
+            self.takeover.restarted()
         return commands + self._advance(now)
 
     def permit_granted(self, now):
@@ -304,9 +304,8 @@
         -------
         list of Command
         """
-        if succeeded and command.boot == self.boot and self._must_fence:
-            self._must_fence = False
-            self._evicts_from = now
+        if succeeded and command.boot == self.boot:
+            self.takeover.fenced(now)
         return self._advance(now)
 
     def tick(self, now):
@@ -356,8 +355,7 @@
         now : float
             The present time, in seconds.
         """
-        self._grants_from = now
-        self._evicts_from = now
+        self.takeover.handed_over(now)
         for ticket in tickets:
             self._adopt(ticket, boot, now)
 
@@ -419,10 +417,10 @@
         float or None
             Seconds; None if never.
         """
-        if self.powers is not Powers.FULL or self._must_fence:
+        if self.powers is not Powers.FULL or self.takeover.must_fence:
             return None
         settled = self.policy.ticket_lease + self.policy.lease_margin
-        return max(self._evicts_from, self.authority.gained_at + settled)
+        return max(self.takeover.evicts_from, self.authority.gained_at + settled)
 
     def _refill(self, now):
         commands = self._refuse_expired(now)
@@ -446,7 +444,7 @@
         commands = self._refuse_expired(now)
         if not self._may_act(now):
             return commands
-        if self._must_fence:
+        if self.takeover.must_fence:
             return commands + self._fence(now)
         commands += self.slots.advance(now, evicts_from=self.evicts_from())
         if self._may_grant(now):
@@ -540,7 +538,7 @@
         report_at = self.slots.residency.report_at
         if report_at is None or now - report_at > REPORT_PATIENCE_S:
             return False
-        if self._must_fence or now < self._grants_from:
+        if not self.takeover.may_grant(now):
             return False
         return self.authority.is_valid(now)
 
@@ -555,16 +553,9 @@
         self.book.add(ticket._replace(granted_at=now, expires_at=expires_at))
         return True
 
-    def _wait_for_predecessor(self, now):
-        self._grants_from = now + self.policy.authority_lease + self.policy.order_linger
-        settled = self.policy.ticket_lease + self.policy.lease_margin
-        self._evicts_from = self._grants_from + settled
-
     def _fence(self, now):
-        asked_at = self._fence_asked_at
-        if asked_at is not None and now - asked_at < FENCE_RETRY_S:
+        if not self.takeover.wants_fence(now):
             return []
-        self._fence_asked_at = now
         return [FenceTarget(self.boot, self.fencing_number)]
 
     def _expected_load_wait(self, now):
