Give slots up when another run of the instance has taken its place

Cause: heartbeats of a replaced run are passed over by its peers, so that its silence proves nothing; it has to stop by itself. Silence of an owner is now remembered by the keeper and never forgotten with the member.

--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -254,6 +254,8 @@
 
     def _tick(self):
         now = self.services.clock()
+        if not self.services.controllers["membership"].is_ready():
+            self.keeper.resign()
         follower = self.services.state_log
         if follower.fresh_at is not None:
             if follower.applied_offset >= follower.end_offset:
--- a/skylarkpost/limits/keeper.py
+++ b/skylarkpost/limits/keeper.py
@@ -28,8 +28,8 @@
     """A claimed slot that others may still use under earlier claims."""
 
     claim: int
-    predecessors: tuple
-    since: float
+    # Since when each predecessor has been silent.
+    silent_since: dict
     # When nothing that a predecessor did can have effect any more.
     ended_at: dict = field(default_factory=dict)
     asked_at: float = NEVER
@@ -174,6 +174,12 @@
         self.yielded[slot] = max(claim, self.yielded.get(slot, claim))
         return True
 
+    def resign(self):
+        """Give up all slots, since another run has taken this one's place."""
+        self.releasing = True
+        for slot, active in self.active.items():
+            self.yield_slot(slot, active.share.claim + 1)
+
     def note_yielded(self, slot, owner, now):
         """Note that a former owner of a claimed slot has given it up.
 
@@ -255,13 +261,14 @@
         pending = self.pending.get(slot)
         if pending is None or pending.claim != state.claim:
             pending = self.pending[slot] = _Pending(
-                claim=state.claim, predecessors=state.predecessors, since=now
+                claim=state.claim,
+                silent_since=dict.fromkeys(state.predecessors, now),
             )
-        for owner in pending.predecessors:
+        for owner in pending.silent_since:
             self._note_silence(pending, owner, now, neighbours)
         waiting_for = [
             owner
-            for owner in pending.predecessors
+            for owner in pending.silent_since
             if now < pending.ended_at.get(owner, float("inf"))
         ]
         if not waiting_for:
@@ -279,8 +286,9 @@
     def _note_silence(self, pending, owner, now, neighbours):
         if owner in pending.ended_at:
             return
-        heard_at = _last_heard(neighbours, owner)
-        silent_since = max(pending.since, heard_at, self.listening_since)
+        heard_at = max(self.listening_since, _last_heard(neighbours, owner))
+        silent_since = max(pending.silent_since[owner], heard_at)
+        pending.silent_since[owner] = silent_since
         if now - silent_since > self.silence:
             # What a silent owner has lent, it lent before it went silent.
             wait = max(self.silence, self.lend_time)
--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -34,7 +34,7 @@
         self.owner = SlotOwner(name, f"boot{boot}")
         self.paused_until = 0.0
         self.dead = False
-        self.heard = {}
+        self.heard, self.left = {}, set()
         self.applied = 0
         ids = f"{name}-{boot}"
         self.table = SlotTable(retention=fleet.retention)
@@ -69,18 +69,36 @@
 
         self.fleet.at(self.fleet.now + self.fleet.random.random() * period, self, again)
 
-    def members(self):
+    def contacts(self):
+        """Return who can be reached, also if it is leaving."""
         now = self.fleet.now
         names = {n for (n, _), at in self.heard.items() if now - at <= HEARD_S}
         return sorted(names | {self.name})
 
+    def members(self):
+        """Return who may hold pools."""
+        latest = {}
+        for owner in sorted(self.heard, key=lambda owner: int(owner.boot[4:])):
+            latest[owner.instance] = owner
+        gone = {owner.instance for owner in latest.values() if owner in self.left}
+        if self.core.leaving:
+            gone.add(self.name)
+        return [name for name in self.contacts() if name not in gone]
+
     def beat(self):
         for other in list(self.fleet.nodes.values()):
             if other is not self:
                 self.fleet.send(self, other, self._hear_at(other))
 
     def _hear_at(self, other):
-        return lambda: other.heard.update({self.owner: self.fleet.now})
+        is_leaving = self.core.leaving
+
+        def hear():
+            other.heard[self.owner] = self.fleet.now
+            if is_leaving:
+                other.left.add(self.owner)
+
+        return hear
 
     def tick(self):
         fleet = self.fleet
@@ -133,7 +151,7 @@
 
     def ask_all(self):
         members = self.members()
-        for name in members:
+        for name in self.contacts():
             other = self.fleet.nodes[name]
             for message in self.core.returns_to(name, members, now=self.fleet.now):
                 self.give_back(other, message)
@@ -171,7 +189,8 @@
 
     def request(self, team, tokens):
         asked_at, done = self.fleet.now, []
-        holder = self.fleet.nodes[self.core.holder_of(team, self.members())]
+        members = self.members() or [self.name]
+        holder = self.fleet.nodes[self.core.holder_of(team, members)]
 
         def finish(answer, at):
             if not done and self.fleet.now - asked_at <= DRAW_DEADLINE_S:
@@ -208,6 +227,8 @@
     def leave(self):
         """Release the slots, then end and start anew."""
         self.keeper.releasing = self.core.leaving = True
+        self.beat()
+        self.ask_all()
         self.fleet.at(self.fleet.now + LEASE_S * 2, self, self._release)
 
     def _release(self):
--- a/tests/limits/test_controller.py
+++ b/tests/limits/test_controller.py
@@ -64,7 +64,7 @@
 
 class FakeMembership:
     def __init__(self):
-        self.known = []
+        self.known, self.superseded = [], False
 
     def members(self, now):
         return self.known
@@ -74,6 +74,9 @@
     async def leave(self):
         pass
 
+    def is_ready(self):
+        return not self.superseded
+
 
 class Fleet:
     def __init__(self, ports):
@@ -212,6 +215,12 @@
     assert await filter_of(other).apply(request(fleet, 100)) is None
 
 
+async def test_an_instance_that_was_replaced_gives_its_slots_up(fleet):
+    fleet.membership.superseded = True
+    await fleet.settle(steps=1)
+    assert [part.status()["own_slots"] for part in fleet.parts] == [[], []]
+
+
 async def test_a_leaving_instance_hands_its_tokens_over_with_its_slot(fleet):
     leaving = fleet.parts[0]
     # The test's clock stands still: what is lent has to be back at once.
