--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -6,7 +6,6 @@
 import math
 
 from skylarkpost.daemon import Controller, register_controller
-from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.placement.outstanding import ServicePlacer
 from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
@@ -24,6 +23,7 @@
 from skylarkpost.stewardship.service import StewardshipServicer
 from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
 from skylarkpost.stewardship.table import CLAIM, RELEASE, StewardshipTable
+from skylarkpost.stewardship.view import MembershipView
 from skylarkpost.targets import EngineClient
 
 __all__ = ["StewardshipController"]
@@ -88,6 +88,14 @@
         self.engines = EngineClient(
             session_source=lambda: services.http, clock=services.clock
         )
+        self.view = MembershipView(
+            services=services,
+            table=self.table,
+            authority=self.authority,
+            patience=settings.authority_lease
+            + settings.order_linger
+            + settings.silence,
+        )
         self.keeper = SeatKeeper(
             services=services,
             table=self.table,
@@ -108,7 +116,7 @@
             ),
             seats=self.keeper.seats,
             find_steward=self.find_steward,
-            may_go_alone=self._may_go_alone,
+            may_go_alone=self.view.number_without_steward,
             engines=self.engines,
         )
         placement = services.settings.placement
@@ -122,7 +130,6 @@
         )
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
         self.started_at = services.clock()
-        self.last_heard = {}
         self.published_at = -math.inf
         self.background = [
             BackgroundTask(name=f"stewardship-{name}")
@@ -144,7 +151,7 @@
             self._run_polls(),
             self._run_claims(),
             self._run_renewals(),
-            self.desk.run_returns(),
+            self.desk.courier.run_returns(),
         )
         for task, loop in zip(self.background, loops, strict=True):
             task.start(loop)
@@ -155,7 +162,7 @@
 
     async def stop(self):
         """Give all tickets back and stop. See `Controller.stop`."""
-        await self.desk.flush_returns()
+        await self.desk.courier.flush_returns()
         for task in self.background:
             await task.stop()
         self.keeper.stop()
@@ -167,7 +174,7 @@
         found = []
         if self.keeper.seats and not self.authority.is_valid(now):
             found.append("Stewardships are not confirmed; no tickets, no orders.")
-        members = self._members()
+        members = self.view.members()
         lonely = [
             target.name
             for target in self._engines()
@@ -185,7 +192,7 @@
     def status(self):
         """Return stewardships and tickets. See `Controller.status`."""
         now = self.services.clock()
-        members = self._members()
+        members = self.view.members()
         stewards = {}
         for target in self._engines():
             found = self.directory.steward(target.name, members)
@@ -286,7 +293,7 @@
         -------
         StewardAddress or None
         """
-        return self.directory.steward(target, self._members())
+        return self.directory.steward(target, self.view.members())
 
     async def _acquire_engine(self, exchange, avoid):
         now = self.services.clock()
@@ -357,43 +364,6 @@
     def _takes_work(self, target):
         return self.membership.target_state(target) not in GONE
 
-    def _members(self):
-        members = self.membership.members(self.services.clock())
-        return {
-            member.instance: member
-            for member in members
-            if member.state is not MemberState.SILENT
-        }
-
-    def _peers(self):
-        return [
-            Peer(
-                member.instance,
-                member.boot,
-                member.data_centre,
-                self._is_leaving(member),
-            )
-            for member in self._members().values()
-        ]
-
-    def _is_leaving(self, member):
-        if member.instance == self.services.instance:
-            return self.services.draining
-        return member.state is MemberState.LEAVING
-
-    def _may_go_alone(self, target):
-        claim = self.table.full.get(target.name)
-        if claim is None or self.services.state_log.available:
-            return None
-        if claim.data_centre != target.data_centre:
-            return None
-        now = self.services.clock()
-        heard_at = self.last_heard.get(claim.instance, self.started_at)
-        patience = self.policy.authority_lease + self.policy.order_linger
-        if now - heard_at <= patience + self.settings.silence:
-            return None
-        return claim.number
-
     def _note_digest(self, member, payload, now):
         summaries = decode_summaries(payload)
         if summaries is None:
@@ -415,7 +385,7 @@
 
     def _tick(self):
         now = self.services.clock()
-        self._confirm_authority(now)
+        self.view.confirm_authority(now)
         for name, seat in list(self.keeper.seats.items()):
             seat.steward.closed = not self._takes_work(name)
             seat.tick()
@@ -423,7 +393,7 @@
         for summary in summaries:
             self.directory.note_summary(summary)
             self.placer.note_summary(summary, now)
-        members = self._members()
+        members = self.view.members()
         for target, summary in self.placer.summaries.items():
             if summary.steward in members:
                 self.placer.note_alive(target, now)
@@ -431,24 +401,6 @@
             self.published_at = now
             self.membership.publish(TOPIC, encode_summaries(summaries))
 
-    def _confirm_authority(self, now):
-        resumed_at = self.membership.last_resumed_at
-        if resumed_at is not None and resumed_at > self.authority.resumed_at:
-            self.authority.resumed(resumed_at)
-        for member in self.membership.reachable(now):
-            if member.last_heard_at is not None:
-                self.last_heard[member.instance] = member.last_heard_at
-        log = self.services.state_log
-        if log.available and log.fresh_at is not None:
-            self.authority.log_read(log.fresh_at, now)
-            return
-        heard_at = [
-            NEVER if member.last_heard_at is None else member.last_heard_at
-            for member in self.membership.neighbours(now)
-            if member.instance != self.services.instance
-        ]
-        self.authority.neighbours_heard(heard_at, now)
-
     async def _run_polls(self):
         while True:
             seats = list(self.keeper.seats.values())
@@ -469,12 +421,12 @@
                 for target in self._engines()
                 if self.membership.target_state(target.name) != "absent"
             ]
-            await self.keeper.act(targets, self._peers(), now)
+            await self.keeper.act(targets, self.view.peers(), now)
 
     async def _run_renewals(self):
         while True:
             await asyncio.sleep(RENEWAL_CHECK_S)
-            await self.desk.renew()
+            await self.desk.courier.renew()
 
 
 async def _wait_for_cancel(exchange, seconds):
--- /dev/null
+++ b/skylarkpost/stewardship/courier.py
@@ -0,0 +1,158 @@
+"""Gives the tickets of this instance back to their stewards, and renews them."""
+
+import asyncio
+
+from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
+from skylarkpost.rpc import stewardship_pb2 as pb
+from skylarkpost.stewardship.wire import ticket_to_wire
+
+__all__ = ["TicketCourier"]
+
+BATCH_TIMEOUT_S = 1.0
+RETURN_PAUSE_S = 0.005
+RETURN_RETRY_S = 0.25
+
+
+class TicketCourier:
+    """Sends returns and renewals in batches.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    holder : TicketHolder
+        Tickets of this instance.
+    seats : dict of str to StewardSeat
+        Targets of which this instance is steward.
+    find_steward : callable
+        Returns the `StewardAddress` of a target's name, or None.
+    """
+
+    def __init__(self, *, services, holder, seats, find_steward):
+        self.services = services
+        self.holder = holder
+        self.seats = seats
+        self.find_steward = find_steward
+        self.pending_returns = asyncio.Event()
+
+    def send_soon(self):
+        """Give back what is due: here at once, elsewhere within milliseconds."""
+        self._return_local(self.services.clock())
+        self.pending_returns.set()
+
+    async def run_returns(self):
+        """Give tickets back in batches, for ever."""
+        while True:
+            await self.pending_returns.wait()
+            self.pending_returns.clear()
+            await asyncio.sleep(RETURN_PAUSE_S)
+            if not await self.flush_returns():
+                await asyncio.sleep(RETURN_RETRY_S)
+                self.pending_returns.set()
+
+    async def flush_returns(self):
+        """Give back what is due.
+
+        Returns
+        -------
+        bool
+            Whether nothing is left.
+        """
+        now = self.services.clock()
+        self._return_local(now)
+        batches = {}
+        for target, due in self.holder.due_returns(now).items():
+            steward = self.find_steward(target)
+            if steward is not None and steward.instance != self.services.instance:
+                batches.setdefault(steward.address, []).extend(due)
+        calls = [self._send_returns(*item) for item in batches.items()]
+        await asyncio.gather(*calls)
+        return not self.holder.due_returns(self.services.clock())
+
+    async def renew(self):
+        """Renew all tickets that are due."""
+        now = self.services.clock()
+        batches = {}
+        for target, tickets in self.holder.due_renewals(now).items():
+            steward = self.find_steward(target)
+            if steward is None:
+                continue
+            messages = [self._held(ticket) for ticket in tickets]
+            if steward.instance == self.services.instance:
+                self._renew_local(target, messages, now)
+            else:
+                batches.setdefault(steward, []).extend(messages)
+        by_address = {}
+        for steward, messages in batches.items():
+            key = (steward.address, steward.instance)
+            by_address.setdefault(key, []).extend(messages)
+        await asyncio.gather(
+            *(self._send_renewals(*key, held) for key, held in by_address.items())
+        )
+
+    def _return_local(self, now):
+        for target, due in self.holder.due_returns(now).items():
+            seat = self.seats.get(target)
+            if seat is None:
+                continue
+            self.holder.returned([each.ticket_id for each in due])
+            for each in due:
+                seat.give_back(
+                    each.ticket_id,
+                    unused_tokens=each.unused_tokens,
+                    certain=each.certain,
+                )
+
+    async def _send_returns(self, address, due):
+        message = pb.TicketReturns()
+        for each in due:
+            message.tickets.add(
+                ticket_id=each.ticket_id,
+                target=each.target,
+                unused_tokens=each.unused_tokens,
+                certain=each.certain,
+            )
+        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
+        answer = await call_peer(stub.ReturnTickets, message, timeout=BATCH_TIMEOUT_S)
+        if isinstance(answer, CallFailed):
+            self.services.peers.renew(address)
+        else:
+            self.holder.returned(answer.ticket_ids)
+
+    async def _send_renewals(self, address, instance, messages):
+        sent_at = self.services.clock()
+        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
+        answer = await call_peer(
+            stub.RenewTickets,
+            pb.TicketRenewals(tickets=messages),
+            timeout=BATCH_TIMEOUT_S,
+        )
+        if isinstance(answer, CallFailed):
+            self.services.peers.renew(address)
+            return
+        targets = {held.ticket_id: held.target for held in messages}
+        for ticket_id in answer.ticket_ids:
+            number = answer.fencing_numbers[targets[ticket_id]]
+            self.holder.renewed(
+                [ticket_id], sent_at=sent_at, steward=instance, fencing_number=number
+            )
+
+    def _renew_local(self, target, messages, now):
+        seat = self.seats.get(target)
+        if seat is None:
+            return
+        renewed = seat.renew(messages)
+        self.holder.renewed(
+            renewed,
+            sent_at=now,
+            steward=self.services.instance,
+            fencing_number=seat.steward.fencing_number,
+        )
+
+    def _held(self, ticket):
+        return ticket_to_wire(
+            ticket,
+            target=ticket.target,
+            boot=ticket.boot,
+            holder=self.services.instance,
+        )
--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -8,13 +8,13 @@
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
 from skylarkpost.rpc import stewardship_pb2 as pb
+from skylarkpost.stewardship.courier import TicketCourier
 from skylarkpost.stewardship.holder import Ticket
 from skylarkpost.stewardship.messages import GrantTicket, RefuseTicket, TicketRequest
 from skylarkpost.stewardship.wire import (
     ask_to_wire,
     grant_from_wire,
     refusal_from_wire,
-    ticket_to_wire,
 )
 from skylarkpost.targets import LoadReport
 
@@ -23,9 +23,6 @@
 logger = logging.getLogger(__name__)
 
 ASK_TIMEOUT_S = 3.0
-BATCH_TIMEOUT_S = 1.0
-RETURN_PAUSE_S = 0.005
-RETURN_RETRY_S = 0.25
 NOT_STEWARD_PAUSE_S = 0.1
 MAX_TARGETS_ASKED = 3
 MAX_FAILED_ASKS = 2
@@ -70,7 +67,9 @@
         self.find_steward = find_steward
         self.may_go_alone = may_go_alone
         self.engines = engines
-        self.pending_returns = asyncio.Event()
+        self.courier = TicketCourier(
+            services=services, holder=holder, seats=seats, find_steward=find_steward
+        )
         self._numbers = itertools.count(1)
 
     async def acquire(self, exchange, targets, *, on_asked):
@@ -127,58 +126,7 @@
         self.holder.end(
             ticket.ticket_id, unused_tokens=unused_tokens, certain=certain, now=now
         )
-        self._return_local(now)
-        self.pending_returns.set()
-
-    async def run_returns(self):
-        """Give tickets back in batches, for ever."""
-        while True:
-            await self.pending_returns.wait()
-            self.pending_returns.clear()
-            await asyncio.sleep(RETURN_PAUSE_S)
-            if not await self.flush_returns():
-                await asyncio.sleep(RETURN_RETRY_S)
-                self.pending_returns.set()
-
-    async def flush_returns(self):
-        """Give back what is due.
-
-        Returns
-        -------
-        bool
-            Whether nothing is left.
-        """
-        now = self.services.clock()
-        self._return_local(now)
-        batches = {}
-        for target, due in self.holder.due_returns(now).items():
-            steward = self.find_steward(target)
-            if steward is not None and steward.instance != self.services.instance:
-                batches.setdefault(steward.address, []).extend(due)
-        calls = [self._send_returns(*item) for item in batches.items()]
-        await asyncio.gather(*calls)
-        return not self.holder.due_returns(self.services.clock())
-
-    async def renew(self):
-        """Renew all tickets that are due."""
-        now = self.services.clock()
-        batches = {}
-        for target, tickets in self.holder.due_renewals(now).items():
-            steward = self.find_steward(target)
-            if steward is None:
-                continue
-            messages = [self._held(ticket) for ticket in tickets]
-            if steward.instance == self.services.instance:
-                self._renew_local(target, messages, now)
-            else:
-                batches.setdefault(steward, []).extend(messages)
-        by_address = {}
-        for steward, messages in batches.items():
-            key = (steward.address, steward.instance)
-            by_address.setdefault(key, []).extend(messages)
-        await asyncio.gather(
-            *(self._send_renewals(*key, held) for key, held in by_address.items())
-        )
+        self.courier.send_soon()
 
     def _request(self, exchange):
         profile = exchange.profile
@@ -310,75 +258,7 @@
     def _abandon(self, target, ticket_id):
         now = self.services.clock()
         self.holder.give_back(ticket_id, target, 0, certain=True, now=now)
-        self._return_local(now)
-        self.pending_returns.set()
-
-    def _return_local(self, now):
-        for target, due in self.holder.due_returns(now).items():
-            seat = self.seats.get(target)
-            if seat is None:
-                continue
-            self.holder.returned([each.ticket_id for each in due])
-            for each in due:
-                seat.give_back(
-                    each.ticket_id,
-                    unused_tokens=each.unused_tokens,
-                    certain=each.certain,
-                )
-
-    async def _send_returns(self, address, due):
-        message = pb.TicketReturns()
-        for each in due:
-            message.tickets.add(
-                ticket_id=each.ticket_id,
-                target=each.target,
-                unused_tokens=each.unused_tokens,
-                certain=each.certain,
-            )
-        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
-        answer = await call_peer(stub.ReturnTickets, message, timeout=BATCH_TIMEOUT_S)
-        if isinstance(answer, CallFailed):
-            self.services.peers.renew(address)
-        else:
-            self.holder.returned(answer.ticket_ids)
-
-    async def _send_renewals(self, address, instance, messages):
-        sent_at = self.services.clock()
-        stub = stewardship_pb2_grpc.StewardshipStub(self.services.peers.get(address))
-        answer = await call_peer(
-            stub.RenewTickets,
-            pb.TicketRenewals(tickets=messages),
-            timeout=BATCH_TIMEOUT_S,
-        )
-        if isinstance(answer, CallFailed):
-            self.services.peers.renew(address)
-            return
-        targets = {held.ticket_id: held.target for held in messages}
-        for ticket_id in answer.ticket_ids:
-            number = answer.fencing_numbers[targets[ticket_id]]
-            self.holder.renewed(
-                [ticket_id], sent_at=sent_at, steward=instance, fencing_number=number
-            )
-
-    def _renew_local(self, target, messages, now):
-        seat = self.seats.get(target)
-        if seat is None:
-            return
-        renewed = seat.renew(messages)
-        self.holder.renewed(
-            renewed,
-            sent_at=now,
-            steward=self.services.instance,
-            fencing_number=seat.steward.fencing_number,
-        )
-
-    def _held(self, ticket):
-        return ticket_to_wire(
-            ticket,
-            target=ticket.target,
-            boot=ticket.boot,
-            holder=self.services.instance,
-        )
+        self.courier.send_soon()
 
 
 def lora_name_of(profile):
--- /dev/null
+++ b/skylarkpost/stewardship/view.py
@@ -0,0 +1,128 @@
+"""What stewardship asks of membership: who is there, and who may act."""
+
+from skylarkpost.membership import MemberState
+from skylarkpost.stewardship.election import Peer
+
+__all__ = ["MembershipView"]
+
+
+class MembershipView:
+    """Joins membership and the log to the authority of this instance.
+
+    Parameters
+    ----------
+    services : skylarkpost.daemon.Services
+        What the instance shares between its parts.
+    table : StewardshipTable
+        Claims on the log.
+    authority : Authority
+        Whether the instance may act as a steward.
+    patience : float
+        Seconds after which a silent steward can neither act nor have orders
+        under way.
+
+    Attributes
+    ----------
+    last_heard : dict of str to float
+        When each instance was last heard, in seconds.
+    """
+
+    def __init__(self, *, services, table, authority, patience):
+        self.services = services
+        self.table = table
+        self.authority = authority
+        self.patience = patience
+        self.started_at = services.clock()
+        self.last_heard = {}
+
+    @property
+    def membership(self):
+        """The controller that knows who is alive."""
+        return self.services.controllers["membership"]
+
+    def members(self):
+        """Return the instances that are not silent, this one included.
+
+        Returns
+        -------
+        dict of str to skylarkpost.membership.Member
+        """
+        members = self.membership.members(self.services.clock())
+        return {
+            member.instance: member
+            for member in members
+            if member.state is not MemberState.SILENT
+        }
+
+    def peers(self):
+        """Return the same instances, for the election.
+
+        Returns
+        -------
+        list of Peer
+        """
+        return [
+            Peer(
+                member.instance,
+                member.boot,
+                member.data_centre,
+                self._is_leaving(member),
+            )
+            for member in self.members().values()
+        ]
+
+    def confirm_authority(self, now):
+        """Confirm the authority by the log, or by the live neighbours.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        resumed_at = self.membership.last_resumed_at
+        if resumed_at is not None and resumed_at > self.authority.resumed_at:
+            self.authority.resumed(resumed_at)
+        heard = [m for m in self.members().values() if m.last_heard_at is not None]
+        for member in heard:
+            self.last_heard[member.instance] = member.last_heard_at
+        log = self.services.state_log
+        if log.available and log.fresh_at is not None:
+            self.authority.log_read(log.fresh_at, now)
+            return
+        heard_at = [
+            member.last_heard_at
+            for member in heard
+            if member.data_centre == self.services.data_centre
+            and member.instance != self.services.instance
+        ]
+        self.authority.neighbours_heard(heard_at, now)
+
+    def number_without_steward(self, target):
+        """Return the number to go by where no steward can be had.
+
+        Parameters
+        ----------
+        target : skylarkpost.config.Target
+            The target.
+
+        Returns
+        -------
+        int or None
+            None if a steward may still act on the target, or may be elected:
+            the log can be read, or the last steward was outside the target's
+            data centre and is perhaps only out of reach.
+        """
+        claim = self.table.full.get(target.name)
+        if claim is None or self.services.state_log.available:
+            return None
+        if claim.data_centre != target.data_centre:
+            return None
+        heard_at = self.last_heard.get(claim.instance, self.started_at)
+        if self.services.clock() - heard_at <= self.patience:
+            return None
+        return claim.number
+
+    def _is_leaving(self, member):
+        if member.instance == self.services.instance:
+            return self.services.draining
+        return member.state is MemberState.LEAVING
