--- /dev/null
+++ b/lab/bench.py
@@ -0,0 +1,211 @@
+"""Measures the request path on loopback: ``python -m lab.bench``.
+
+A load generator goes to a stand-in engine directly and through one daemon, in
+turns within one run. Printed are the added first-token time, and the processor
+time a token of the daemon against that of the stand-in.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import sys
+import tempfile
+from typing import NamedTuple
+
+from lab.figures import quantile
+from lab.load import Load, run_load
+from standins.fleet import Fleet, FleetShape
+from standins.operations import issue_key, items_toml, publish
+
+__all__ = ["main"]
+
+ROUNDS = 4
+REQUESTS = 60
+PROMPT = "wear report " * 200
+MAX_TOKENS = 64
+ROUND_LIMIT_S = 30.0
+STARTUP_S = 30.0
+SHAPE = FleetShape(
+    instances=(("entry-1", "windhoek-a"),),
+    engines=(("plan-assist-1", "windhoek-a"),),
+    services=(),
+    engine_arguments=("--step-time", "0.005"),
+    settings="[limits]\nslots = {windhoek-a = 1}\n",
+)
+
+
+class Side(NamedTuple):
+    """Pooled results of one way.
+
+    Attributes
+    ----------
+    results : list of lab.load.LoadResult
+        One a round.
+    daemon_s, engine_s : float
+        Processor time of both processes, in seconds.
+    """
+
+    results: list
+    daemon_s: float
+    engine_s: float
+
+    @property
+    def tokens(self):
+        """Tokens that came, in all rounds."""
+        return sum(result.tokens for result in self.results)
+
+    def times(self, field):
+        """Return one list of times of all rounds."""
+        return [time for result in self.results for time in getattr(result, field)]
+
+
+def processor_time(process):
+    """Return the processor time of a process.
+
+    Parameters
+    ----------
+    process : standins.fleet.Process
+        The process.
+
+    Returns
+    -------
+    float
+        Seconds.
+    """
+    text = pathlib.Path(f"/proc/{process.child.pid}/stat").read_text()
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+async def _prepare(fleet):
+    """Publish a profile and return a caller's headers once it is served."""
+    text = items_toml(
+        fleet,
+        teams={"bench": (1e9, 1e9)},
+        profiles={"plan": ("grinding", "1", ["bench"], 5)},
+    )
+    await publish(fleet, text, reason="bench")
+    key, _ = await issue_key(fleet, "bench")
+    await fleet.wait_ready()
+    headers = {"Authorization": f"Bearer {key}"}
+    probe = _through(fleet, headers)._replace(requests=1)
+    async with asyncio.timeout(STARTUP_S):
+        while (await run_load(probe, limit_s=ROUND_LIMIT_S)).answered == 0:
+            await asyncio.sleep(0.5)
+    return headers
+
+
+def _through(fleet, headers, at_once=1):
+    return Load(
+        url=fleet.urls["entry-1"] + "/v1/chat/completions",
+        model="plan",
+        headers=headers,
+        requests=REQUESTS,
+        at_once=at_once,
+        prompt=PROMPT,
+        max_tokens=MAX_TOKENS,
+    )
+
+
+def _direct(fleet, at_once=1):
+    url = fleet.urls["plan-assist-1"] + "/v1/chat/completions"
+    return _through(fleet, {}, at_once)._replace(url=url, model="grinding@1")
+
+
+async def _compare(fleet, headers, at_once):
+    """Return both sides, measured in turns."""
+    loads = {
+        "direct": _direct(fleet, at_once),
+        "through": _through(fleet, headers, at_once),
+    }
+    results = {side: [] for side in loads}
+    spent = {side: [0.0, 0.0] for side in loads}
+    watched = [fleet.processes[name] for name in ("entry-1", "plan-assist-1")]
+    for _ in range(ROUNDS):
+        for side, load in loads.items():
+            before = [processor_time(process) for process in watched]
+            results[side].append(await run_load(load, limit_s=ROUND_LIMIT_S))
+            for index, process in enumerate(watched):
+                spent[side][index] += processor_time(process) - before[index]
+    return {side: Side(results[side], *spent[side]) for side in loads}
+
+
+def _lines(sides, at_once):
+    direct, through = sides["direct"], sides["through"]
+    lines = []
+    for side, name in ((direct, "direct"), (through, "through the daemon")):
+        answered = sum(result.answered for result in side.results)
+        failed = sum(result.failed for result in side.results)
+        lines.append((f"answered, {name}", answered))
+        lines.append((f"failed, {name}", failed))
+    for fraction in (0.5, 0.95):
+        one = quantile(direct.times("first_token_s"), fraction) * 1e3
+        other = quantile(through.times("first_token_s"), fraction) * 1e3
+        percent = int(fraction * 100)
+        lines.append((f"first token p{percent}, direct, ms", one))
+        lines.append((f"first token p{percent}, through, ms", other))
+        lines.append((f"first token p{percent}, added, ms", other - one))
+        lines.append((f"first token p{percent}, ratio", other / one))
+    one = quantile(direct.times("token_s"), 0.5) * 1e3
+    other = quantile(through.times("token_s"), 0.5) * 1e3
+    lines.append(("time a token p50, ratio", other / one))
+    engine = direct.engine_s / max(direct.tokens, 1) * 1e6
+    daemon = through.daemon_s / max(through.tokens, 1) * 1e6
+    lines.append(("stand-in's processor time a token, direct, us", engine))
+    lines.append(("daemon's processor time a token, us", daemon))
+    lines.append(("daemon over stand-in, ratio", daemon / engine))
+    count = sum(result.answered for result in through.results)
+    lines.append(
+        (
+            "daemon's processor time a request, ms",
+            through.daemon_s / max(count, 1) * 1e3,
+        )
+    )
+    return [(at_once, title, value) for title, value in lines]
+
+
+async def bench():
+    """Run the benchmark.
+
+    Returns
+    -------
+    list of (int, str, float)
+        Requests at once, title and value of each figure.
+    """
+    lines = []
+    with tempfile.TemporaryDirectory() as directory:
+        async with Fleet(shape=SHAPE, directory=directory) as fleet:
+            headers = await _prepare(fleet)
+            for at_once in (1, 8):
+                sides = await _compare(fleet, headers, at_once)
+                lines += _lines(sides, at_once)
+            await fleet.stop()
+    return lines
+
+
+def main(arguments=None):
+    """Run the benchmark from the command line.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command line; None takes the process's own.
+    """
+    parser = argparse.ArgumentParser(prog="lab.bench", description=__doc__)
+    parser.add_argument("--json", action="store_true", help="one line a figure")
+    options = parser.parse_args(arguments)
+    lines = asyncio.run(bench())
+    if not options.json:
+        sys.stdout.write("| requests at once | figure | value |\n|---:|---|---:|\n")
+    for at_once, title, value in lines:
+        if options.json:
+            figure = {"at_once": at_once, "figure": title, "value": value}
+            sys.stdout.write(json.dumps(figure) + "\n")
+        else:
+            sys.stdout.write(f"| {at_once} | {title} | {value:.4g} |\n")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/lab/load.py
@@ -0,0 +1,134 @@
+"""A small load generator, bounded in requests and in time."""
+
+import asyncio
+import json
+import time
+from typing import NamedTuple
+
+import aiohttp
+
+__all__ = ["Load", "LoadResult", "run_load"]
+
+REQUEST_TIMEOUT_S = 20.0
+
+
+class Load(NamedTuple):
+    """What to send.
+
+    Attributes
+    ----------
+    url : str
+        Of the chat completions.
+    model : str
+        Profile, or adapter and version.
+    headers : dict of str to str
+        Of each request.
+    requests, at_once : int
+        How many, and how many of them at the same time.
+    prompt : str
+        The prompt.
+    max_tokens : int
+        Tokens of each answer.
+    """
+
+    url: str
+    model: str
+    headers: dict
+    requests: int
+    at_once: int
+    prompt: str
+    max_tokens: int
+
+
+class LoadResult(NamedTuple):
+    """What became of it.
+
+    Attributes
+    ----------
+    answered, failed : int
+        Requests with and without a whole answer.
+    first_token_s, token_s : list of float
+        Of each answered request: seconds to the first token, and seconds a
+        token after it.
+    tokens : int
+        Tokens that came.
+    """
+
+    answered: int
+    failed: int
+    first_token_s: list
+    token_s: list
+    tokens: int
+
+
+async def run_load(load, *, limit_s):
+    """Send the requests; those that are open at the time limit count as failed.
+
+    Parameters
+    ----------
+    load : Load
+        What to send.
+    limit_s : float
+        Longest time, in seconds.
+
+    Returns
+    -------
+    LoadResult
+    """
+    slots = asyncio.Semaphore(load.at_once)
+    timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+    async with aiohttp.ClientSession(timeout=timeout) as http:
+        tasks = [
+            asyncio.create_task(_send(http, load, number, slots))
+            for number in range(load.requests)
+        ]
+        done, pending = await asyncio.wait(tasks, timeout=limit_s)
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+    results = [task.result() for task in done]
+    answered = [result for result in results if result is not None]
+    return LoadResult(
+        answered=len(answered),
+        failed=load.requests - len(answered),
+        first_token_s=[first for first, _, _ in answered],
+        token_s=[each for _, each, _ in answered],
+        tokens=sum(tokens for _, _, tokens in answered),
+    )
+
+
+async def _send(http, load, number, slots):
+    """Return the times and tokens of one request; None if it failed."""
+    content = {
+        "model": load.model,
+        "messages": [{"role": "user", "content": f"{load.prompt} {number}"}],
+        "stream": True,
+        "max_tokens": load.max_tokens,
+    }
+    headers = {**load.headers, "X-Request-Id": f"load-{time.time_ns()}-{number}.1"}
+    async with slots:
+        begun = time.monotonic()
+        try:
+            async with http.post(load.url, json=content, headers=headers) as response:
+                return await _read(response, begun)
+        except (aiohttp.ClientError, TimeoutError):
+            return None
+
+
+async def _read(response, begun):
+    first_at, tokens, is_whole = None, 0, False
+    async for line in response.content:
+        if line.startswith(b"data: [DONE]"):
+            is_whole = True
+        elif line.startswith(b"data: ") and _has_text(line):
+            tokens += 1
+            first_at = first_at or time.monotonic()
+    if response.status != 200 or not is_whole or tokens < 2:
+        return None
+    each = (time.monotonic() - first_at) / (tokens - 1)
+    return first_at - begun, each, tokens
+
+
+def _has_text(line):
+    choices = json.loads(line[len(b"data: ") :]).get("choices", [])
+    return any(choice.get("delta", {}).get("content") for choice in choices)
--- /dev/null
+++ b/lab/slope_cases.py
@@ -0,0 +1,415 @@
+"""The slopes of configuration, claims, limits, tickets and membership."""
+
+import json
+import random
+
+from lab.slope_registry import register_case
+from lab.slope_tools import allocated, timed
+from lab.stewarding import StewardedTarget
+from skylarkpost.claims.keys import KeyTimes
+from skylarkpost.claims.table import ClaimTable
+from skylarkpost.config import ConfigStore
+from skylarkpost.config.snapshot import encode_snapshot
+from skylarkpost.limits import PoolHolder, choose_instance
+from skylarkpost.limits.lender import Grant
+from skylarkpost.membership.core import MembershipCore
+from skylarkpost.membership.messages import encode_heartbeat, encode_reply
+from skylarkpost.placement import PlacementRequest, Placer
+from skylarkpost.stewardship import (
+    AdapterLoad,
+    LoadReport,
+    TargetSteward,
+    TicketRequest,
+    encode_summaries,
+)
+
+__all__ = []
+
+ADAPTERS = (1000, 4000, 16000, 68000)
+CHANGES = 1000
+INSTANCES_A_DATA_CENTRE = 19
+TARGETS_AN_INSTANCE = 11
+SLOTS = 8
+RETENTION_S = 3600.0
+HEARTBEAT_TICK_S = 0.05
+SETTLE_S = 4.0
+OBSERVED_S = 4.0
+
+
+def _change(number, version, expected, edition):
+    name = f"adapter-{number:05d}"
+    body = {
+        "base_model": "base",
+        "adapter": name,
+        "version": str(version),
+        "teams": [f"team-{number % 40}"],
+    }
+    return {
+        "type": "change",
+        "change_id": f"{edition}-{number:06d}",
+        "author": "operator",
+        "reason": "publish",
+        "kind": "profile",
+        "name": f"plan-{number:05d}",
+        "expected_version": expected,
+        "body": body,
+        "made_at": 0.0,
+    }
+
+
+def _build_store(size):
+    store = ConfigStore()
+    for number in range(size):
+        # The changes were made long ago, so that their ids are not kept.
+        record = _change(number, 1, 0, "a")
+        store.apply(record=record, offset=number, time=0.0, now=0.0)
+    return store
+
+
+@register_case("config memory", unit="bytes", per="profile", sizes=ADAPTERS)
+def measure_config_memory(size):
+    """Return the memory of a store with profiles whose change ids are forgotten."""
+
+    def build():
+        store = _build_store(size)
+        store.change_ids.prune(time=1e6)
+        return store
+
+    return allocated(build)
+
+
+@register_case("config change", unit="us a change", per="profile", sizes=ADAPTERS)
+def measure_config_change(size):
+    """Return the time to apply one change of an item that exists."""
+    store = _build_store(size)
+    records = [_change(n, 2, n + 1, "b") for n in range(min(size, CHANGES))]
+
+    def work():
+        for index, record in enumerate(records):
+            verdict = store.apply(record=record, offset=size + index, time=0.0, now=0.0)
+            assert type(verdict).__name__ == "Accepted", verdict
+
+    return timed(work, len(records))
+
+
+@register_case("config lookup", unit="us a lookup", per="profile", sizes=ADAPTERS)
+def measure_config_lookup(size):
+    """Return the time to find one profile."""
+    store = _build_store(size)
+    names = [
+        f"plan-{number:05d}" for number in random.Random(1).choices(range(size), k=2000)
+    ]
+
+    def work():
+        for name in names:
+            store.profile(name)
+
+    return timed(work, len(names))
+
+
+@register_case("config snapshot size", unit="bytes", per="profile", sizes=ADAPTERS)
+def measure_snapshot_size(size):
+    """Return the bytes that a starting instance takes from a peer."""
+    return len(encode_snapshot(_build_store(size)))
+
+
+@register_case("config snapshot time", unit="us", per="profile", sizes=ADAPTERS)
+def measure_snapshot_time(size):
+    """Return the time to encode a snapshot."""
+    store = _build_store(size)
+    return timed(lambda: encode_snapshot(store), 1)
+
+
+@register_case("change on the log", unit="bytes", per="change", sizes=(100, 1000))
+def measure_change_size(size):
+    """Return the bytes of changes as JSON."""
+    return sum(len(json.dumps(_change(n, 1, 0, "a"))) for n in range(size))
+
+
+def _claim(number):
+    return {
+        "type": "claim",
+        "claim": f"entry-1-{number}",
+        "key": f"{number:064x}",
+        "made_at": 100.0,
+        "fingerprint": f"{number:064x}",
+        "life": 30.0,
+    }
+
+
+CLAIM_SIZES = (1000, 4000, 16000, 64000)
+
+
+def _fold_claims(size):
+    table = ClaimTable(times=KeyTimes(RETENTION_S), max_answer_bytes=1 << 20)
+    for number in range(size):
+        table.apply(_claim(number), 100.0)
+    assert len(table.states) == size
+    return table
+
+
+@register_case("claims memory", unit="bytes", per="claim", sizes=CLAIM_SIZES)
+def measure_claims_memory(size):
+    """Return the memory of a table of claims without answers."""
+    return allocated(lambda: _fold_claims(size))
+
+
+@register_case("claims fold", unit="us", per="claim", sizes=CLAIM_SIZES)
+def measure_claims_fold(size):
+    """Return the time to fold claims."""
+    records = [_claim(number) for number in range(size)]
+    table = ClaimTable(times=KeyTimes(RETENTION_S), max_answer_bytes=1 << 20)
+
+    def work():
+        for record in records:
+            table.apply(record, 100.0)
+
+    return timed(work, 1)
+
+
+@register_case("draw", unit="us", per="draw", sizes=(1000, 4000, 16000))
+def measure_draw(size):
+    """Return the time of draws from a pool of shares of 19 instances."""
+    pools = PoolHolder(holder="entry-1", lease=1e6)
+    for number in range(INSTANCES_A_DATA_CENTRE):
+        grant = Grant(f"lease-{number}", 1e6, 1e9, 1e9)
+        pools.join("team", f"entry-{number}", grant, asked_at=0.0, now=0.0)
+
+    def work():
+        for index in range(size):
+            pools.draw("team", 100.0, now=index * 0.001)
+
+    return timed(work, 1)
+
+
+@register_case(
+    "choice of pool holders", unit="us a team", per="instance", sizes=(4, 19, 110, 440)
+)
+def measure_choice(size):
+    """Return the time to choose the pool holder of one team."""
+    members = [f"entry-{number}" for number in range(size)]
+
+    def work():
+        for number in range(200):
+            choose_instance(f"team-{number}", members)
+
+    return timed(work, 200)
+
+
+def _target(number):
+    return StewardedTarget(
+        name=f"plan-assist-{number}",
+        pool="base",
+        data_centre="x",
+        fencing=True,
+        slots=SLOTS,
+        batch_limit=16,
+    )
+
+
+def _steward(number=0, resident=SLOTS):
+    steward = TargetSteward(
+        target=_target(number), fencing_number=1, instance="entry-1", now=0.0
+    )
+    names = {f"adapter-{each}@1": AdapterLoad(0, 0) for each in range(resident)}
+    report = LoadReport("boot", 1.0, SLOTS, names, frozenset(), 0, 0, 16)
+    steward.report(report, 1.0)
+    return steward
+
+
+def _ticket(number):
+    return TicketRequest(
+        ticket_id=f"r{number}",
+        holder="entry-1",
+        lora_name=f"adapter-{number % SLOTS}@1",
+        team=f"team-{number % 5}",
+        weight=1.0,
+        urgency=number % 3,
+        tokens=2000,
+        deadline=1e9,
+    )
+
+
+@register_case(
+    "ticket", unit="us a ticket", per="queued request", sizes=(0, 32, 128, 500)
+)
+def measure_ticket(size):
+    """Return the time of one ticket, asked for and returned, behind a queue."""
+    steward = _steward()
+    now = 1.1
+    out = []
+    for number in range(size + 17):
+        for command in steward.request(_ticket(number), now):
+            out.append(command.ticket_id)
+    cycles = 300
+    state = {"next": size + 17}
+
+    def work():
+        for _ in range(cycles):
+            commands = steward.return_ticket(out.pop(0), now)
+            commands += steward.request(_ticket(state["next"]), now)
+            state["next"] += 1
+            out.extend(command.ticket_id for command in commands)
+
+    return timed(work, cycles)
+
+
+@register_case("rank", unit="us a request", per="target", sizes=(6, 24, 96, 204))
+def measure_rank(size):
+    """Return the time to rank the targets of a data centre for a request."""
+    placer = Placer(data_centre="x")
+    targets = [_target(number) for number in range(size)]
+    for number in range(size):
+        placer.note_summary(_steward(number).summary(1.0), 1.0)
+
+    def work():
+        for number in range(50):
+            request = PlacementRequest(f"adapter-{number}@1", True, 5, 2000, number)
+            placer.rank(request, targets, 1.5)
+
+    return timed(work, 50)
+
+
+@register_case("summaries", unit="bytes", per="target", sizes=(1, 6, 11, 24))
+def measure_summaries(size):
+    """Return the bytes of the summaries of several targets."""
+    return len(encode_summaries([_steward(n).summary(1.0) for n in range(size)]))
+
+
+@register_case("idle steward", unit="us a tick", per="target", sizes=(1, 6, 11, 24))
+def measure_idle_steward(size):
+    """Return the time of one tick of several stewards without work."""
+    stewards = [_steward(number) for number in range(size)]
+
+    def work():
+        for step in range(50):
+            for steward in stewards:
+                steward.tick(1.1 + step * 0.01)
+
+    return timed(work, 50)
+
+
+class _Network:
+    """Membership cores of several instances, joined without loss or delay."""
+
+    def __init__(self, size):
+        self.rng = random.Random(size)
+        self.cores = {}
+        for number in range(size):
+            name = f"entry-{number}"
+            home = f"data-centre-{number // INSTANCES_A_DATA_CENTRE}"
+            self.cores[name] = MembershipCore(
+                instance=name,
+                boot=f"{number:012x}-00000001",
+                address=f"10.0.{number // 250}.{number % 250}:7000",
+                data_centre=home,
+                random=random.Random(number),
+            )
+        infos = [core.own_info() for core in self.cores.values()]
+        for core in self.cores.values():
+            for info in infos:
+                if info.instance != core.instance:
+                    core.roster.hear_of(info, now=0.0)
+        self.messages = 0
+        self.bytes = 0
+
+    def run(self, begin, end):
+        """Run all cores for a while."""
+        now = begin
+        while now < end:
+            now += HEARTBEAT_TICK_S
+            for core in self.cores.values():
+                for command in core.tick(now=now):
+                    self._deliver(core, command, now)
+
+    def _deliver(self, core, command, now):
+        other = self.cores[command.instance]
+        reply, _ = other.take_heartbeat(command.heartbeat, now=now)
+        self.messages += 2
+        self.bytes += encode_heartbeat(command.heartbeat).ByteSize()
+        self.bytes += encode_reply(reply).ByteSize()
+        core.take_reply(command, reply, now=now)
+
+    def publish(self, payload_bytes, now):
+        """Let each core publish a payload of the size of its summaries."""
+        for core in self.cores.values():
+            core.digests.publish("targets", self.rng.randbytes(payload_bytes))
+
+
+MEMBERSHIP_SIZES = (4, 19, 76, 437)
+
+
+def _observe(size, *, payload):
+    network = _Network(size)
+    network.run(0.0, SETTLE_S)
+    network.messages = network.bytes = 0
+    payload_bytes = 0
+    if payload:
+        payload_bytes = measure_summaries(TARGETS_AN_INSTANCE)
+    spent = 0.0
+    for second in range(int(OBSERVED_S)):
+        if payload_bytes:
+            network.publish(payload_bytes, SETTLE_S + second)
+        begin = SETTLE_S + second
+        spent += timed(lambda begin=begin: network.run(begin, begin + 1.0), 1)
+    share = size * OBSERVED_S
+    return network.messages / share, network.bytes / share, spent / share
+
+
+@register_case(
+    "membership messages",
+    unit="messages a second and instance",
+    per="instance",
+    sizes=MEMBERSHIP_SIZES,
+)
+def measure_membership_messages(size):
+    """Return heartbeats and answers that one instance sends and takes."""
+    return _observe(size, payload=False)[0]
+
+
+@register_case(
+    "membership bytes",
+    unit="bytes a second and instance",
+    per="instance",
+    sizes=MEMBERSHIP_SIZES,
+)
+def measure_membership_bytes(size):
+    """Return the bytes of heartbeats and answers, without payloads."""
+    return _observe(size, payload=False)[1]
+
+
+@register_case(
+    "membership bytes with summaries",
+    unit="bytes a second and instance",
+    per="instance",
+    sizes=MEMBERSHIP_SIZES,
+)
+def measure_membership_payload(size):
+    """Return the bytes with the summaries of 11 targets each second."""
+    return _observe(size, payload=True)[1]
+
+
+@register_case(
+    "membership time",
+    unit="us a second and instance",
+    per="instance",
+    sizes=MEMBERSHIP_SIZES,
+)
+def measure_membership_time(size):
+    """Return the processor time of the core and of encoding."""
+    return _observe(size, payload=True)[2]
+
+
+@register_case(
+    "view change", unit="us an instance", per="instance", sizes=MEMBERSHIP_SIZES
+)
+def measure_view_change(size):
+    """Return the time in which one instance takes in that another is leaving."""
+    network = _Network(size)
+    network.run(0.0, SETTLE_S)
+    leaver = network.cores["entry-0"]
+    for command in leaver.leave(now=SETTLE_S):
+        network._deliver(leaver, command, SETTLE_S)
+    quiet = timed(lambda: network.run(SETTLE_S, SETTLE_S + 1.0), size)
+    settled = timed(lambda: network.run(SETTLE_S + 5.0, SETTLE_S + 6.0), size)
+    return max(0.0, quiet - settled)
--- /dev/null
+++ b/lab/slopes.py
@@ -0,0 +1,119 @@
+"""Measures how costs grow with size, on the real code: ``python -m lab.slopes``.
+
+Each slope is measured at several sizes, several times over, and fitted by a
+straight line; the spread is the widest relative distance of one repetition from
+the median at its size.
+"""
+
+import argparse
+import json
+import statistics
+import sys
+from typing import NamedTuple
+
+import lab.slope_cases  # noqa: F401 (fills the registry)
+from lab.slope_registry import cases
+
+__all__ = ["Slope", "main", "measure_slope"]
+
+REPETITIONS = 3
+
+
+class Slope(NamedTuple):
+    """A measured slope.
+
+    Attributes
+    ----------
+    name, unit : str
+        What was measured, and the unit of its values.
+    per : str
+        What the size counts.
+    points : list of (int, float)
+        Sizes with the median of the value.
+    slope, constant : float
+        Of the fitted line.
+    fit : float
+        Coefficient of determination of the line.
+    spread : float
+        Widest relative distance of a repetition from its median.
+    """
+
+    name: str
+    unit: str
+    per: str
+    points: list
+    slope: float
+    constant: float
+    fit: float
+    spread: float
+
+
+def measure_slope(case):
+    """Measure one case at all of its sizes.
+
+    Parameters
+    ----------
+    case : lab.slope_registry.Case
+        What to measure.
+
+    Returns
+    -------
+    Slope
+    """
+    points = []
+    spread = 0.0
+    for size in case.sizes:
+        values = [case.measure(size) for _ in range(REPETITIONS)]
+        middle = statistics.median(values)
+        widest = max(abs(value - middle) for value in values)
+        spread = max(spread, widest / middle if middle else 0.0)
+        points.append((size, middle))
+    slope, constant, fit = _fit(points)
+    return Slope(case.name, case.unit, case.per, points, slope, constant, fit, spread)
+
+
+def _fit(points):
+    sizes = [float(size) for size, _ in points]
+    values = [value for _, value in points]
+    line = statistics.linear_regression(sizes, values)
+    mean = statistics.fmean(values)
+    total = sum((value - mean) ** 2 for value in values)
+    left = sum(
+        (value - line.slope * size - line.intercept) ** 2
+        for size, value in zip(sizes, values, strict=True)
+    )
+    return line.slope, line.intercept, 1 - left / total if total else 1.0
+
+
+def _format(slope):
+    points = ", ".join(f"{size}: {value:.4g}" for size, value in slope.points)
+    return (
+        f"| {slope.name} | {slope.unit} | {points} | {slope.slope:.4g} a {slope.per}"
+        f" + {slope.constant:.4g} | {slope.fit:.3f} | {slope.spread:.0%} |\n"
+    )
+
+
+def main(arguments=None):
+    """Measure all slopes from the command line.
+
+    Parameters
+    ----------
+    arguments : list of str or None
+        Command line; None takes the process's own.
+    """
+    parser = argparse.ArgumentParser(prog="lab.slopes", description=__doc__)
+    parser.add_argument("--case", action="append", choices=cases)
+    parser.add_argument("--json", action="store_true", help="one line a slope")
+    options = parser.parse_args(arguments)
+    if not options.json:
+        sys.stdout.write("| slope | unit | size: median | line | fit | spread |\n")
+        sys.stdout.write("|---|---|---|---|---:|---:|\n")
+    for name in options.case or cases:
+        slope = measure_slope(cases[name])
+        text = json.dumps(slope._asdict()) + "\n" if options.json else _format(slope)
+        sys.stdout.write(text)
+        sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    main()
