Read back a change whose answer was lost, before it is published again

The tool published again every 0.3 s without looking: with a log that loses every answer, one change stood 34 times on it. It reads the stream first now, and waits up to 3 s between tries.

--- a/skylarkpost/cli/options.py
+++ b/skylarkpost/cli/options.py
@@ -15,6 +15,9 @@
 
 __all__ = ["ChangeOptions", "CommandFailed", "InstanceOptions", "LogOptions"]
 
+# Longer than the instances wait: an operator would rather wait than not know.
+ANSWER_TIMEOUT_S = 8.0
+
 
 class CommandFailed(Exception):  # noqa: N818 - an end of the command, not an error
     """Ends a command early.
@@ -70,7 +73,11 @@
             message = "no log: give --log-url or set SKYLARKPOST_LOG_URL"
             raise CommandFailed(ExitCode.USAGE, message)
         async with aiohttp.ClientSession() as http:
-            log = LogClient(base_url=settings.log_url, session_source=lambda: http)
+            log = LogClient(
+                base_url=settings.log_url,
+                session_source=lambda: http,
+                answer_timeout=ANSWER_TIMEOUT_S,
+            )
             session = ConfigSession(
                 log=log,
                 author=settings.author or getpass.getuser(),
--- a/skylarkpost/cli/session.py
+++ b/skylarkpost/cli/session.py
@@ -15,6 +15,7 @@
 CONFIG_STREAM = "config"
 READ_WAIT_S = 1.0
 RETRY_PAUSE_S = 0.3
+MAX_RETRY_PAUSE_S = 3.0
 UNAVAILABLE_AFTER_S = 10.0
 BATCH_RECORDS = 100
 
@@ -198,25 +199,33 @@
         batch = [{**record, "made_at": made_at} for record in batch]
         deadline = made_at + self.valid_for
         from_offset = self.history.next_offset
-        maybe_sent, detail = await self._append(batch, deadline)
-        if detail is not None and not maybe_sent:
+        maybe_sent, detail = await self._append(batch, from_offset, deadline)
+        if not maybe_sent:
             outcome = NotPublished(detail=detail)
             return [ChangeResult(record=r, outcome=outcome) for r in batch]
         await self._await_verdicts(batch, from_offset, deadline)
         return [self._result(record, from_offset) for record in batch]
 
-    async def _append(self, batch, deadline):
-        """Append until it is certain, with the same ids; copies do no harm."""
+    async def _append(self, batch, from_offset, deadline):
+        """Append until it is seen on the log; copies with the same ids do no harm."""
         maybe_sent = False
+        pause = RETRY_PAUSE_S
         give_up_at = min(deadline, self.wall_clock() + UNAVAILABLE_AFTER_S)
         while True:
             answer = await self.log.append(CONFIG_STREAM, batch)
             if isinstance(answer, Appended):
-                return True, None
+                return True, ""
             maybe_sent = maybe_sent or isinstance(answer, AppendUnknown)
+            if maybe_sent and await self._is_read_back(batch, from_offset):
+                return True, ""
             if self.wall_clock() >= give_up_at:
                 return maybe_sent, answer.detail
-            await self.sleep(RETRY_PAUSE_S)
+            await self.sleep(pause)
+            pause = min(2 * pause, MAX_RETRY_PAUSE_S)
+
+    async def _is_read_back(self, batch, from_offset):
+        await self.read_once(wait=0.0)
+        return all(self._verdict(record, from_offset) for record in batch)
 
     async def _await_verdicts(self, batch, from_offset, deadline):
         """Read until each change was judged, or none can be judged any more."""
