Spread restatements over the retention

At 68,000 items and an hour of retention the chosen instance wrote 95 items, 18 KB a second for 717 s of each 1,800, which every instance reads. The others start at 85% and go four times as fast.

53 tests pass in tests/config and tests/cli.

--- a/skylarkpost/config/restating.py
+++ b/skylarkpost/config/restating.py
@@ -2,21 +2,38 @@
 
 import hashlib
 import math
+from typing import NamedTuple
 
 from skylarkpost.config.kinds import item_body
 
 __all__ = ["Restater", "choose_restater"]
 
-RESTATE_AGE_FRACTION = 0.5
-OVERDUE_AGE_FRACTION = 0.75
 PASS_FRACTION = 0.05
-CATCH_UP_FRACTION = 0.2
 MIN_STEP_ITEMS = 50
 MAX_STEP_ITEMS = 400
 ITEMS_PER_RECORD = 50
 MIN_SCAN = 200
 
 
+class Pace(NamedTuple):
+    """When and how fast an instance restates.
+
+    Attributes
+    ----------
+    age : float
+        Age of a statement from which it restates, over the retention.
+    duration : float
+        Time that it takes for all items, over the retention.
+    """
+
+    age: float
+    duration: float
+
+
+CHOSEN_PACE = Pace(age=0.4, duration=0.4)
+OVERDUE_PACE = Pace(age=0.85, duration=0.1)
+
+
 def choose_restater(members):
     """Return the instance whose turn it is to restate.
 
@@ -59,6 +76,7 @@
         self.writer = writer
         self.retention = retention
         self._pending = []
+        self._pass_size = 0
 
     def step(self, store, *, first_offset, log_time, chosen, interval):
         """Return the records to append now.
@@ -82,11 +100,11 @@
         list of RestatementRecord
             With at most `MAX_STEP_ITEMS` items.
         """
-        fraction = RESTATE_AGE_FRACTION if chosen else OVERDUE_AGE_FRACTION
+        pace = CHOSEN_PACE if chosen else OVERDUE_PACE
         store.times.forget_before(log_time - self.retention)
-        old = store.times.offset_at(log_time - fraction * self.retention)
+        old = store.times.offset_at(log_time - pace.age * self.retention)
         old = max(old, first_offset)
-        limit = self._step_limit(store, interval)
+        limit = self._step_limit(store, interval, pace)
         items = []
         for kind, name in self._next_names(store, interval):
             if name not in store.tables[kind]:
@@ -106,9 +124,9 @@
             for start in range(0, len(items), ITEMS_PER_RECORD)
         ]
 
-    def _step_limit(self, store, interval):
+    def _step_limit(self, store, interval, pace):
         total = sum(len(table) for table in store.tables.values())
-        needed = total * interval / (CATCH_UP_FRACTION * self.retention)
+        needed = total * interval / (pace.duration * self.retention)
         return min(max(MIN_STEP_ITEMS, math.ceil(needed)), MAX_STEP_ITEMS)
 
     def _next_names(self, store, interval):
