Release a claim only if nothing was sent

Cause: a refusal that says "not run" may stem from a cancelled request whose bytes are on their way all the same. What the relay says about bytes sent is the surer sign.

--- a/skylarkpost/claims/filter.py
+++ b/skylarkpost/claims/filter.py
@@ -7,7 +7,7 @@
 from skylarkpost.claims.replies import answer_repeated, refuse, refuse_too_old
 from skylarkpost.claims.table import Progress
 from skylarkpost.filters import Filter, register_filter
-from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.outcomes import Reason
 
 __all__ = ["ClaimFilter"]
 
@@ -63,20 +63,13 @@
     async def end(exchange):
         controller.note_end(
             claimant,
-            certainly_not_run=_certainly_not_run(exchange),
+            certainly_not_run=not exchange.dispatched,
             answer=exchange.answer,
         )
 
     return end
 
 
-def _certainly_not_run(exchange):
-    outcome = exchange.outcome
-    if not exchange.dispatched:
-        return True
-    return isinstance(outcome, Refused) and outcome.run_state == RunState.NOT_RUN
-
-
 def _fingerprint(exchange):
     digest = hashlib.blake2b(digest_size=16)
     for part in (exchange.method, exchange.path, exchange.query):
