--- a/skylarkpost/limits/lender.py
+++ b/skylarkpost/limits/lender.py
@@ -114,7 +114,7 @@
         Grant or None
             None if nothing is at home.
         """
-        self.advance(now)
+        self._advance_team(team, now)
         share = self.teams.get(team)
         if share is None or not share.home:
             return None
@@ -148,7 +148,7 @@
             The capacity that the lease stands for now, without tokens; None
             if the lease has ended or may not go on.
         """
-        self.advance(now)
+        self._advance_team(team, now)
         share = self.teams.get(team)
         lent = share.lent.get(lease_id) if share else None
         if lent is None or lent.holder != holder or not lent.renewable:
@@ -176,7 +176,7 @@
         bool
             False if the lease has ended; the tokens are lost then.
         """
-        self.advance(now)
+        self._advance_team(team, now)
         share = self.teams.get(team)
         lent = share.lent.pop(lease_id, None) if share else None
         if lent is None:
@@ -203,7 +203,7 @@
         Receipt or None
             None if there are too few tokens.
         """
-        self.advance(now)
+        self._advance_team(team, now)
         share = self.teams.get(team)
         return share.bucket.charge(tokens, now=now) if share else None
 
@@ -226,7 +226,7 @@
         float
             Tokens put back.
         """
-        self.advance(now)
+        self._advance_team(team, now)
         share = self.teams.get(team)
         return share.bucket.refund(receipt, tokens, now=now) if share else 0.0
 
@@ -238,11 +238,8 @@
         now : float
             The present time, in seconds.
         """
-        for team, share in self.teams.items():
-            ended = [key for key, lent in share.lent.items() if now >= lent.ends_at]
-            for lease_id in ended:
-                for slot in share.lent.pop(lease_id).slots:
-                    self._bring_home(team, slot, now=now, level=0.0)
+        for team in self.teams:
+            self._advance_team(team, now)
 
     def surrender(self, slot, *, now):
         """Give up a slot for good, with its tokens.
@@ -288,6 +285,15 @@
             for lent in share.lent.values()
         )
 
+    def _advance_team(self, team, now):
+        share = self.teams.get(team)
+        if share is None:
+            return
+        ended = [key for key, lent in share.lent.items() if now >= lent.ends_at]
+        for lease_id in ended:
+            for slot in share.lent.pop(lease_id).slots:
+                self._bring_home(team, slot, now=now, level=0.0)
+
     def _bring_home(self, team, slot, *, now, level):
         share = self.teams[team]
         rate, burst = self._capacity(share.limit, 1)
