Spread the slots of a data centre over its instances

Cause: with both slots of a data centre at the pool holder, its death took half of the limit away until they were taken over. An instance that has a slot leaves the next free one to its neighbours for 2 s.

--- a/skylarkpost/limits/keeper.py
+++ b/skylarkpost/limits/keeper.py
@@ -4,7 +4,6 @@
 
 from skylarkpost.limits.commands import AppendRecord, AskToYield
 from skylarkpost.limits.lender import CLOCK_MARGIN
-from skylarkpost.limits.rendezvous import choose_instance
 from skylarkpost.limits.shares import SlotShare
 from skylarkpost.limits.slots import Succession
 
@@ -304,7 +303,8 @@
             self.attempts.free_since.pop(slot, None)
             return []
         free_since = self.attempts.free_since.setdefault(slot, now)
-        if not self._is_preferred(slot, neighbours) and now - free_since < PREFERENCE_S:
+        has_head_start = self._has_head_start(slot, state, now, neighbours)
+        if not has_head_start and now - free_since < PREFERENCE_S:
             return []
         claimed_at = self.attempts.claimed_at.get(slot, NEVER)
         if now - claimed_at < APPEND_PATIENCE_S:
@@ -351,10 +351,20 @@
         heard_at = max(self.listening_since, _last_heard(neighbours, state.owner))
         return now - heard_at <= self.silence
 
-    def _is_preferred(self, slot, neighbours):
+    def _has_head_start(self, slot, state, now, neighbours):
+        is_free = state is None or state.released
+        if is_free and self._has_another(now):
+            # Leaves it to a neighbour that has none, and may just be starting.
+            return False
         candidates = [neighbour.owner.instance for neighbour in neighbours]
-        candidates.append(self.owner.instance)
-        return choose_instance(slot, candidates) == self.owner.instance
+        candidates = sorted({*candidates, self.owner.instance})
+        turn = self.slots.index(slot) % len(candidates)
+        return candidates[turn] == self.owner.instance
+
+    def _has_another(self, now):
+        claimed = self.attempts.claimed_at.values()
+        is_claiming = any(now - at < APPEND_PATIENCE_S for at in claimed)
+        return bool(self.active or self.pending or is_claiming)
 
     def _record(self, record_type, slot, **fields):
         return {
--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -96,3 +96,10 @@
     fleet.nodes[holder].dead = True
     fleet.run(50)
     assert max(at for at, _ in fleet.refused["team"]) < killed_at + 5
+
+
+def test_the_slots_of_a_data_centre_are_spread_over_its_instances():
+    fleet = Fleet(seed=8, limits={"team": LIMIT})
+    fleet.run(5)
+    owned = [len(fleet.nodes[name].keeper.active_slots()) for name in INSTANCES]
+    assert owned == [1, 1, 1, 1]
