--- a/tests/limits/test_fleet.py
+++ b/tests/limits/test_fleet.py
@@ -98,6 +98,17 @@
     assert max(at for at, _ in fleet.refused["team"]) < killed_at + 5
 
 
+def test_a_slot_is_lost_as_soon_as_the_claim_on_it_is_read():
+    fleet = Fleet(seed=9, limits={"team": LIMIT})
+    fleet.run(5)
+    node = fleet.nodes["e4"]
+    record = {"type": "slot-claim", "slot": "c/0", "instance": "e5", "boot": "boot99"}
+    record["expects"] = node.table.states["c/0"].claim
+    assert node.table.apply(record, len(fleet.log), fleet.now)
+    assert node.core.draw_at_home("team", 0, now=fleet.now) is not None
+    assert node.core.lender.slots == {}
+
+
 def test_the_slots_of_a_data_centre_are_spread_over_its_instances():
     fleet = Fleet(seed=8, limits={"team": LIMIT})
     fleet.run(5)
