Charge a load for the crowd at its target

Cause: adapters were loaded where their later requests waited for the batch; urgent requests had the longest first-token times, although few waited for a load.

--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -221,13 +221,15 @@
         sent = self.sent.get(target.name, {})
         is_far = target.data_centre != self.data_centre
         load_wait, is_resident = self._load_wait(request, summary, sent)
+        outstanding = self._outstanding(summary, sent)
         return TargetView(
             target=target.name,
             queue_wait=self._queue_wait(request, target, summary, sent),
             load_wait=load_wait,
             prefill=self._prefill(request, target.name, now),
             distance=self.policy.far_distance if is_far else 0.0,
-            outstanding=self._outstanding(summary, sent),
+            outstanding=outstanding,
+            fullness=outstanding / max(1, target.batch_limit),
             is_resident=is_resident,
             home_rank=home_rank,
             victim_worth=0.0 if summary is None else summary.victim_worth,
--- a/skylarkpost/placement/scores.py
+++ b/skylarkpost/placement/scores.py
@@ -4,6 +4,12 @@
 
 __all__ = ["TargetView", "placement_score", "register_score"]
 
+AWAY_PENALTY_S = 0.4
+VICTIM_PENALTY_S = 0.6
+CROWD_PENALTY_S = 1.5
+MAX_PENALISED_RANK = 4
+MAX_PENALISED_WORTH = 5.0
+
 _scores = {}
 
 
@@ -24,6 +30,8 @@
         Seconds of the round trip to the target.
     outstanding : int
         Requests on the target and in its queue.
+    fullness : float
+        The same over the target's batch limit.
     is_resident : bool
         Whether the adapter is resident, or on its way by our own request.
     home_rank : int
@@ -38,6 +46,7 @@
     prefill: float
     distance: float
     outstanding: int
+    fullness: float
     is_resident: bool
     home_rank: int
     victim_worth: float
@@ -87,7 +96,8 @@
 
     A load also costs the others: a copy away from the adapter's home takes a
     slot more, and the adapter that leaves has to be loaded again by those who
-    want it.
+    want it. An adapter that is loaded where the batch is nearly full will have
+    its later requests wait there.
     """
     wait = view.queue_wait + view.load_wait + view.prefill + view.distance
     if not view.is_resident:
@@ -98,13 +108,8 @@
 def _cost_to_others(view):
     away = AWAY_PENALTY_S * min(view.home_rank, MAX_PENALISED_RANK)
     victim = VICTIM_PENALTY_S * min(view.victim_worth, MAX_PENALISED_WORTH)
-    return away + victim
-
-
-AWAY_PENALTY_S = 0.6
-VICTIM_PENALTY_S = 0.6
-MAX_PENALISED_RANK = 4
-MAX_PENALISED_WORTH = 5.0
+    crowd = CROWD_PENALTY_S * view.fullness**2
+    return away + victim + crowd
 
 
 @register_score("least-loaded")
