--- a/lab/figures.py
+++ b/lab/figures.py
@@ -7,7 +7,15 @@
 
 from lab.buckets import TokenBucket
 
-__all__ = ["Sample", "collect", "pool", "quantile", "worst_over_best"]
+__all__ = [
+    "Sample",
+    "chance_ratio",
+    "collect",
+    "pool",
+    "quantile",
+    "teams_within_rate",
+    "worst_over_best",
+]
 
 FEWEST_SAMPLES = 60
 SHUFFLES = 25
@@ -30,6 +38,8 @@
         Seconds by (urgency, team).
     entitled, served : dict of str to float
         Tokens that each team was entitled to and got answered.
+    over_rate_by_team : dict of str to int
+        Requests refused because their team was over its rate.
     steps, step_tokens, preamble_hits, preamble_tokens, loads : int
         Sums over all engines.
     over_admitted : float
@@ -46,6 +56,7 @@
     first_token: dict
     entitled: dict
     served: dict
+    over_rate_by_team: dict
     steps: int
     step_tokens: int
     preamble_hits: int
@@ -118,6 +129,11 @@
         first_token=dict(first_token),
         entitled=_entitled(replay),
         served=dict(served),
+        over_rate_by_team=dict(
+            collections.Counter(
+                job.request.team for job in refused if not job.within_rate
+            )
+        ),
         over_admitted=replay.over_admitted,
         **totals._asdict(),
     )
@@ -207,6 +223,26 @@
     return widest
 
 
+def teams_within_rate(sample):
+    """Return the first-token times of the teams that were never over their rate.
+
+    Parameters
+    ----------
+    sample : Sample
+        Of any number of replays.
+
+    Returns
+    -------
+    dict of tuple to list of float
+        Seconds by (urgency, team).
+    """
+    return {
+        key: times
+        for key, times in sample.first_token.items()
+        if not sample.over_rate_by_team.get(key[1])
+    }
+
+
 def chance_ratio(first_token, fraction, *, seed=1):
     """Return the ratio that chance alone gives to teams served alike.
 
--- a/lab/rows.py
+++ b/lab/rows.py
@@ -2,7 +2,12 @@
 
 from typing import NamedTuple
 
-from lab.figures import chance_ratio, quantile, worst_over_best
+from lab.figures import (
+    chance_ratio,
+    quantile,
+    teams_within_rate,
+    worst_over_best,
+)
 
 __all__ = ["ROWS", "Row"]
 
@@ -97,6 +102,14 @@
     return lambda bounds, sample: chance_ratio(sample.first_token, fraction)
 
 
+def _within_rate(sample):
+    return worst_over_best(teams_within_rate(sample), 0.95)
+
+
+def _within_rate_bound(bounds, sample):
+    return chance_ratio(teams_within_rate(sample), 0.95)
+
+
 def _least_share(sample):
     return min(
         sample.served.get(team, 0) / tokens for team, tokens in sample.entitled.items()
@@ -168,6 +181,13 @@
         _teams_bound(0.95),
         _team_target,
     ),
+    Row(
+        "team_p95_ratio_within_rate",
+        "the same, teams never over their rate",
+        _within_rate,
+        _within_rate_bound,
+        _no_target,
+    ),
     Row(
         "team_p99_ratio",
         "first token p99, worst team over best",
