Expect follow-up requests when choosing what an adapter load replaces

The worth of an adapter was its demand over five minutes, so one whose caller was in the middle of a few requests left before one that was popular some minutes ago; and placement did not see which engine would lose least.

--- a/skylarkpost/placement/scores.py
+++ b/skylarkpost/placement/scores.py
@@ -4,11 +4,11 @@
 
 __all__ = ["TargetView", "placement_score", "register_score"]
 
-AWAY_PENALTY_S = 0.4
-VICTIM_PENALTY_S = 0.6
+AWAY_PENALTY_S = 0.15
+VICTIM_PENALTY_S = 1.0
 CROWD_PENALTY_S = 1.5
 MAX_PENALISED_RANK = 4
-MAX_PENALISED_WORTH = 5.0
+MAX_PENALISED_WORTH = 3.0
 
 _scores = {}
 
@@ -37,7 +37,7 @@
     home_rank : int
         Rank of the target by rendezvous hash for the adapter; 0 is its home.
     victim_worth : float
-        Decayed count of requests for the adapter that a load would replace.
+        Requests expected soon for the adapter that a load would replace.
     """
 
     target: str
--- a/skylarkpost/stewardship/demand.py
+++ b/skylarkpost/stewardship/demand.py
@@ -1,5 +1,7 @@
 """Decayed demand for adapters."""
 
+import math
+
 __all__ = ["Demand"]
 
 
@@ -56,6 +58,23 @@
         count, at = self.counts.get(name, (0.0, now))
         return count * 0.5 ** (max(0.0, now - at) / self.half_life)
 
+    def rate(self, name, now):
+        """Return how often a name was asked for of late.
+
+        Parameters
+        ----------
+        name : str
+            The name.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Requests a second.
+        """
+        return self.value(name, now) * math.log(2.0) / self.half_life
+
     def _shrink(self, now):
         by_demand = sorted(self.counts, key=lambda name: self.value(name, now))
         for name in by_demand[: self.limit // 4]:
--- a/skylarkpost/stewardship/eviction.py
+++ b/skylarkpost/stewardship/eviction.py
@@ -2,7 +2,16 @@
 
 from typing import NamedTuple
 
-__all__ = ["AdapterUsage", "eviction_policy", "register_eviction"]
+__all__ = [
+    "AdapterUsage",
+    "eviction_policy",
+    "expected_rate",
+    "register_eviction",
+]
+
+# Callers tend to ask several times in a row.
+FOLLOW_UP_RATE_PER_S = 0.02
+FOLLOW_UP_HALF_LIFE_S = 30.0
 
 _policies = {}
 
@@ -14,8 +23,8 @@
     ----------
     lora_name : str
         The adapter.
-    demand : float
-        Decayed count of its requests on this target.
+    rate : float
+        Requests a second on this target over the last minutes.
     idle_for : float
         Seconds since its last request ended.
     load_cost : float
@@ -23,7 +32,7 @@
     """
 
     lora_name: str
-    demand: float
+    rate: float
     idle_for: float
     load_cost: float
 
@@ -66,10 +75,28 @@
     return _policies[name]
 
 
+def expected_rate(usage):
+    """Return how often an adapter is expected to be asked for from now on.
+
+    Parameters
+    ----------
+    usage : AdapterUsage
+        What is known of it.
+
+    Returns
+    -------
+    float
+        Requests a second: its usual rate, and the follow-up requests of a
+        caller that has just used it, which grow unlikely with time.
+    """
+    follow_up = 0.5 ** (usage.idle_for / FOLLOW_UP_HALF_LIFE_S)
+    return usage.rate + FOLLOW_UP_RATE_PER_S * follow_up
+
+
 @register_eviction("worth")
 def worth(usage):
-    """Return decayed demand times the cost to load."""
-    return (usage.demand * usage.load_cost, -usage.idle_for)
+    """Return the expected requests times the cost to load."""
+    return (expected_rate(usage) * usage.load_cost, -usage.idle_for)
 
 
 @register_eviction("least-recently-used")
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -404,7 +404,9 @@
             service_time=round(self.service_time, 2),
             load_wait=round(self._expected_load_wait(now), 2),
             free_slots=self.slots.residency.free_slots(),
-            victim_worth=round(self.slots.victims.least_demand(now), 1),
+            victim_worth=round(
+                self.slots.victims.least_expected(self.slots.load_cost, now), 2
+            ),
             made_at=now,
             resident=frozenset(adapter_hash(name) for name in usable),
         )
--- a/skylarkpost/stewardship/summary.py
+++ b/skylarkpost/stewardship/summary.py
@@ -40,8 +40,8 @@
     free_slots : int
         Slots that nothing takes.
     victim_worth : float
-        Decayed count of requests for the adapter that would leave next; 0 if
-        a slot is free.
+        Requests expected soon for the adapter that would leave next; 0 if a
+        slot is free.
     made_at : float
         Seconds of the steward's clock.
     resident : frozenset of int
--- a/skylarkpost/stewardship/victims.py
+++ b/skylarkpost/stewardship/victims.py
@@ -1,10 +1,16 @@
 """Chooses the adapter that leaves an engine, among those that are idle."""
 
-from skylarkpost.stewardship.eviction import AdapterUsage, eviction_policy
+from skylarkpost.stewardship.eviction import (
+    AdapterUsage,
+    eviction_policy,
+    expected_rate,
+)
 from skylarkpost.stewardship.residency import HOLDS_COPY, AdapterState
 
 __all__ = ["VictimChooser"]
 
+EXPECTATION_S = 100.0
+
 
 class VictimChooser:
     """Finds adapters that are certainly not in use, the least worth first.
@@ -104,28 +110,33 @@
         idle_since = self.book.last_end.get(name, since)
         return AdapterUsage(
             lora_name=name,
-            demand=self.demand.value(name, now),
+            rate=self.demand.rate(name, now),
             idle_for=0.0 if self.book.in_use(name) else now - idle_since,
             load_cost=load_cost,
         )
 
-    def least_demand(self, now):
-        """Return the demand for the adapter that would leave next.
+    def least_expected(self, load_cost, now):
+        """Return the requests expected for the adapter that would leave next.
 
         Parameters
         ----------
+        load_cost : float
+            Seconds that a load takes.
         now : float
             The present time, in seconds.
 
         Returns
         -------
         float
-            Decayed count of its requests; 0 if a slot is free.
+            Requests within `EXPECTATION_S`; 0 if a slot is free.
         """
         if self.residency.free_slots():
             return 0.0
-        usable = self.residency.usable()
-        return min((self.demand.value(name, now) for name in usable), default=0.0)
+        rates = (
+            expected_rate(self.usage(name, load_cost, now))
+            for name in self.residency.usable()
+        )
+        return min(rates, default=0.0) * EXPECTATION_S
 
     def _is_evictable(self, name, evicts_from):
         if self.residency.state(name) not in HOLDS_COPY or name in self.pinned:
