Judge a record whose type is no string as invalid

The store raised TypeError on it. The log follower passes over that, but the tool and the reads from peers do not. The case is in tests/config/test_store.py.

--- a/skylarkpost/config/store.py
+++ b/skylarkpost/config/store.py
@@ -88,7 +88,9 @@
             return Stale()
         self.applied_offset = offset
         self.times.note(time=time, offset=offset)
-        applier = self._appliers.get(record.get("type"))
+        record_type = record.get("type")
+        known = isinstance(record_type, str) and record_type in self._appliers
+        applier = self._appliers[record_type] if known else None
         if applier is None:
             return Invalid(problem="unknown type of record")
         try:
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -140,6 +140,9 @@
         {"made_at": 31.0},
         {"made_at": -31.0},
         {"type": "wish"},
+        {"type": ["change"]},
+        {"kind": {}},
+        {"body": []},
     ],
 )
 def test_an_invalid_record_is_told_and_changes_nothing(fault):
