--- a/tests/limits/fleet.py
+++ b/tests/limits/fleet.py
@@ -34,7 +34,7 @@
         self.owner = SlotOwner(name, f"boot{boot}")
         self.paused_until = 0.0
         self.dead = False
-        self.heard, self.left = {}, set()
+        self.heard, self.left, self.asked_members = {}, set(), []
         self.applied = 0
         ids = f"{name}-{boot}"
         self.table = SlotTable(retention=fleet.retention)
@@ -112,6 +112,9 @@
         )
         self.core.sync(fleet.now)
         fleet.note_slots()
+        if self.members() != self.asked_members:
+            self.asked_members = self.members()
+            self.ask_all()
         for command in commands:
             if isinstance(command, AppendRecord):
                 fleet.append(self, command.record)
