Take load permits from the limits alone

Cause: the local bucket stood in for the pool of permits, which every instance has now; with it goes its setting load_share.

--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -229,12 +229,6 @@
     queue_limit: int = Field(
         default=512, ge=1, le=100_000, description="Requests that wait for one target."
     )
-    load_share: float = Field(
-        default=0.25,
-        gt=0.0,
-        le=1.0,
-        description="Share of the weight store where no pool of permits is shared.",
-    )
     queue_order: str = Field(
         default="fair",
         pattern="^(fair|first-come)$",
--- a/skylarkpost/stewardship/__init__.py
+++ b/skylarkpost/stewardship/__init__.py
@@ -14,7 +14,6 @@
     TicketRequest,
     UnloadAdapter,
 )
-from skylarkpost.stewardship.permits import LocalLoadPermits
 from skylarkpost.stewardship.policy import StewardPolicy
 from skylarkpost.stewardship.steward import Powers, TargetSteward
 from skylarkpost.stewardship.summary import (
@@ -32,7 +31,6 @@
     "HeldTicket",
     "LoadAdapter",
     "LoadReport",
-    "LocalLoadPermits",
     "Powers",
     "RefuseTicket",
     "RequestLoadPermit",
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -18,7 +18,6 @@
 from skylarkpost.stewardship.election import Election, Peer
 from skylarkpost.stewardship.holder import TicketHolder
 from skylarkpost.stewardship.keeper import SeatKeeper
-from skylarkpost.stewardship.permit_source import PermitSource
 from skylarkpost.stewardship.policy import StewardPolicy
 from skylarkpost.stewardship.service import StewardshipServicer
 from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
@@ -107,7 +106,6 @@
             authority=self.authority,
             policy=self.policy,
             engines=self.engines,
-            permits=PermitSource(services=services, share=settings.load_share),
         )
         self.desk = TicketDesk(
             services=services,
--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -280,11 +280,8 @@
 
 
 async def _unless_cancelled(asking, exchange):
-    cancel_event = getattr(exchange, "cancel_event", None)
-    if cancel_event is None:
-        return await asking
     asked = asyncio.ensure_future(asking)
-    cancelled = asyncio.ensure_future(cancel_event.wait())
+    cancelled = asyncio.ensure_future(exchange.cancel_event.wait())
     try:
         await asyncio.wait({asked, cancelled}, return_when="FIRST_COMPLETED")
         if asked.done():
--- a/skylarkpost/stewardship/keeper.py
+++ b/skylarkpost/stewardship/keeper.py
@@ -39,8 +39,6 @@
         For the stewards.
     engines : skylarkpost.targets.EngineClient
         Client of the engines.
-    permits : PermitSource
-        Where loads are permitted.
 
     Attributes
     ----------
@@ -50,16 +48,13 @@
         Retired stewards whose successor is not known yet.
     """
 
-    def __init__(
-        self, *, services, table, election, authority, policy, engines, permits
-    ):
+    def __init__(self, *, services, table, election, authority, policy, engines):
         self.services = services
         self.table = table
         self.election = election
         self.authority = authority
         self.policy = policy
         self.engines = engines
-        self.permits = permits
         self.seats = {}
         self.handing_over = {}
         self.busy = set()
@@ -197,7 +192,7 @@
         seat = StewardSeat(
             steward=steward,
             engines=self.engines,
-            permits=self.permits,
+            permits=self.services.controllers["limits"],
             clock=self.services.clock,
             claim=claim,
             on_stale=self._note_stale,
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -45,9 +45,8 @@
         The core.
     engines : skylarkpost.targets.EngineClient
         Client of the engines.
-    permits : object
-        ``await acquire(urgency=, waiting=)`` gives a permit or None; it has
-        ``release(unused=)``.
+    permits : skylarkpost.limits.LimitsController
+        Where loads from the weight store are permitted.
     clock : callable
         Returns the present time in seconds.
     claim : Claim
@@ -270,7 +269,7 @@
         self._keep(self._get_permit(command))
 
     async def _get_permit(self, command):
-        permit = await self.permits.acquire(
+        permit = await self.permits.acquire_load_permit(
             urgency=command.urgency, waiting=command.waiting
         )
         if permit is None:
