--- a/lab/slope_cases.py
+++ b/lab/slope_cases.py
@@ -15,6 +15,7 @@
 from skylarkpost.membership.core import MembershipCore
 from skylarkpost.membership.messages import encode_heartbeat, encode_reply
 from skylarkpost.placement import PlacementRequest, Placer
+from skylarkpost.rpc import limits_pb2, stewardship_pb2
 from skylarkpost.stewardship import (
     AdapterLoad,
     LoadReport,
@@ -413,3 +414,51 @@
     quiet = timed(lambda: network.run(SETTLE_S, SETTLE_S + 1.0), size)
     settled = timed(lambda: network.run(SETTLE_S + 5.0, SETTLE_S + 6.0), size)
     return max(0.0, quiet - settled)
+
+
+@register_case(
+    "control messages of requests", unit="bytes", per="request", sizes=(1, 10, 100)
+)
+def measure_request_messages(size):
+    """Return the bytes of the draws, refunds, tickets and returns of requests.
+
+    The messages alone are counted, without the framing of gRPC.
+    """
+    receipt = limits_pb2.Receipt(bucket="entry-1/pool-1", sequence=10**6, tokens=2270.0)
+    ticket_id = "entry-1-0123456789ab.1"
+    messages = (
+        limits_pb2.DrawRequest(team="depot-north", tokens=2270.0),
+        limits_pb2.DrawReply(receipt=receipt, has_shares=True, within_rate=True),
+        limits_pb2.RefundRequest(team="depot-north", receipt=receipt, tokens=100.0),
+        limits_pb2.RefundReply(tokens=100.0),
+        stewardship_pb2.TicketAsk(
+            ticket_id=ticket_id,
+            holder="entry-1",
+            target="plan-assist-1",
+            lora_name="adapter-00001@1",
+            team="depot-north",
+            weight=1.0,
+            urgency=5,
+            tokens=2270,
+            remaining=20.0,
+        ),
+        stewardship_pb2.TicketAnswer(
+            state=stewardship_pb2.TicketAnswer.GRANTED,
+            boot="0123456789ab-01234567",
+            fencing_number=10**6,
+            lease=10.0,
+            waited=0.1,
+            load_wait=0.1,
+        ),
+        stewardship_pb2.TicketReturns(
+            tickets=[
+                stewardship_pb2.ReturnedTicket(
+                    ticket_id=ticket_id,
+                    target="plan-assist-1",
+                    unused_tokens=100,
+                    certain=True,
+                )
+            ]
+        ),
+    )
+    return size * sum(message.ByteSize() for message in messages)
