--- a/skylarkpost/limits/keeper.py
+++ b/skylarkpost/limits/keeper.py
@@ -4,7 +4,6 @@
 
 from skylarkpost.limits.commands import AppendRecord, AskToYield
 from skylarkpost.limits.lender import CLOCK_MARGIN
-from skylarkpost.limits.rendezvous import choose_instance
 from skylarkpost.limits.shares import SlotShare
 from skylarkpost.limits.slots import Succession
 
@@ -28,8 +27,8 @@
     """A claimed slot that others may still use under earlier claims."""
 
     claim: int
-    predecessors: tuple
-    since: float
+    # Since when each predecessor has been silent.
+    silent_since: dict
     # When nothing that a predecessor did can have effect any more.
     ended_at: dict = field(default_factory=dict)
     asked_at: float = NEVER
@@ -174,6 +173,12 @@
         self.yielded[slot] = max(claim, self.yielded.get(slot, claim))
         return True
 
+    def resign(self):
+        """Give up all slots, since another run has taken this one's place."""
+        self.releasing = True
+        for slot, active in self.active.items():
+            self.yield_slot(slot, active.share.claim + 1)
+
     def note_yielded(self, slot, owner, now):
         """Note that a former owner of a claimed slot has given it up.
 
@@ -255,13 +260,14 @@
         pending = self.pending.get(slot)
         if pending is None or pending.claim != state.claim:
             pending = self.pending[slot] = _Pending(
-                claim=state.claim, predecessors=state.predecessors, since=now
+                claim=state.claim,
+                silent_since=dict.fromkeys(state.predecessors, now),
             )
-        for owner in pending.predecessors:
+        for owner in pending.silent_since:
             self._note_silence(pending, owner, now, neighbours)
         waiting_for = [
             owner
-            for owner in pending.predecessors
+            for owner in pending.silent_since
             if now < pending.ended_at.get(owner, float("inf"))
         ]
         if not waiting_for:
@@ -279,8 +285,9 @@
     def _note_silence(self, pending, owner, now, neighbours):
         if owner in pending.ended_at:
             return
-        heard_at = _last_heard(neighbours, owner)
-        silent_since = max(pending.since, heard_at, self.listening_since)
+        heard_at = max(self.listening_since, _last_heard(neighbours, owner))
+        silent_since = max(pending.silent_since[owner], heard_at)
+        pending.silent_since[owner] = silent_since
         if now - silent_since > self.silence:
             # What a silent owner has lent, it lent before it went silent.
             wait = max(self.silence, self.lend_time)
@@ -296,7 +303,8 @@
             self.attempts.free_since.pop(slot, None)
             return []
         free_since = self.attempts.free_since.setdefault(slot, now)
-        if not self._is_preferred(slot, neighbours) and now - free_since < PREFERENCE_S:
+        has_head_start = self._has_head_start(slot, state, now, neighbours)
+        if not has_head_start and now - free_since < PREFERENCE_S:
             return []
         claimed_at = self.attempts.claimed_at.get(slot, NEVER)
         if now - claimed_at < APPEND_PATIENCE_S:
@@ -343,10 +351,20 @@
         heard_at = max(self.listening_since, _last_heard(neighbours, state.owner))
         return now - heard_at <= self.silence
 
-    def _is_preferred(self, slot, neighbours):
+    def _has_head_start(self, slot, state, now, neighbours):
+        is_free = state is None or state.released
+        if is_free and self._has_another(now):
+            # Leaves it to a neighbour that has none, and may just be starting.
+            return False
         candidates = [neighbour.owner.instance for neighbour in neighbours]
-        candidates.append(self.owner.instance)
-        return choose_instance(slot, candidates) == self.owner.instance
+        candidates = sorted({*candidates, self.owner.instance})
+        turn = self.slots.index(slot) % len(candidates)
+        return candidates[turn] == self.owner.instance
+
+    def _has_another(self, now):
+        claimed = self.attempts.claimed_at.values()
+        is_claiming = any(now - at < APPEND_PATIENCE_S for at in claimed)
+        return bool(self.active or self.pending or is_claiming)
 
     def _record(self, record_type, slot, **fields):
         return {
