Read a log that is always slow, and past a record that cannot be decoded

Causes, found by reading: a read was given up after two seconds for ever, so a log that always takes three would never be read; and one record with half of a surrogate pair made the strict decoder refuse the whole answer, on every instance and for as long as the log keeps it.

Ruled out: one long timeout, which would make the first notice of an outage late. Patience grows with each timeout and shrinks with each answer.

--- a/skylarkpost/platform/log_client.py
+++ b/skylarkpost/platform/log_client.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's append-only log."""
 
+import json
 import time
 from typing import Any
 
@@ -21,6 +22,8 @@
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 2.0
 READ_LIMIT = 500
+MAX_READ_PATIENCE_S = 30.0
+READ_PATIENCE_STEP_S = 0.1
 JSON_HEADERS = {"Content-Type": "application/json"}
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -66,6 +69,13 @@
     answer_timeout : float
         Seconds until a request without an answer is given up.
 
+    Attributes
+    ----------
+    read_patience : float
+        Seconds that reads wait longer. They grow while a slow log lets reads
+        time out, since a read that is given up too early each time would never
+        bring anything, and shrink again with each answer.
+
     Examples
     --------
     ::
@@ -91,6 +101,7 @@
         self.base_url = base_url
         self.clock = clock
         self.answer_timeout = answer_timeout
+        self.read_patience = 0.0
         self.sessions = HttpSessions(session_source=session_source)
 
     async def append(self, stream, records):
@@ -149,19 +160,22 @@
         path = (
             f"/streams/{stream}/records?from={from_offset}&limit={limit}&wait={wait:g}"
         )
+        patience = self.read_patience
         try:
-            status, answer = await self._call("GET", path, wait=wait)
+            status, answer = await self._call("GET", path, wait=wait + patience)
         except TimeoutError:
+            self.read_patience = min(MAX_READ_PATIENCE_S, 2.0 * patience + 1.0)
             return LogUnavailable(detail="no answer in time")
         except (aiohttp.ClientError, OSError) as error:
             return LogUnavailable(detail=repr(error))
         if status != STATUS_OK:
             return LogUnavailable(detail=f"status {status}")
         try:
-            decoded = msgspec.json.decode(answer, type=ReadAnswer)
-        except msgspec.DecodeError as error:
+            decoded = _decode_read(answer)
+        except ValueError as error:
             return LogUnavailable(detail=f"answer not understood: {error}")
         records = [_record(on_wire) for on_wire in decoded.records]
+        self.read_patience = max(0.0, self.read_patience - READ_PATIENCE_STEP_S)
         return Records(
             first_offset=decoded.first_offset,
             next_offset=decoded.next_offset,
@@ -191,6 +205,21 @@
             raise
 
 
+def _decode_read(answer):
+    """Decode the answer to a read.
+
+    A record with half of a surrogate pair, which strict decoders refuse, must
+    not hide all others: such characters are replaced, alike on every instance.
+    """
+    try:
+        return msgspec.json.decode(answer, type=ReadAnswer)
+    except msgspec.ValidationError:
+        raise
+    except msgspec.DecodeError:
+        text = json.dumps(json.loads(answer), ensure_ascii=False)
+        return msgspec.json.decode(text.encode("utf-8", "replace"), type=ReadAnswer)
+
+
 def _record(on_wire):
     """Return a record; what is no object cannot stop those after it."""
     data = on_wire.data if isinstance(on_wire.data, dict) else {}
--- a/tests/platform/test_log_client.py
+++ b/tests/platform/test_log_client.py
@@ -2,6 +2,7 @@
 
 import aiohttp
 import pytest
+from starlette.responses import Response
 
 from skylarkpost.platform import (
     Appended,
@@ -19,8 +20,8 @@
 
 
 @contextlib.asynccontextmanager
-async def log_pair():
-    stand_in = LogStandIn()
+async def log_pair(stand_in=None):
+    stand_in = stand_in or LogStandIn()
     async with serving(stand_in) as urls, aiohttp.ClientSession() as session:
         client = LogClient(
             base_url=urls[0], session_source=lambda: session, answer_timeout=0.3
@@ -115,3 +116,29 @@
         await log.append("s", ["no object", {"type": "a"}])
         piece = await log.read("s", from_offset=0)
         assert [r.data for r in piece.records] == [{}, {"type": "a"}]
+
+
+class HalfPairLog(LogStandIn):
+    """A log that hands on a record as an operator's own tool wrote it."""
+
+    async def get_records(self, request):
+        first = b'{"offset": 0, "time": 1, "data": {"type": "a", "x": "\\ud800"}}'
+        second = b'{"offset": 1, "time": 1, "data": {"type": "b"}}'
+        body = b'{"first_offset": 0, "next_offset": 2, "records": [%b, %b]}'
+        return Response(body % (first, second), media_type="application/json")
+
+
+async def test_a_record_with_half_a_surrogate_pair_does_not_hide_the_others():
+    async with log_pair(HalfPairLog()) as (_, log):
+        piece = await log.read("s", from_offset=0)
+        assert [r.data["type"] for r in piece.records] == ["a", "b"]
+        assert piece.records[0].data["x"] == "?"
+
+
+async def test_a_log_that_is_always_slow_is_read_in_the_end():
+    async with log_pair() as (stand_in, log):
+        await log.append("s", [{"type": "a"}])
+        stand_in.switches.delay = 0.8
+        reads = [await log.read("s", from_offset=0) for _ in range(3)]
+        assert isinstance(reads[0], LogUnavailable)
+        assert [r.data["type"] for r in reads[-1].records] == ["a"]
