Give fleets ports that no outgoing connection takes

One run over processes failed before it began: a port that was free when it was chosen belonged to another fleet's stand-in when its own process was to listen, and PUT /instances got a 404. The system hands such ports to any connection. Ports now come at random from below that range, each once.

Ruled out: keeping the probing socket open until the process starts, which would keep the process from listening.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -20,6 +21,10 @@
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 20.0
 POLL_S = 0.05
+# Below the ports that the system gives to outgoing connections.
+OWN_PORTS = (10_000, 32_000)
+
+given_ports = set()
 
 
 class FleetShape(NamedTuple):
@@ -326,7 +331,16 @@
 
 
 def free_port():
-    """Return a TCP port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Return a TCP port that is free now, and that no connection takes by itself.
+
+    Ports that the system hands out can be taken by an outgoing connection or by
+    another fleet before the process that they are meant for listens.
+    """
+    while True:
+        port = random.randrange(*OWN_PORTS)
+        if port in given_ports:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            given_ports.add(port)
+            return port
--- a/tests/membership/test_controller.py
+++ b/tests/membership/test_controller.py
@@ -1,7 +1,6 @@
 import asyncio
 import contextlib
 import random
-import socket
 from types import SimpleNamespace
 
 import grpc
@@ -11,6 +10,7 @@
 from skylarkpost.metrics import Metrics
 from skylarkpost.platform import InstanceList, ListedInstance
 from skylarkpost.rpc import PeerChannels
+from standins.fleet import free_port
 
 
 class FakeInstances:
@@ -29,12 +29,6 @@
             callback(listing, now)
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def build_services(name, port, seed):
     loop = asyncio.get_running_loop()
     return SimpleNamespace(
