--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -46,3 +46,17 @@
         if not (page.parent / target).exists()
     ]
     assert broken == []
+
+
+def test_each_test_named_by_the_promises_exists():
+    text = (ROOT / "docs" / "PROMISES.md").read_text()
+    named = re.findall(r"`(tests/[^`]+\.py)::(\w+)`", text)
+    assert named
+    missing = [
+        f"{path}::{name}"
+        for path, name in named
+        if not re.search(
+            rf"^(async )?def {name}\(", (ROOT / path).read_text(), re.MULTILINE
+        )
+    ]
+    assert missing == []
