--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -1,5 +1,6 @@
 """Holds the operators' pages to what the code does."""
 
+import doctest
 import pathlib
 import re
 
@@ -60,3 +61,15 @@
         )
     ]
     assert missing == []
+
+
+@pytest.mark.parametrize(
+    "page", sorted((ROOT / "docs").glob("*.md")), ids=lambda page: page.stem
+)
+def test_worked_examples_give_what_they_show(page):
+    text = re.sub(r"^```.*$", "", page.read_text(), flags=re.MULTILINE)
+    examples = doctest.DocTestParser().get_doctest(text, {}, page.name, str(page), 0)
+    runner = doctest.DocTestRunner(optionflags=doctest.ELLIPSIS)
+    failures = []
+    runner.run(examples, out=failures.append)
+    assert runner.failures == 0, "".join(failures)
