End the work at the target before a request counts as finished

Cause: when a caller left in the middle of a stream, the answer's generator was left to the garbage collector, so the request was finished, and its ticket given back, while its engine stream was still open.

Ruled out: closing it in the relay alone, since a body that was never begun has nothing that runs.

Measured: the new test failed before (the request was finished and the body not closed); the tests of frontend and relay pass.

--- a/skylarkpost/frontend/caller.py
+++ b/skylarkpost/frontend/caller.py
@@ -109,7 +109,12 @@
             )
         if self.services.draining:
             response.headers["connection"] = "close"
-        await response(scope, receive, _bound(send))
+        try:
+            await response(scope, receive, _bound(send))
+        finally:
+            if not isinstance(outcome, Refused):
+                # Ends the work at the target before the request is finished.
+                await outcome.body.aclose()
 
     async def _run_chain(self, exchange):
         now = self.services.clock()
--- a/skylarkpost/outcomes/outcome.py
+++ b/skylarkpost/outcomes/outcome.py
@@ -1,7 +1,7 @@
 """Outcomes of a request."""
 
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 
 from skylarkpost.outcomes.reasons import Reason
@@ -50,12 +50,12 @@
         HTTP status of the answer.
     headers : dict of str to str
         Headers for the caller.
-    body : async iterator of bytes
+    body : async generator of bytes
         The answer, piece by piece.
     """
 
     status: int
-    body: AsyncIterator[bytes]
+    body: AsyncGenerator[bytes, None]
     headers: dict[str, str] = field(default_factory=dict)
 
 
--- a/skylarkpost/relay/filter.py
+++ b/skylarkpost/relay/filter.py
@@ -46,6 +46,8 @@
         first = await anext(events, None)
         if first is None:
             return answer.refusal
+        # Also for a caller that leaves before the body is begun.
+        exchange.on_finish(lambda _: events.aclose())
         body = self._body(exchange, answer, first, events)
         return Relayed(status=STATUS_OK, headers=EVENT_STREAM, body=body)
 
--- /dev/null
+++ b/tests/frontend/test_caller.py
@@ -0,0 +1,102 @@
+import types
+
+import pytest
+from starlette.requests import ClientDisconnect
+
+from skylarkpost.frontend.caller import CallerEndpoint
+from skylarkpost.metrics import Metrics
+from skylarkpost.outcomes import Reason, Refused, Relayed
+
+SCOPE = {
+    "type": "http",
+    "method": "POST",
+    "path": "/v1/chat/completions",
+    "query_string": b"",
+    "headers": [(b"authorization", b"Bearer skp_secret")],
+    "asgi": {"spec_version": "2.4"},
+}
+
+
+class FakeChain:
+    """Answers what the test says, and notes the order of endings."""
+
+    def __init__(self, outcome=None):
+        self.outcome = outcome
+        self.endings = []
+
+    async def run(self, exchange):
+        self.exchange = exchange
+
+        async def finished(_):
+            self.endings.append("finished")
+
+        exchange.on_finish(finished)
+        exchange.outcome = self.outcome or Relayed(status=200, body=self.body())
+        return exchange.outcome
+
+    async def body(self):
+        try:
+            while True:
+                yield b"data: x\n\n"
+        finally:
+            self.endings.append("body-closed")
+
+
+def make_endpoint(chain, *, max_body=100):
+    requests = types.SimpleNamespace(max_open=2, max_body=max_body, deadline=5.0)
+    services = types.SimpleNamespace(
+        settings=types.SimpleNamespace(requests=requests),
+        exchanges={},
+        clock=lambda: 1.0,
+        metrics=Metrics(),
+        draining=False,
+    )
+    return CallerEndpoint(services=services, chain=chain)
+
+
+async def call(endpoint, *, body=b"{}", fail_after=None):
+    """Send one request; the caller is gone after some messages."""
+    sent = []
+    received = [{"type": "http.request", "body": body, "more_body": False}]
+
+    async def receive():
+        return received.pop(0) if received else {"type": "http.disconnect"}
+
+    async def send(message):
+        if fail_after is not None and len(sent) >= fail_after:
+            raise OSError("the caller is gone")
+        sent.append(message)
+
+    await endpoint(SCOPE, receive, send)
+    return sent
+
+
+async def test_a_caller_that_leaves_ends_the_answer_before_the_request_is_finished():
+    chain = FakeChain()
+    endpoint = make_endpoint(chain)
+    with pytest.raises(ClientDisconnect):
+        await call(endpoint, fail_after=3)
+    assert chain.endings == ["body-closed", "finished"]
+    assert endpoint.services.exchanges == {}
+
+
+async def test_the_key_is_not_kept_with_the_request():
+    chain = FakeChain(Refused(reason=Reason.KEY_UNKNOWN, message="no"))
+    sent = await call(make_endpoint(chain))
+    assert sent[0]["status"] == 401
+    assert "skp_secret" not in str(vars(chain.exchange))
+    assert chain.exchange.key_hash is not None
+
+
+async def test_too_large_a_body_is_refused_before_the_chain():
+    chain = FakeChain()
+    sent = await call(make_endpoint(chain, max_body=10), body=b"x" * 11)
+    assert sent[0]["status"] == 413
+    assert not hasattr(chain, "exchange")
+
+
+async def test_more_open_requests_than_allowed_are_refused():
+    endpoint = make_endpoint(FakeChain())
+    endpoint.services.exchanges = {"a": 1, "b": 2}
+    sent = await call(endpoint)
+    assert sent[0]["status"] == 503
