Choose members by one rendezvous hash

Cause: limits, membership and the restating of the configuration each had their own; found while reading for doubled logic.

The test of membership's choice now calls the shared function with the same assertion.

--- a/lab/slope_cases.py
+++ b/lab/slope_cases.py
@@ -10,11 +10,12 @@
 from skylarkpost.claims.table import ClaimTable
 from skylarkpost.config import ConfigStore
 from skylarkpost.config.snapshot import encode_snapshot
-from skylarkpost.limits import PoolHolder, choose_instance
+from skylarkpost.limits import PoolHolder
 from skylarkpost.limits.lender import Grant
 from skylarkpost.membership.core import MembershipCore
 from skylarkpost.membership.messages import encode_heartbeat, encode_reply
 from skylarkpost.placement import PlacementRequest, Placer
+from skylarkpost.rendezvous import choose_member
 from skylarkpost.rpc import limits_pb2, stewardship_pb2
 from skylarkpost.stewardship import (
     AdapterLoad,
@@ -192,7 +193,7 @@
 
     def work():
         for number in range(200):
-            choose_instance(f"team-{number}", members)
+            choose_member(f"team-{number}", members)
 
     return timed(work, 200)
 
--- a/skylarkpost/config/restating.py
+++ b/skylarkpost/config/restating.py
@@ -1,10 +1,10 @@
 """Writes items again before the log forgets them."""
 
-import hashlib
 import math
 from typing import NamedTuple
 
 from skylarkpost.config.kinds import item_body
+from skylarkpost.rendezvous import choose_member
 
 __all__ = ["Restater", "choose_restater"]
 
@@ -30,6 +30,7 @@
     duration: float
 
 
+RESTATER_KEY = "restater"
 CHOSEN_PACE = Pace(age=0.4, duration=0.4)
 OVERDUE_PACE = Pace(age=0.85, duration=0.1)
 
@@ -48,7 +49,7 @@
         The member with the highest hash. Two instances that see different
         members may both restate, which does no harm.
     """
-    return max(members, key=lambda name: hashlib.sha256(name.encode()).digest())
+    return choose_member(RESTATER_KEY, members)
 
 
 class Restater:
--- a/skylarkpost/limits/__init__.py
+++ b/skylarkpost/limits/__init__.py
@@ -8,7 +8,6 @@
 from skylarkpost.limits.lender import ShareLender
 from skylarkpost.limits.permits import LoadPermit, LoadPermits, LoadWait
 from skylarkpost.limits.pool import DrawGranted, DrawRefused, NoShares, PoolHolder
-from skylarkpost.limits.rendezvous import choose_instance
 from skylarkpost.limits.shares import Grant, SlotShare, TeamLimit
 from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotState, SlotTable, Succession
 
@@ -41,5 +40,4 @@
     "TeamLease",
     "TeamLimit",
     "TokenBucket",
-    "choose_instance",
 ]
--- a/skylarkpost/limits/exchange.py
+++ b/skylarkpost/limits/exchange.py
@@ -3,7 +3,7 @@
 from skylarkpost.limits.asks import Ask, AskAnswer, Return, TeamGrant, TeamLease
 from skylarkpost.limits.entitlement import EntitlementMeter
 from skylarkpost.limits.pool import DrawGranted, DrawRefused
-from skylarkpost.limits.rendezvous import choose_instance
+from skylarkpost.rendezvous import choose_member
 
 __all__ = ["ShareExchange"]
 
@@ -52,7 +52,7 @@
         -------
         str or None
         """
-        return choose_instance(team, members)
+        return choose_member(team, members)
 
     def ask_for(self, lender, members):
         """Return what to ask one owner for.
--- a/skylarkpost/membership/partners.py
+++ b/skylarkpost/membership/partners.py
@@ -1,6 +1,6 @@
 """Chooses the instances that heartbeats are sent to, and how often."""
 
-from skylarkpost.membership.selection import choose
+from skylarkpost.rendezvous import choose_members
 
 __all__ = ["Partners"]
 
@@ -100,10 +100,12 @@
         by_instance = {record.instance: record for record in records}
         silent = {r.instance for r in records if r.is_unanswered and r.missed}
         answering = by_instance.keys() - silent
-        chosen = choose(self.instance, answering, PARTNERS_PER_DATA_CENTRE)
+        chosen = choose_members(self.instance, answering, PARTNERS_PER_DATA_CENTRE)
         # Silent ones are tried in turn, so that none is lost for good.
         rotation = str(int(now / PROBE_ROTATION_S))
-        chosen += choose(self.instance, silent, PARTNERS_PER_DATA_CENTRE, rotation)
+        chosen += choose_members(
+            f"{self.instance}\0{rotation}", silent, PARTNERS_PER_DATA_CENTRE
+        )
         return [by_instance[instance] for instance in chosen]
 
 
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -1,6 +1,6 @@
 from skylarkpost.membership import PauseDetector, TargetListing
-from skylarkpost.membership.selection import choose
 from skylarkpost.platform import ListedInstance
+from skylarkpost.rendezvous import choose_members
 
 
 def entry(name, state="live", role="target"):
@@ -63,6 +63,6 @@
 
 def test_partners_change_little_when_a_candidate_disappears():
     candidates = [f"e-{number}" for number in range(20)]
-    before = choose("me", candidates, 2)
-    after = choose("me", [c for c in candidates if c != before[0]], 2)
+    before = choose_members("me", candidates, 2)
+    after = choose_members("me", [c for c in candidates if c != before[0]], 2)
     assert before[1] == after[0]
