Choose a team's pool holder once for each view of the instances

Cause: each draw hashed all live instances, which at 440 of them costs 3.5% of a core at 57 draws a second (docs/CAPACITY.md).

Ruled out: a coarser hash; the choice changes only with the view, so that keeping it costs one comparison of the instances' names.

--- a/skylarkpost/limits/exchange.py
+++ b/skylarkpost/limits/exchange.py
@@ -28,6 +28,10 @@
         What each team would have, were all its shares in one place.
     leaving : bool
         Whether this instance lends nothing any more.
+    chosen_among : tuple of str
+        Instances among which `holders` were chosen.
+    holders : dict of str to str
+        Pool holder by team, so that not each draw hashes all instances.
     """
 
     def __init__(self, *, owner, keeper, lender, pools):
@@ -37,6 +41,8 @@
         self.pools = pools
         self.meter = EntitlementMeter()
         self.leaving = False
+        self.chosen_among = ()
+        self.holders = {}
 
     def holder_of(self, team, members):
         """Return which instance holds the pool of a team.
@@ -52,7 +58,13 @@
         -------
         str or None
         """
-        return choose_member(team, members)
+        members = tuple(members)
+        if members != self.chosen_among:
+            self.chosen_among = members
+            self.holders = {}
+        if team not in self.holders:
+            self.holders[team] = choose_member(team, members)
+        return self.holders[team]
 
     def ask_for(self, lender, members):
         """Return what to ask one owner for.
