Rank an adapter's home targets instead of all

Cause: placement ranked every target for each request: 13% of a core at 204 targets and 57 requests a second (docs/CAPACITY.md).

Ruled out: homes alone, which would hide copies made elsewhere and hold a hot adapter to eight engines; when no home has room, all targets are ranked as before. Requests for the base model are not bound to homes.

With the six engines of today the ranking is the same as before.

--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -79,6 +79,8 @@
 
 
 MAX_PREAMBLES = 4096
+MAX_HOMES = 8192
+HOMES_RANKED = 8
 
 
 class Placer:
@@ -103,6 +105,8 @@
         self.heard_at = {}
         self.sent = {}
         self.preambles = {}
+        self.home_targets = ()
+        self.homes = {}
         self.failures = LoadBackoff(first=1.0, most=60.0)
 
     def note_summary(self, summary, now):
@@ -191,11 +195,16 @@
         Returns
         -------
         list of (str, TargetView)
-            The best first.
+            The best first. Of more than `HOMES_RANKED` targets only the
+            adapter's first homes and those that may hold it, as long as one
+            of these has room.
         """
-        names = [target.name for target in targets]
-        homes = rendezvous_order(request.lora_name, names)
-        views = [self.view(request, t, homes.index(t.name), now) for t in targets]
+        ranks = self._home_ranks(request, targets)
+        near = self._near(request, targets, ranks)
+        views = self._views(request, near, ranks, now)
+        none_has_room = all(v.queue_wait > 0.0 or v.target in avoid for v in views)
+        if none_has_room and len(near) < len(targets):
+            views = self._views(request, targets, ranks, now)
         views.sort(key=lambda view: (view.target in avoid, self.score(view)))
         return [(view.target, view) for view in views]
 
@@ -235,6 +244,45 @@
             victim_worth=0.0 if summary is None else summary.victim_worth,
         )
 
+    def _views(self, request, targets, ranks, now):
+        return [
+            self.view(request, target, ranks.get(target.name, HOMES_RANKED), now)
+            for target in targets
+        ]
+
+    def _near(self, request, targets, ranks):
+        """Return the adapter's first homes, and wherever it is or was sent."""
+        if not request.needs_adapter or len(ranks) == len(targets):
+            return targets
+        return [
+            target
+            for target in targets
+            if target.name in ranks or self._may_hold(request, target.name)
+        ]
+
+    def _home_ranks(self, request, targets):
+        names = tuple(target.name for target in targets)
+        if names != self.home_targets:
+            self.home_targets = names
+            self.homes = {}
+        ranks = self.homes.get(request.lora_name)
+        if ranks is None:
+            homes = rendezvous_order(request.lora_name, names)[:HOMES_RANKED]
+            ranks = {name: rank for rank, name in enumerate(homes)}
+            self.homes[request.lora_name] = ranks
+            if len(self.homes) > MAX_HOMES:
+                del self.homes[next(iter(self.homes))]
+        return ranks
+
+    def _may_hold(self, request, name):
+        summary = self.summaries.get(name)
+        if summary is not None and adapter_hash(request.lora_name) in summary.resident:
+            return True
+        sent = self.sent.get(name)
+        if not sent:
+            return False
+        return any(each.lora_name == request.lora_name for each in sent.values())
+
     def _is_older(self, summary, known, now):
         if now - self.heard_at[known.target] > self.policy.summary_patience:
             return False
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -129,3 +129,31 @@
     ]
     assert "s-1" not in {ticket.target for ticket in later}
     assert made.choose([], request_id="r", avoid=frozenset(), now=2.0) is None
+
+
+MANY = [FakeTarget(name=f"m-{n}", data_centre="dc-0") for n in range(60)]
+
+
+def test_of_many_targets_the_homes_and_the_holders_are_looked_at():
+    homes = rendezvous_order("a@1", [target.name for target in MANY])[:8]
+    holder = next(target.name for target in MANY if target.name not in homes)
+    idle = [summary(target.name) for target in MANY if target.name != holder]
+    made = placer(summary(holder, resident=frozenset({adapter_hash("a@1")})), *idle)
+    ranked = [name for name, _ in made.rank(REQUEST, MANY, 0.1)]
+    assert ranked[0] == holder
+    assert set(ranked) == {*homes, holder}
+
+
+def test_when_all_homes_are_full_every_target_is_looked_at():
+    homes = rendezvous_order("a@1", [target.name for target in MANY])[:8]
+    full = {"room": 0, "queued": 9, "queued_urgent": (9,) * 10}
+    made = placer(*(summary(t.name, **(full if t.name in homes else {})) for t in MANY))
+    ranked = made.rank(REQUEST, MANY, 0.1)
+    assert len(ranked) == len(MANY)
+    assert ranked[0][0] not in homes
+
+
+def test_requests_for_the_base_model_are_not_bound_to_homes():
+    made = placer(*(summary(target.name) for target in MANY))
+    base = PlacementRequest("granite", False, 5, 800, 17)
+    assert len(made.rank(base, MANY, 0.1)) == len(MANY)
