--- a/standins/demo.py
+++ b/standins/demo.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import pathlib
+import re
 import statistics
 import sys
 import tempfile
@@ -30,6 +31,10 @@
 CHARACTERS_PER_TOKEN = 4
 STARTUP_S = 30.0
 IN_FORCE_S = 5.0
+STALL_LINE = re.compile(
+    r'^skylarkpost_load_stall_seconds_(count|sum)\{team="([^"]*)"\} (\S+)$',
+    re.MULTILINE,
+)
 CHANGE_AT = 0.3
 WITHDRAW_AT = 0.5
 SLOTS = 8
@@ -109,7 +114,7 @@
         self.results = await asyncio.gather(*replays)
         await operators
         await self._check()
-        self._report()
+        await self._report()
         return not self.broken
 
     async def _publish(self):
@@ -246,9 +251,23 @@
         if team.name != OVERLOADED_TEAM and refused:
             self.broken.append(f"{team.name} was refused {refused} times within rate")
 
-    def _report(self):
-        print(f"\n{'team':<14}{'sent':>6}{'answered':>10}{'first token s':>30}")
-        print(f"{'':<14}{'':>6}{'':>10}{'p50':>10}{'p95':>10}{'max':>10}")
+    async def _load_stalls(self):
+        """Return number and seconds of load stalls by team, from the metrics."""
+        counts, seconds = collections.Counter(), collections.Counter()
+        for instance, _ in self.fleet.shape.instances:
+            url = self.fleet.urls[instance] + "/metrics"
+            async with self.fleet.http.get(url) as response:
+                text = await response.text()
+            for kind, team, value in STALL_LINE.findall(text):
+                (counts if kind == "count" else seconds)[team] += float(value)
+        return counts, seconds
+
+    async def _report(self):
+        counts, seconds = await self._load_stalls()
+        heads = f"{'first token s':>30}{'load stalls':>20}"
+        print(f"\n{'team':<14}{'sent':>6}{'answered':>10}{heads}")
+        heads = f"{'p50':>10}{'p95':>10}{'max':>10}{'number':>10}{'mean s':>10}"
+        print(f"{'':<14}{'':>6}{'':>10}{heads}")
         for team in DEPLOYMENT.teams:
             own = [r for r in self.results if r.request.team == team.name]
             answered = [r for r in own if r.reply.status == 200]
@@ -259,7 +278,9 @@
                 row += (
                     f"{statistics.median(waits):>10.3f}{p95:>10.3f}{waits[-1]:>10.3f}"
                 )
-            print(row)
+            stalls = counts[team.name]
+            mean = seconds[team.name] / stalls if stalls else 0.0
+            print(f"{row}{stalls:>10.0f}{mean:>10.3f}")
         reasons = collections.Counter(
             r.reply.error["code"] for r in self.results if r.reply.error
         )
