Show batch efficiency and the engines' prompt caches among the metrics

Cause: of the users' four measures, load stalls, first token by team and wrongful refusals had metrics; batch efficiency had none.

--- a/skylarkpost/metrics/metrics.py
+++ b/skylarkpost/metrics/metrics.py
@@ -28,6 +28,12 @@
         Internal events by ``name``, such as late answers dropped.
     open_requests : aioprometheus.Gauge
         Requests open now.
+    batch : aioprometheus.Gauge
+        Requests running on an engine, and its limit, by ``target`` and
+        ``kind`` (``running`` or ``limit``); of engines stewarded here.
+    prompt_cache : aioprometheus.Gauge
+        Prompt tokens since an engine's boot, by ``target`` and ``kind``
+        (``hits`` or ``tokens``); of engines stewarded here.
     """
 
     def __init__(self):
@@ -43,6 +49,14 @@
         self.open_requests = self._add(
             Gauge, "skylarkpost_open_requests", "Requests open now."
         )
+        self.batch = self._add(
+            Gauge, "skylarkpost_engine_batch", "Requests running, and their limit."
+        )
+        self.prompt_cache = self._add(
+            Gauge,
+            "skylarkpost_engine_prompt_tokens",
+            "Prompt tokens from the cache, and all.",
+        )
         self.first_token = self._add(
             Histogram,
             "skylarkpost_first_token_seconds",
@@ -66,6 +80,22 @@
         """
         self.events.inc({"name": name})
 
+    def note_engine(self, target, report):
+        """Show an engine's last load report.
+
+        Parameters
+        ----------
+        target : str
+            The engine.
+        report : skylarkpost.targets.LoadReport
+            What it answered.
+        """
+        self.batch.set({"target": target, "kind": "running"}, report.running)
+        self.batch.set({"target": target, "kind": "limit"}, report.batch_limit)
+        hits, tokens = report.prompt_cache_hits, report.prompt_cache_tokens
+        self.prompt_cache.set({"target": target, "kind": "hits"}, hits)
+        self.prompt_cache.set({"target": target, "kind": "tokens"}, tokens)
+
     def render(self):
         """Return all metrics.
 
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -404,6 +404,9 @@
             seats = list(self.keeper.seats.values())
             polls = asyncio.gather(*(seat.poll() for seat in seats))
             await polls
+            for name, seat in self.keeper.seats.items():
+                if seat.last_report is not None:
+                    self.services.metrics.note_engine(name, seat.last_report)
             await asyncio.sleep(self.settings.poll_interval)
 
     async def _run_claims(self):
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -58,6 +58,8 @@
     ----------
     silent_since : float or None
         Since when the engine has not answered, in seconds.
+    last_report : skylarkpost.targets.LoadReport or None
+        What the engine answered last.
     predecessor : int or None
         Number of the claim before, whose steward may hand its tickets over.
     """
@@ -70,6 +72,7 @@
         self.claim = claim
         self.on_stale = on_stale
         self.silent_since = None
+        self.last_report = None
         self.predecessor = None
         self.last_summary = None
         self.uptime_boot = None
@@ -202,6 +205,7 @@
                 self.silent_since = now
             return
         self.silent_since = None
+        self.last_report = report
         boot = self.steward.boot
         self.carry_out(self.steward.report(report_from_client(report), now))
         if boot not in (None, self.steward.boot):
