Notice instances whose share slots are set differently

Cause: limits.slots has to be the same on all instances, or the shares do not sum to the limit; nothing compared them.

Ruled out: refusing to be ready, since it is not known which of two instances is wrong, and a fleet that serves nothing is worse. It is logged and shown.

--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import msgspec
+
 from skylarkpost.daemon.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.limits.borrowing import PEER_TIMEOUT_S, Borrower
@@ -24,6 +26,7 @@
 logger = logging.getLogger(__name__)
 
 TICK_S = 0.1
+SLOTS_TOPIC = "limits-slots"
 MAX_TASKS = 2000
 RECORD_TYPES = ("slot-claim", "slot-confirm", "slot-release")
 LIVE = "live"
@@ -87,6 +90,7 @@
         )
         self.borrower = Borrower(controller=self, renewal=self.settings.renewal)
         self.logged_slots = frozenset()
+        self.differing = set()
         self.task = BackgroundTask(name="limits")
         self.tasks = set()
         self._follow()
@@ -98,6 +102,9 @@
 
     async def start(self):
         """Start claiming slots and borrowing shares. See `Controller.start`."""
+        membership = self.services.controllers["membership"]
+        membership.subscribe(SLOTS_TOPIC, self._compare_slots)
+        membership.publish(SLOTS_TOPIC, self._own_settings())
         self.task.start(self._run())
 
     async def leave(self):
@@ -129,6 +136,12 @@
             found.append("No share slots are set; requests of teams are refused.")
         if not self.keeper.may_use(self.services.clock()):
             found.append("After a pause, own share slots wait for the log.")
+        if self.differing:
+            names = ", ".join(sorted(self.differing))
+            found.append(
+                f"limits.slots differs from that of {names}; teams may get more than"
+                " their limits."
+            )
         return found
 
     def status(self):
@@ -308,6 +321,18 @@
     def _read_record(self, record, offset, time, now):
         self.table.apply(record, offset, time)
 
+    def _own_settings(self):
+        return msgspec.json.encode(self.settings.slots, order="sorted")
+
+    def _compare_slots(self, member, payload, now):
+        if payload == self._own_settings():
+            self.differing.discard(member.instance)
+        elif member.instance not in self.differing:
+            self.differing.add(member.instance)
+            log_event(
+                logger, "slots-differ", level=logging.ERROR, member=member.instance
+            )
+
     def _is_lending(self):
         lender = self.core.lender
         lender.advance(self.services.clock())
--- a/tests/limits/test_controller.py
+++ b/tests/limits/test_controller.py
@@ -65,6 +65,13 @@
 class FakeMembership:
     def __init__(self):
         self.known, self.superseded = [], False
+        self.published, self.subscribers = {}, {}
+
+    def publish(self, topic, payload):
+        self.published[topic] = payload
+
+    def subscribe(self, topic, callback):
+        self.subscribers[topic] = callback
 
     def members(self, now):
         return self.known
@@ -282,3 +289,17 @@
     part.services.controllers["membership"] = membership
     part.keeper.unconfirmed_since = None
     assert await waiting is None
+
+
+async def test_instances_with_other_slots_are_noticed_until_they_are_corrected(fleet):
+    part = fleet.parts[0]
+    part._run = lambda: asyncio.sleep(0)
+    await part.start()
+    topic = "limits-slots"
+    compare = fleet.membership.subscribers[topic]
+    other = SimpleNamespace(instance="e9")
+    assert part.degraded() == []
+    compare(other, b'{"dc-e0":3,"dc-e1":1}', fleet.now)
+    assert "limits.slots differs from that of e9" in part.degraded()[0]
+    compare(other, fleet.membership.published[topic], fleet.now)
+    assert part.degraded() == []
