--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -4,7 +4,6 @@
 
 from skylarkpost.placement.rendezvous import rendezvous_order
 from skylarkpost.placement.scores import TargetView, placement_score
-from skylarkpost.stewardship.loads import LoadBackoff
 from skylarkpost.stewardship.summary import adapter_hash
 
 __all__ = ["PlacementPolicy", "PlacementRequest", "Placer"]
@@ -107,7 +106,6 @@
         self.preambles = {}
         self.home_targets = ()
         self.homes = {}
-        self.failures = LoadBackoff(first=1.0, most=60.0)
 
     def note_summary(self, summary, now):
         """Take in the summary of a target.
--- a/skylarkpost/stewardship/directory.py
+++ b/skylarkpost/stewardship/directory.py
@@ -54,28 +54,6 @@
         if before is None or before.fencing_number <= summary.fencing_number:
             known[summary.full_powers] = summary
 
-    def newest_number(self, target):
-        """Return the number of the newest full claim known.
-
-        Parameters
-        ----------
-        target : str
-            The target.
-
-        Returns
-        -------
-        int
-            -1 if there is none.
-        """
-        claim = self.table.full.get(target)
-        summary = self.heard.get(target, {}).get(True)
-        numbers = [-1]
-        if claim is not None:
-            numbers.append(claim.number)
-        if summary is not None:
-            numbers.append(summary.fencing_number)
-        return max(numbers)
-
     def steward(self, target, members):
         """Return the steward to ask.
 
--- a/skylarkpost/stewardship/table.py
+++ b/skylarkpost/stewardship/table.py
@@ -107,23 +107,6 @@
         """
         return self.full.get(target)
 
-    def knows_newer(self, target, number):
-        """Return whether a full claim newer than a number is known.
-
-        Parameters
-        ----------
-        target : str
-            The target.
-        number : int
-            A fencing number.
-
-        Returns
-        -------
-        bool
-        """
-        claim = self.full.get(target)
-        return claim is not None and claim.number > number
-
     def due_restatements(self, *, instance, boot, stated_before):
         """Return the own claims that have to be restated.
 
