--- a/lab/stewarding.py
+++ b/lab/stewarding.py
@@ -7,7 +7,7 @@
 from lab.deployments import BATCH_LIMIT, SLOTS
 from lab.limiting import WEIGHT_STORE
 from lab.replay import DEADLINE_S
-from skylarkpost.placement import PlacementPolicy, PlacementRequest, Placer
+from skylarkpost.placement import PlacementPolicy, PlacementRequest, Placer, Preamble
 from skylarkpost.stewardship import (
     AdapterLoad,
     FenceTarget,
@@ -32,6 +32,8 @@
 MAX_ATTEMPTS = 4
 RETRY_PAUSE_S = 0.25
 URGENCIES = (8, 5, 2)
+# Part of a prompt that engines find in their caches once they have read it.
+PREAMBLE_SHARE = 0.8
 
 
 class StewardedTarget(NamedTuple):
@@ -471,7 +473,12 @@
         needs_adapter=True,
         urgency=URGENCIES[request.urgency],
         prompt_tokens=request.preamble_tokens + request.tail_tokens,
-        preamble=zlib.crc32(request.adapter.encode()),
+        preambles=(
+            Preamble(
+                zlib.crc32(request.adapter.encode()),
+                PREAMBLE_SHARE * (request.preamble_tokens + request.tail_tokens),
+            ),
+        ),
     )
 
 
--- a/skylarkpost/claims/appender.py
+++ b/skylarkpost/claims/appender.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from skylarkpost.platform import AppendRefused
+from skylarkpost.log import AppendRefused
 
 __all__ = ["BatchAppender"]
 
@@ -16,7 +16,7 @@
 
     Parameters
     ----------
-    log : skylarkpost.platform.LogClient
+    log : skylarkpost.log.LogClient
         The log.
     stream : str
         Name of the stream.
--- a/skylarkpost/claims/controller.py
+++ b/skylarkpost/claims/controller.py
@@ -9,9 +9,9 @@
 from skylarkpost.claims.keys import KeyTimes
 from skylarkpost.claims.records import CLAIM, ENDS
 from skylarkpost.claims.table import ClaimTable
-from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import AppendRefused, LogFollower
+from skylarkpost.log import AppendRefused, LogFollower
 
 __all__ = ["ClaimsController"]
 
--- a/skylarkpost/cli/history.py
+++ b/skylarkpost/cli/history.py
@@ -60,7 +60,7 @@
 
         Parameters
         ----------
-        record : skylarkpost.platform.LogRecord
+        record : skylarkpost.log.LogRecord
             The record at `next_offset`.
         """
         offset, time, data = record
--- a/skylarkpost/cli/options.py
+++ b/skylarkpost/cli/options.py
@@ -11,7 +11,7 @@
 from skylarkpost.cli.exit_codes import ExitCode
 from skylarkpost.cli.session import ConfigSession
 from skylarkpost.cli.tool_settings import load_tool_settings
-from skylarkpost.platform import LogClient, LogUnavailable
+from skylarkpost.log import LogClient, LogUnavailable
 
 __all__ = ["ChangeOptions", "CommandFailed", "InstanceOptions", "LogOptions"]
 
--- a/skylarkpost/cli/session.py
+++ b/skylarkpost/cli/session.py
@@ -8,7 +8,7 @@
 from skylarkpost.cli.history import History
 from skylarkpost.config.records import DEFAULT_VALID_FOR_S
 from skylarkpost.config.verdicts import Verdict
-from skylarkpost.platform import Appended, AppendUnknown, LogUnavailable
+from skylarkpost.log import Appended, AppendUnknown, LogUnavailable
 
 __all__ = ["ChangeResult", "ConfigSession", "NotPublished", "OutcomeUnknown"]
 
--- a/skylarkpost/config/controller.py
+++ b/skylarkpost/config/controller.py
@@ -10,10 +10,11 @@
 from skylarkpost.config.resume_guard import ResumeGuard
 from skylarkpost.config.verdicts import Invalid
 from skylarkpost.config.withdrawals import WithdrawalWatch
-from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import Appended, BackgroundTask, LogFollower
+from skylarkpost.log import Appended, LogFollower
 from skylarkpost.rpc import config_pb2_grpc
+from skylarkpost.runtime import BackgroundTask
 
 __all__ = ["CONFIG_STREAM", "ConfigController"]
 
--- a/skylarkpost/config/resume_guard.py
+++ b/skylarkpost/config/resume_guard.py
@@ -5,7 +5,7 @@
 
 from skylarkpost.config.peers import read_from_peer
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import LogUnavailable
+from skylarkpost.log import LogUnavailable
 from skylarkpost.rpc import CallFailed
 
 __all__ = ["ResumeGuard"]
--- a/skylarkpost/daemon/controllers.py
+++ b/skylarkpost/controllers/registry.py
@@ -1,6 +1,9 @@
 """Registry of controllers: the parts of an instance that keep state."""
 
-__all__ = ["Controller", "build_controllers", "register_controller"]
+__all__ = ["API", "GATEWAY", "Controller", "build_controllers", "register_controller"]
+
+API = "api"
+GATEWAY = "gateway"
 
 _controllers = {}
 
@@ -71,7 +74,7 @@
         return {}
 
 
-def register_controller(name, *, order):
+def register_controller(name, *, order, front_ends=(API,)):
     """Register a controller class.
 
     Parameters
@@ -80,6 +83,8 @@
         Its key in ``services.controllers``.
     order : int
         Controllers are built and started lowest first, stopped in reverse.
+    front_ends : tuple of str
+        Front ends of which instances have the controller.
 
     Returns
     -------
@@ -88,22 +93,27 @@
     """
 
     def decorate(cls):
-        assert name not in _controllers, f"controller {name} is registered twice"
         cls.name = name
-        _controllers[name] = (order, cls)
+        for front_end in front_ends:
+            key = (front_end, name)
+            assert key not in _controllers, f"controller {key} is registered twice"
+            _controllers[key] = (order, cls)
         return cls
 
     return decorate
 
 
-def build_controllers(*, services):
+def build_controllers(*, services, front_end=API):
     """Build one of each registered controller into ``services.controllers``.
 
     Parameters
     ----------
     services : Services
         Handed to each controller.
+    front_end : str
+        The front end of this instance.
     """
     ordered = sorted(_controllers.items(), key=lambda item: item[1][0])
-    for name, (_, cls) in ordered:
-        services.controllers[name] = cls(services=services)
+    for (of, name), (_, cls) in ordered:
+        if of == front_end:
+            services.controllers[name] = cls(services=services)
--- a/skylarkpost/daemon/instance.py
+++ b/skylarkpost/daemon/instance.py
@@ -8,7 +8,7 @@
 import grpc
 import uvicorn
 
-from skylarkpost.daemon.controllers import build_controllers
+from skylarkpost.controllers import build_controllers
 from skylarkpost.eventlog import log_event
 from skylarkpost.filters import FilterChain, build_filters
 from skylarkpost.frontend import build_app
--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -16,10 +16,10 @@
 from skylarkpost.daemon.parts import import_parts
 from skylarkpost.daemon.services import Services
 from skylarkpost.eventlog import configure_logging, log_event
-from skylarkpost.platform import LogClient
+from skylarkpost.log import LogClient
 from skylarkpost.settings import load_settings
 
-__all__ = ["DaemonCommand", "main"]
+__all__ = ["DaemonCommand", "handle_loop_error", "main"]
 
 EXIT_BAD_SETTINGS = 2
 EXIT_BROKEN_INVARIANT = 70
@@ -70,13 +70,13 @@
     )
     instance = Instance(services=services)
     loop = asyncio.get_running_loop()
-    loop.set_exception_handler(_handle_loop_error)
+    loop.set_exception_handler(handle_loop_error)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, instance.stop_requested.set)
     await instance.run()
 
 
-def _handle_loop_error(loop, context):
+def handle_loop_error(loop, context):
     """Stop the process at once if an invariant is broken; log anything else."""
     error = context.get("exception")
     broken = isinstance(error, AssertionError)
--- a/skylarkpost/daemon/services.py
+++ b/skylarkpost/daemon/services.py
@@ -32,9 +32,9 @@
     ----------
     boot : str
         Id of this run of the process; a restarted instance has a new one.
-    log : skylarkpost.platform.LogClient
+    log : skylarkpost.log.LogClient
         The platform's log. Set by the daemon before controllers are built.
-    instances : skylarkpost.platform.InstanceListClient
+    instances : skylarkpost.listing.InstanceListClient
         The platform's list. Set by the daemon before controllers are built.
     peers : skylarkpost.rpc.PeerChannels
         gRPC channels to the other instances.
@@ -79,8 +79,7 @@
     @property
     def peer_address(self):
         """Address of this instance for its peers, ``IP:PORT``."""
-        section = self.settings.instance
-        return f"{section.address}:{section.peer_port}"
+        return self.settings.instance.peer_address
 
     def open_http(self):
         """Open the HTTP client session. Needs a running event loop."""
--- a/skylarkpost/eventlog/keyvalue.py
+++ b/skylarkpost/eventlog/keyvalue.py
@@ -58,7 +58,7 @@
         logger.log(level, "%s", format_event(event, fields))
 
 
-def configure_logging(*, instance, level):
+def configure_logging(*, instance, level, stream=None):
     """Send all log lines to standard error, each stamped with the instance.
 
     Parameters
@@ -68,7 +68,7 @@
     level : str
         Name of the lowest level to write, e.g. ``"INFO"``.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(KeyValueFormatter(instance=instance))
     root = logging.getLogger()
     root.handlers = [handler]
--- a/skylarkpost/filters/registry.py
+++ b/skylarkpost/filters/registry.py
@@ -2,6 +2,8 @@
 
 import abc
 
+from skylarkpost.controllers import API
+
 __all__ = ["Filter", "build_filters", "register_filter"]
 
 _filters = {}
@@ -37,7 +39,7 @@
         """
 
 
-def register_filter(name, *, order):
+def register_filter(name, *, order, front_ends=(API,)):
     """Register a filter class.
 
     Parameters
@@ -46,6 +48,8 @@
         Name in logs and explanations.
     order : int
         Place in the chain, lowest first.
+    front_ends : tuple of str
+        Front ends whose chains have the filter.
 
     Returns
     -------
@@ -54,26 +58,30 @@
     """
 
     def decorate(cls):
-        assert name not in _filters, f"filter {name} is registered twice"
         cls.name = name
-        _filters[name] = (order, cls)
+        for front_end in front_ends:
+            key = (front_end, name)
+            assert key not in _filters, f"filter {key} is registered twice"
+            _filters[key] = (order, cls)
         return cls
 
     return decorate
 
 
-def build_filters(*, services):
+def build_filters(*, services, front_end=API):
     """Build one of each registered filter.
 
     Parameters
     ----------
     services : skylarkpost.daemon.Services
         Handed to each filter.
+    front_end : str
+        The front end of this instance.
 
     Returns
     -------
     list of Filter
         The filters in the order of the chain.
     """
-    ordered = sorted(_filters.values(), key=lambda entry: entry[0])
-    return [cls(services=services) for _, cls in ordered]
+    ordered = sorted(_filters.items(), key=lambda item: item[1][0])
+    return [cls(services=services) for (of, _), (_, cls) in ordered if of == front_end]
--- /dev/null
+++ b/skylarkpost/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Front end for routed HTTP requests, over the shared filters and cores."""
--- /dev/null
+++ b/skylarkpost/gateway/app.py
@@ -0,0 +1,203 @@
+"""Runs routed requests through the filter chain and renders the outcomes."""
+
+import json
+import logging
+import math
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.gateway.exchange import GatewayExchange
+from skylarkpost.outcomes import Reason, Refused, Relayed, RunState
+from skylarkpost.platform import HeaderCodec
+from skylarkpost.routing import RouteKind
+from skylarkpost.transport import PlainAnswer
+
+__all__ = ["GatewayApp", "render_refusal"]
+
+logger = logging.getLogger(__name__)
+
+# Where a caller does not say how long it waits.
+DEFAULT_PATIENCE_S = 60.0
+# The answer still has to reach the caller.
+RETURN_MARGIN_S = 0.005
+
+# Statuses that tell a caller that the request has not run and never will.
+UNKNOWN_OUTCOME_STATUS = 502
+
+
+def render_refusal(refusal, request_id):
+    """Return the answer that a refusal becomes.
+
+    Parameters
+    ----------
+    refusal : Refused
+        The refusal.
+    request_id : str
+        The caller's attempt.
+
+    Returns
+    -------
+    PlainAnswer
+        Its status says "not run" only where that is certain.
+    """
+    status = refusal.reason.status
+    if status in (408, 421, 429, 503) and refusal.run_state is not RunState.NOT_RUN:
+        status = UNKNOWN_OUTCOME_STATUS
+    headers = [("content-type", "application/json")]
+    if refusal.retry_after is not None:
+        seconds = math.ceil(refusal.retry_after * 1000) / 1000
+        headers.append(("retry-after", f"{seconds:g}"))
+    body = {
+        "error": {
+            "code": refusal.reason,
+            "message": refusal.message,
+            "run_state": refusal.run_state,
+            "request_id": request_id,
+        }
+    }
+    return PlainAnswer(status, tuple(headers), json.dumps(body).encode())
+
+
+class GatewayApp:
+    """Serves the requests of callers.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        What the instance shares between its parts.
+    chain : skylarkpost.filters.FilterChain
+        The filters.
+    """
+
+    def __init__(self, *, services, chain):
+        self.services = services
+        self.chain = chain
+
+    async def handle(self, incoming):
+        """Serve one request.
+
+        Parameters
+        ----------
+        incoming : IncomingRequest
+            The request.
+
+        Returns
+        -------
+        PlainAnswer or Relayed
+        """
+        exchange = self._exchange(incoming)
+        self.services.exchanges[id(exchange)] = exchange
+        incoming.on_change = lambda: self._note_caller(exchange)
+        self._note_caller(exchange)
+        outcome = await self._run(exchange)
+        if not isinstance(outcome, Relayed):
+            await self._finish(exchange, outcome)
+        if isinstance(outcome, Relayed):
+            body = self._watched(exchange, outcome)
+            return Relayed(status=outcome.status, headers=outcome.headers, body=body)
+        return render_refusal(outcome, exchange.request_id)
+
+    async def _run(self, exchange):
+        try:
+            return await self.chain.run(exchange)
+        except AssertionError:
+            raise
+        except Exception:
+            # One request must not hang for a fault that it alone brings out.
+            logger.exception(
+                "event=request-crashed request=%s", exchange.request_id
+            )
+            self.services.metrics.count_event("request-crashed")
+            ran = RunState.UNKNOWN if exchange.dispatched else RunState.NOT_RUN
+            return Refused(
+                reason=Reason.TARGET_FAILED,
+                message="The request could not be handled.",
+                run_state=ran,
+            )
+
+    async def _watched(self, exchange, outcome):
+        is_whole = False
+        try:
+            async for piece in outcome.body:
+                yield piece
+            is_whole = True
+        finally:
+            await outcome.body.aclose()
+            await self._finish(exchange, outcome, is_whole=is_whole)
+
+    async def _finish(self, exchange, outcome, *, is_whole=True):
+        self.services.exchanges.pop(id(exchange), None)
+        exchange.incoming.on_change = None
+        await exchange.finish()
+        self._log_end(exchange, outcome, is_whole)
+
+    def _exchange(self, incoming):
+        metadata = HeaderCodec.read_request(incoming.headers)
+        patience = metadata.patience or DEFAULT_PATIENCE_S
+        path, _, query = incoming.target.partition("?")
+        return GatewayExchange(
+            incoming=incoming,
+            metadata=metadata,
+            request_id=metadata.attempt_id,
+            method=incoming.method,
+            path=path,
+            query=query,
+            headers=dict(incoming.headers),
+            body=incoming.body,
+            key_hash=None,
+            received_at=incoming.received_at,
+            deadline=incoming.received_at + patience - RETURN_MARGIN_S,
+        )
+
+    def _note_caller(self, exchange):
+        incoming = exchange.incoming
+        gone = incoming.has_left
+        if incoming.is_half_closed and not gone:
+            # A caller that only half-closed looks the same as one that left.
+            # Work that may not be repeated goes on, for its answer is wanted.
+            route = exchange.route
+            gone = route is not None and route.kind is not RouteKind.UNSAFE
+        if gone and exchange.cancelled is None:
+            ran = RunState.UNKNOWN if exchange.dispatched else RunState.NOT_RUN
+            exchange.cancel(
+                Refused(
+                    reason=Reason.CALLER_LEFT,
+                    message="The caller has left.",
+                    run_state=ran,
+                )
+            )
+
+    def _log_end(self, exchange, outcome, is_whole):
+        now = self.services.clock()
+        status = reason = run_state = None
+        if isinstance(outcome, Relayed):
+            status = outcome.status
+        elif outcome is not None:
+            reason, run_state = outcome.reason, outcome.run_state
+            status = outcome.reason.status
+        first = exchange.first_byte_at
+        log_event(
+            logger,
+            "request-ended",
+            request=exchange.request_id,
+            route=None if exchange.route is None else exchange.route.name,
+            team=exchange.team,
+            status=status,
+            reason=reason,
+            run_state=run_state,
+            whole=is_whole,
+            seconds=now - exchange.received_at,
+            first_event=None if first is None else first - exchange.received_at,
+            targets=len(exchange.targets_tried),
+            version=None
+            if exchange.table is None
+            else exchange.table.configuration.version,
+        )
+        team = exchange.team or ""
+        self.services.metrics.requests.inc(
+            {"team": team, "outcome": str(reason or status)}
+        )
+        if first is not None:
+            self.services.metrics.first_token.observe(
+                {"team": team, "urgency": str(exchange.urgency)},
+                first - exchange.received_at,
+            )
--- /dev/null
+++ b/skylarkpost/gateway/configuration.py
@@ -0,0 +1,160 @@
+"""Controller that follows what operators set."""
+
+import logging
+
+from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.platform import (
+    OPERATOR_TOPIC,
+    Malformed,
+    decode_adapter_version,
+    decode_configuration,
+)
+from skylarkpost.routing import CallerBounds, ConfigurationState
+
+__all__ = ["GatewayConfigurationController"]
+
+logger = logging.getLogger(__name__)
+
+# A new version has to be in force within two seconds.
+READ_WAIT_S = 10.0
+FIRST_VERSION = 1
+
+
+@register_controller("config", order=5, front_ends=(GATEWAY,))
+class GatewayConfigurationController(Controller):
+    """Keeps the newest configuration and the newest versions of adapters.
+
+    Parameters
+    ----------
+    services : Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    state : ConfigurationState
+        Routes, services and teams in force.
+    adapter_versions : dict of (str, str) to tuple of (int, float)
+        Newest version by base model and adapter, and when it was heard of.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.state = ConfigurationState()
+        self.adapter_versions = {}
+        self.follower = KeyedFollower(
+            store=services.store,
+            topic=OPERATOR_TOPIC,
+            clock=services.clock,
+            random=services.random,
+            on_record=self._take_record,
+            wait=READ_WAIT_S,
+            peers=services.topic_readers,
+        )
+        services.followers[OPERATOR_TOPIC] = self.follower
+
+    @property
+    def store(self):
+        """Lookups by team, as the ticket desk needs them."""
+        return self
+
+    def team(self, name):
+        """Return None: all teams have the same weight on engines."""
+        return None
+
+    @property
+    def bounds(self):
+        """What callers may send."""
+        known = self.state.configuration
+        return CallerBounds() if known is None else known.bounds
+
+    def adapter_version(self, model, adapter):
+        """Return the version of an adapter that is in force.
+
+        Parameters
+        ----------
+        model, adapter : str
+            The base model and the adapter.
+
+        Returns
+        -------
+        int
+        """
+        known = self.adapter_versions.get((model, adapter))
+        return FIRST_VERSION if known is None else known[0]
+
+    async def start(self):
+        """Start following the topic."""
+        self.follower.start()
+
+    async def stop(self):
+        """Stop following the topic."""
+        await self.follower.stop()
+
+    def is_ready(self):
+        """Return whether there is a configuration."""
+        return self.state.table is not None
+
+    def degraded(self):
+        """Return whether the store can't be read."""
+        if self.follower.available:
+            return []
+        return ["The operators' topic of the store cannot be read."]
+
+    def status(self):
+        """Return what is in force."""
+        return {"version": self.state.version}
+
+    def _take_record(self, record, now):
+        if record.key == "config":
+            self._take_configuration(record, now)
+        elif record.key.startswith("version/"):
+            self._take_version(record, now)
+
+    def _take_configuration(self, record, now):
+        if not record.value:
+            return
+        decoded = decode_configuration(record.value)
+        if isinstance(decoded, Malformed):
+            self._log_malformed(record, decoded)
+            return
+        applied = self.state.apply(decoded, record.value, now)
+        log_event(
+            logger,
+            "configuration-applied" if applied else "configuration-older",
+            version=decoded.version,
+            in_force=self.state.version,
+            offset=record.offset,
+            routes=len(decoded.routes),
+        )
+
+    def _take_version(self, record, now):
+        if not record.value:
+            return
+        decoded = decode_adapter_version(record.value)
+        if isinstance(decoded, Malformed):
+            self._log_malformed(record, decoded)
+            return
+        model, adapter, version = decoded
+        if version <= self.adapter_version(model, adapter):
+            return
+        self.adapter_versions[model, adapter] = (version, now)
+        log_event(
+            logger,
+            "adapter-version",
+            model=model,
+            adapter=adapter,
+            version=version,
+            offset=record.offset,
+        )
+
+    def _log_malformed(self, record, malformed):
+        log_event(
+            logger,
+            "entry-malformed",
+            level=logging.WARNING,
+            key=record.key,
+            offset=record.offset,
+            detail=malformed.detail,
+        )
--- /dev/null
+++ b/skylarkpost/gateway/directory.py
@@ -0,0 +1,116 @@
+"""Controller that follows the targets' announcements."""
+
+import logging
+
+from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.discovery import TargetDirectory
+from skylarkpost.eventlog import log_event
+from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.platform import TARGETS_TOPIC, Malformed, decode_target
+
+__all__ = ["DirectoryController"]
+
+logger = logging.getLogger(__name__)
+
+READ_WAIT_S = 5.0
+# Each target writes about once a second; a leaving one is left alone within two
+# seconds. A pause between reads takes several announcements with one call.
+READ_PAUSE_S = 0.5
+# Entries that lapsed during an outage are back within two seconds.
+LAPSE_GRACE_S = 2.0
+
+
+@register_controller("directory", order=6, front_ends=(GATEWAY,))
+class DirectoryController(Controller):
+    """Keeps the targets that may be used.
+
+    Parameters
+    ----------
+    services : Services
+        What the instance shares between its parts.
+
+    Attributes
+    ----------
+    targets : TargetDirectory
+        Targets by id.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.targets = TargetDirectory(lapse_grace=LAPSE_GRACE_S)
+        self.watchers = []
+        self.follower = KeyedFollower(
+            store=services.store,
+            topic=TARGETS_TOPIC,
+            clock=services.clock,
+            random=services.random,
+            on_record=self._take_record,
+            wait=READ_WAIT_S,
+            pause=READ_PAUSE_S,
+            peers=services.topic_readers,
+        )
+        services.followers[TARGETS_TOPIC] = self.follower
+
+    async def start(self):
+        """Start following the topic."""
+        self.follower.start()
+
+    async def stop(self):
+        """Stop following the topic."""
+        await self.follower.stop()
+
+    def is_ready(self):
+        """Return whether the targets are known."""
+        return self.follower.synced.is_set()
+
+    def of_service(self, service, now):
+        """Return the targets of a service that may be used.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of TargetEntry
+        """
+        return [each for each in self.targets.usable(now) if each.service == service]
+
+    def status(self):
+        """Return the targets."""
+        return {"targets": sorted(self.targets.entries)}
+
+    def _take_record(self, record, now):
+        if not record.value:
+            outage = now - self.follower.regained_at < LAPSE_GRACE_S
+            outage = outage or not self.follower.available
+            self.targets.drop(record.key, now, after_outage=outage)
+            log_event(logger, "target-gone", target=record.key, after_outage=outage)
+            return
+        decoded = decode_target(record.key, record.value)
+        if isinstance(decoded, Malformed):
+            log_event(
+                logger,
+                "entry-malformed",
+                level=logging.WARNING,
+                key=record.key,
+                offset=record.offset,
+                detail=decoded.detail,
+            )
+            return
+        known = self.targets.entries.get(decoded.name)
+        self.targets.put(decoded, now)
+        is_new = known is None or known.boot != decoded.boot
+        if is_new or known.state is not decoded.state:
+            log_event(
+                logger,
+                "target-changed",
+                target=decoded.name,
+                state=decoded.state,
+                boot=decoded.boot,
+                address=decoded.address,
+                offset=record.offset,
+            )
--- /dev/null
+++ b/skylarkpost/gateway/filters.py
@@ -0,0 +1,91 @@
+"""Filters of routed requests: route, key, quota."""
+
+import zlib
+
+from skylarkpost.controllers import GATEWAY
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.routing import key_digest
+
+__all__ = ["GatewayKeyFilter", "RouteFilter", "choose_service"]
+
+NOT_READY_RETRY_S = 0.5
+
+
+def choose_service(route, attempt_id):
+    """Choose one of the services that share a route.
+
+    Parameters
+    ----------
+    route : GatewayRoute
+        The route.
+    attempt_id : str
+        The same id always goes to the same service.
+
+    Returns
+    -------
+    str
+    """
+    if len(route.services) == 1:
+        return route.services[0].service
+    total = sum(each.weight for each in route.services)
+    point = zlib.crc32(attempt_id.encode()) / 2**32 * total
+    for each in route.services:
+        point -= each.weight
+        if point < 0:
+            return each.service
+    return route.services[-1].service
+
+
+@register_filter("route", order=10, front_ends=(GATEWAY,))
+class RouteFilter(Filter):
+    """Finds the route, and the service behind it."""
+
+    async def apply(self, exchange):
+        """Set route, service, rank and deadline. See `Filter.apply`."""
+        state = self.services.controllers["config"].state
+        if state.table is None:
+            return Refused(
+                reason=Reason.NOT_READY,
+                message="No configuration is known yet.",
+                retry_after=NOT_READY_RETRY_S,
+            )
+        exchange.table = state.table
+        route = state.table.find(exchange.headers.get("host", ""), exchange.path)
+        if route is None:
+            return Refused(reason=Reason.ROUTE_UNKNOWN, message="No route leads there.")
+        exchange.route = route
+        exchange.rank = route.rank
+        exchange.deadline = min(exchange.deadline, exchange.received_at + route.timeout)
+        name = choose_service(route, exchange.metadata.attempt_id)
+        exchange.service = state.configuration.services.get(name)
+        if exchange.service is None:
+            return Refused(
+                reason=Reason.NO_TARGET,
+                message="The route's service is not configured.",
+                retry_after=NOT_READY_RETRY_S,
+            )
+        return None
+
+
+@register_filter("key", order=20, front_ends=(GATEWAY,))
+class GatewayKeyFilter(Filter):
+    """Finds the team of the caller's key."""
+
+    async def apply(self, exchange):
+        """Set the team. See `Filter.apply`."""
+        table = exchange.table
+        key = exchange.metadata.key
+        team = None
+        if key is not None:
+            team = table.team(key_digest(key.encode("latin-1")))
+        if team is not None:
+            exchange.team = team.name
+            if team.rank is not None:
+                exchange.rank = team.rank
+            return None
+        if exchange.route.is_public or not table.configuration.teams:
+            return None
+        if key is None:
+            return Refused(reason=Reason.KEY_MISSING, message="A key is needed.")
+        return Refused(reason=Reason.KEY_UNKNOWN, message="The key is not known.")
--- /dev/null
+++ b/skylarkpost/gateway/fleet.py
@@ -0,0 +1,233 @@
+"""Controller that finds the other instances, and asks them for topics."""
+
+import asyncio
+import logging
+
+import msgspec
+
+from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.listing import InstanceList, ListedInstance
+from skylarkpost.log.keyed import KeyedRecord, PeerRecords, StoreAppended
+from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.membership import MemberState
+from skylarkpost.rpc import CallFailed, call_peer, fleet_pb2, fleet_pb2_grpc
+from skylarkpost.runtime import BackgroundTask
+
+__all__ = ["FleetController"]
+
+logger = logging.getLogger(__name__)
+
+INSTANCES_TOPIC = "keyed.skylarkpost-instances"
+READ_WAIT_S = 10.0
+REGISTER_RETRY_S = 0.5
+PEER_TIMEOUT_S = 0.5
+# An instance that was not heard for so long does not count any more.
+FORGET_AFTER_S = 10.0
+ROLE = "entry"
+STATE = "live"
+
+
+class InstanceRecord(msgspec.Struct):
+    """One instance in the store."""
+
+    address: str
+    data_centre: str
+    boot: str
+
+
+@register_controller("fleet", order=8, front_ends=(GATEWAY,))
+class FleetController(Controller):
+    """Registers this instance in the store, and lists the others.
+
+    It takes the place of the instance list for the membership controller.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        What the instance shares between its parts.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.instances = {}
+        self.subscribers = []
+        self.missing_since = {}
+        self.registration = BackgroundTask(name="register")
+        self.follower = KeyedFollower(
+            store=services.store,
+            topic=INSTANCES_TOPIC,
+            clock=services.clock,
+            random=services.random,
+            on_record=self._take_record,
+            wait=READ_WAIT_S,
+        )
+        services.followers[INSTANCES_TOPIC] = self.follower
+        services.instances = self
+
+    @property
+    def available(self):
+        """Whether the list is the present one."""
+        return self.follower.available
+
+    def subscribe(self, callback):
+        """Call back with each new list.
+
+        Parameters
+        ----------
+        callback : callable
+            Takes an `InstanceList` and ``now``.
+        """
+        self.subscribers.append(callback)
+        if self.instances:
+            callback(self._list(), self.services.clock())
+
+    def add_to_server(self, server):
+        """Answer other instances about topics."""
+        fleet_pb2_grpc.add_FleetServicer_to_server(
+            FleetServicer(services=self.services), server
+        )
+
+    async def start(self):
+        """Start following the list, and register this instance."""
+        self.follower.start()
+        self.registration.start(self._register())
+
+    async def stop(self):
+        """Stop following."""
+        await self.registration.stop()
+        await self.follower.stop()
+
+    def status(self):
+        """Return the instances."""
+        return {"instances": sorted(self.instances)}
+
+    def size(self):
+        """Return how many instances there may be, this one included.
+
+        Returns
+        -------
+        int
+            An instance that fell silent counts for a while, since it may
+            serve on behind a cut.
+        """
+        membership = self.services.controllers.get("membership")
+        if membership is None:
+            return 1
+        now = self.services.clock()
+        count = 1
+        for member in membership.core.members():
+            if member.state is not MemberState.SILENT:
+                self.missing_since.pop(member.instance, None)
+                count += 1
+                continue
+            since = self.missing_since.setdefault(member.instance, now)
+            count += now - since < FORGET_AFTER_S
+        return count
+
+    async def read_topic(self, topic, start):
+        """Ask other instances for what is new in a topic.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First offset wanted; -1 for everything.
+
+        Returns
+        -------
+        PeerRecords or None
+            Of the instance that knows the topic furthest.
+        """
+        addresses = self._addresses()
+        ask = fleet_pb2.TopicAsk(topic=topic, start=start)
+        answers = await asyncio.gather(*(self._ask(a, ask) for a in addresses))
+        known = [answer for answer in answers if answer is not None]
+        return max(known, key=lambda each: (each.end, -each.age), default=None)
+
+    async def _ask(self, address, ask):
+        stub = fleet_pb2_grpc.FleetStub(self.services.peers.get(address))
+        answer = await call_peer(stub.ReadTopic, ask, timeout=PEER_TIMEOUT_S)
+        if isinstance(answer, CallFailed) or not answer.known:
+            return None
+        records = tuple(KeyedRecord(r.key, r.value, r.offset) for r in answer.records)
+        return PeerRecords(records, answer.end, answer.age)
+
+    def _addresses(self):
+        own = self.services.peer_address
+        found = set(self.services.settings.instance.seeds)
+        found.update(each.address for each in self.instances.values())
+        membership = self.services.controllers.get("membership")
+        if membership is not None:
+            found.update(m.address for m in membership.core.members())
+        found.discard(own)
+        return sorted(found)
+
+    async def _register(self):
+        services = self.services
+        record = InstanceRecord(
+            services.peer_address, services.data_centre, services.boot
+        )
+        entry = KeyedRecord(services.instance, msgspec.json.encode(record))
+        while True:
+            answer = await services.store.append(INSTANCES_TOPIC, [entry])
+            log_event(logger, "instance-registered", outcome=type(answer).__name__)
+            if isinstance(answer, StoreAppended):
+                return
+            await asyncio.sleep(REGISTER_RETRY_S)
+
+    def _take_record(self, record, now):
+        if not record.value:
+            self.instances.pop(record.key, None)
+            return
+        try:
+            entry = msgspec.json.decode(record.value, type=InstanceRecord)
+        except msgspec.DecodeError as error:
+            log_event(logger, "entry-malformed", key=record.key, detail=str(error))
+            return
+        for name, known in list(self.instances.items()):
+            # Another instance has taken over the address.
+            if known.address == entry.address and name != record.key:
+                del self.instances[name]
+        self.instances[record.key] = ListedInstance(
+            record.key, ROLE, entry.address, entry.data_centre, STATE
+        )
+        for callback in self.subscribers:
+            callback(self._list(), now)
+
+    def _list(self):
+        return InstanceList(
+            as_of=self.services.wall_clock(), instances=dict(self.instances)
+        )
+
+
+class FleetServicer(fleet_pb2_grpc.FleetServicer):
+    """Answers other instances.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        What the instance shares between its parts.
+    """
+
+    def __init__(self, *, services):
+        self.services = services
+
+    async def ReadTopic(self, request, context):  # noqa: N802
+        """Tell what is known of a topic. See ``fleet.proto``."""
+        follower = self.services.followers.get(request.topic)
+        if follower is None or follower.next_offset is None:
+            return fleet_pb2.TopicAnswer(known=False)
+        now = self.services.clock()
+        answer = fleet_pb2.TopicAnswer(
+            known=True,
+            end=follower.next_offset,
+            age=max(0.0, now - follower.fresh_at),
+        )
+        for record in follower.records.values():
+            if record.offset >= request.start:
+                answer.records.add(
+                    key=record.key, value=record.value, offset=record.offset
+                )
+        return answer
--- /dev/null
+++ b/skylarkpost/gateway/instance.py
@@ -0,0 +1,161 @@
+"""Starts the parts of a gateway instance, and stops them in order."""
+
+import asyncio
+import logging
+
+import grpc
+
+from skylarkpost.controllers import GATEWAY, build_controllers
+from skylarkpost.eventlog import log_event
+from skylarkpost.filters import FilterChain, build_filters
+from skylarkpost.gateway.app import GatewayApp
+from skylarkpost.routing import CallerBounds
+from skylarkpost.transport import CallerConnection, PlainAnswer
+
+__all__ = ["GatewayInstance"]
+
+logger = logging.getLogger(__name__)
+
+LISTEN_BACKLOG = 2048
+# The balancer asks once a second and goes by two misses.
+NOTICE_S = 2.6
+# Left of the time until the process is killed, for closing down.
+CLOSING_S = 0.7
+DRAIN_POLL_S = 0.05
+PEER_SERVER_GRACE_S = 0.2
+EXPIRE_CHECK_S = 0.25
+
+
+class GatewayInstance:
+    """One running instance.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        Clients are set already.
+    """
+
+    def __init__(self, *, services):
+        self.services = services
+        self.stop_requested = asyncio.Event()
+        self.peer_server = grpc.aio.server()
+        build_controllers(services=services, front_end=GATEWAY)
+        chain = FilterChain(
+            filters=build_filters(services=services, front_end=GATEWAY),
+            clock=services.clock,
+        )
+        self.app = GatewayApp(services=services, chain=chain)
+        self.connections = set()
+        self.side_connections = set()
+        self.listeners = []
+        self.is_listening = False
+        self.is_ending = False
+        self.is_ready_logged = False
+
+    async def run(self):
+        """Serve until `stop_requested` is set, then leave in order."""
+        await self._start()
+        expiry = asyncio.create_task(self._expire_connections())
+        await self.stop_requested.wait()
+        stop_at = self.services.clock() + self.services.settings.bounds.grace_s
+        await self._leave(stop_at - CLOSING_S)
+        expiry.cancel()
+        await self._stop()
+
+    def is_ready(self):
+        """Return whether the instance should get new connections.
+
+        Returns
+        -------
+        bool
+        """
+        parts = self.services.controllers.values()
+        ready = self.is_listening and not self.services.draining
+        ready = ready and all(part.is_ready() for part in parts)
+        if ready and not self.is_ready_logged:
+            self.is_ready_logged = True
+            log_event(logger, "instance-ready")
+        return ready
+
+    async def _start(self):
+        services = self.services
+        settings = services.settings.instance
+        log_event(
+            logger,
+            "instance-started",
+            boot=services.boot,
+            data_centre=services.data_centre,
+            front=settings.front_address,
+            peers=settings.peer_address,
+        )
+        for part in services.controllers.values():
+            part.add_to_server(self.peer_server)
+        self.peer_server.add_insecure_port(settings.peer_address)
+        await self.peer_server.start()
+        for part in services.controllers.values():
+            await part.start()
+        await self._listen(settings.ready_address, self._answer_ready, side=True)
+        await self._listen(settings.metrics_address, self._answer_metrics, side=True)
+        await self._listen(settings.front_address, self.app.handle)
+        self.is_listening = True
+
+    async def _listen(self, address, handler, *, side=False):
+        host, _, port = address.rpartition(":")
+        connections = self.side_connections if side else self.connections
+        bounds = CallerBounds if side else self._bounds
+
+        def make_connection():
+            return CallerConnection(
+                handler=handler,
+                bounds=bounds,
+                clock=self.services.clock,
+                connections=connections,
+                is_closing=lambda: self.services.draining and not side,
+            )
+
+        server = await asyncio.get_running_loop().create_server(
+            make_connection, host, int(port), backlog=LISTEN_BACKLOG
+        )
+        self.listeners.append((server, side))
+
+    def _bounds(self):
+        return self.services.controllers["config"].bounds
+
+    async def _answer_ready(self, request):
+        return PlainAnswer(200 if self.is_ready() else 503)
+
+    async def _answer_metrics(self, request):
+        body, headers = self.services.metrics.render()
+        return PlainAnswer(200, tuple(headers.items()), body)
+
+    async def _leave(self, deadline):
+        services = self.services
+        log_event(logger, "shutdown-started", open_requests=len(services.exchanges))
+        services.draining = True
+        await asyncio.sleep(NOTICE_S)
+        for server, side in self.listeners:
+            if not side:
+                server.close()
+        services.leaving = True
+        for connection in list(self.connections):
+            connection.close_when_idle()
+        while self.connections and services.clock() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+            if not services.exchanges:
+                for connection in list(self.connections):
+                    connection.close_when_idle()
+        log_event(logger, "requests-ended", left_open=len(services.exchanges))
+
+    async def _stop(self):
+        for part in reversed(self.services.controllers.values()):
+            await part.stop()
+        for server, _ in self.listeners:
+            server.close()
+        await self.peer_server.stop(PEER_SERVER_GRACE_S)
+        await self.services.close()
+        log_event(logger, "instance-stopped")
+
+    async def _expire_connections(self):
+        while True:
+            await asyncio.sleep(EXPIRE_CHECK_S)
+            self.services.pool.expire()
--- /dev/null
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -0,0 +1,266 @@
+"""Claims leases of engines, and keeps a steward for each one held."""
+
+import asyncio
+import logging
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.log.keyed import KeyedRecord, StoreAppended
+from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.membership import MemberState
+from skylarkpost.platform import EngineCodec
+from skylarkpost.runtime import BackgroundTask
+from skylarkpost.stewardship.leases import (
+    LeaseAuthority,
+    LeasePolicy,
+    LeaseRecord,
+    LeaseTable,
+    decode_lease,
+    encode_lease,
+)
+from skylarkpost.stewardship.seat import StewardSeat
+from skylarkpost.stewardship.steward import TargetSteward
+from skylarkpost.targets.counted_engine import CountedEngine
+
+__all__ = ["LEASES_TOPIC", "LeaseKeeper", "OpenPermits"]
+
+logger = logging.getLogger(__name__)
+
+LEASES_TOPIC = "keyed.skylarkpost-leases"
+# Shorter than the time for which a read proves an authority.
+READ_WAIT_S = 2.0
+CLAIM_CHECK_S = 0.1
+CLAIM_RETRY_S = 0.3
+
+
+class OpenPermits:
+    """Permits every load: the engines' weight store bounds itself."""
+
+    async def acquire_load_permit(self, *, urgency, waiting):
+        """Return a permit at once.
+
+        Parameters
+        ----------
+        urgency, waiting : int
+            Ignored.
+
+        Returns
+        -------
+        OpenPermits
+        """
+        return self
+
+    def release(self, *, unused):
+        """Do nothing.
+
+        Parameters
+        ----------
+        unused : bool
+            Ignored.
+        """
+
+
+class LeaseKeeper:
+    """Leases and stewards of this instance.
+
+    Parameters
+    ----------
+    services : Services
+        What the instance shares between its parts.
+    policy : StewardPolicy
+        For the stewards.
+    ask_wait : float
+        Longest time that an ask for a ticket waits, in seconds.
+
+    Attributes
+    ----------
+    seats : dict of str to StewardSeat
+        By target.
+    handing_over : dict
+        Always empty: an instance keeps its leases until it has stopped.
+    """
+
+    def __init__(self, *, services, policy, ask_wait):
+        self.services = services
+        self.policy = policy
+        self.ask_wait = ask_wait
+        lease_policy = LeasePolicy(pause=services.settings.bounds.lease_ms / 1000.0)
+        self.table = LeaseTable(own=services.instance, policy=lease_policy)
+        self.seats = {}
+        self.handing_over = {}
+        self.permits = OpenPermits()
+        self.started_at = services.clock()
+        self.follower = KeyedFollower(
+            store=services.store,
+            topic=LEASES_TOPIC,
+            clock=services.clock,
+            random=services.random,
+            on_record=self._take_record,
+            wait=READ_WAIT_S,
+            peers=services.topic_readers,
+        )
+        services.followers[LEASES_TOPIC] = self.follower
+        self.claiming = BackgroundTask(name="lease-claims")
+
+    def start(self):
+        """Start following the topic, and claiming."""
+        self.follower.start()
+        self.claiming.start(self._run_claims())
+
+    async def stop(self):
+        """Stop claiming and following, and close all seats."""
+        await self.claiming.stop()
+        await self.follower.stop()
+        for seat in self.seats.values():
+            seat.close()
+
+    def tick(self, now):
+        """Keep a seat for each lease whose target is there, and let it act.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+        """
+        engines = self._engines(now)
+        held = {lease.target: lease for lease in self.table.held()}
+        for name in list(self.seats):
+            if name not in held or name not in engines:
+                self._drop(name, "lease-lost" if name not in held else "target-gone")
+        for name, lease in held.items():
+            if name in engines and name not in self.seats:
+                self._take(lease, *engines[name], now)
+        for name, seat in self.seats.items():
+            seat.engines.entry = engines[name][0]
+            seat.tick()
+
+    def _engines(self, now):
+        known = self.services.controllers["config"].state.configuration
+        if known is None:
+            return {}
+        directory = self.services.controllers["directory"]
+        return {
+            entry.name: (entry, service)
+            for service in known.services.values()
+            if service.engine is not None
+            for entry in directory.of_service(service.name, now)
+        }
+
+    def _take(self, lease, entry, service, now):
+        limits = service.engine
+        authority = LeaseAuthority(
+            table=self.table,
+            target=lease.target,
+            fresh_at=lambda: self.follower.fresh_at,
+        )
+        engine = CountedEngine(
+            entry=entry,
+            model=limits.models[0],
+            limits=limits,
+            instance=self.services.instance,
+            call=self.services.call_target,
+            codec=EngineCodec,
+            clock=self.services.clock,
+            may_order=lambda: authority.is_valid(self.services.clock()),
+        )
+        engine.fencing_number = lease.number
+        target = self.services.engine_target(entry, service)
+        steward = TargetSteward(
+            target=target,
+            fencing_number=lease.number,
+            instance=self.services.instance,
+            now=now,
+            policy=self.policy,
+            authority=authority,
+        )
+        self.seats[lease.target] = StewardSeat(
+            steward=steward,
+            engines=engine,
+            permits=self.permits,
+            clock=self.services.clock,
+            claim=lease,
+            on_stale=lambda name: self._drop(name, "stale-fencing-number"),
+            ask_wait=self.ask_wait,
+        )
+        log_event(
+            logger,
+            "stewardship-began",
+            target=lease.target,
+            number=lease.number,
+            orders_in=self.table.orders_from.get(lease.target, now) - now,
+        )
+
+    def _drop(self, name, reason):
+        seat = self.seats.pop(name, None)
+        if seat is not None:
+            seat.close()
+            log_event(logger, "stewardship-ended", target=name, reason=reason)
+
+    def _take_record(self, record, now):
+        if not record.value:
+            return
+        lease = decode_lease(record.value)
+        if lease is None:
+            log_event(logger, "entry-malformed", key=record.key, offset=record.offset)
+            return
+        self.table.apply(record.key, lease, record.offset, now)
+        log_event(
+            logger,
+            "lease-record",
+            target=record.key,
+            holder=lease.holder,
+            number=record.offset,
+            settled=lease.is_settled,
+        )
+
+    async def _run_claims(self):
+        while True:
+            await asyncio.sleep(CLAIM_CHECK_S)
+            now = self.services.clock()
+            if self.services.leaving or self.follower.next_offset is None:
+                continue
+            if now - self.started_at < self.table.policy.settle:
+                continue
+            if not await self._claim(now):
+                await asyncio.sleep(CLAIM_RETRY_S)
+
+    async def _claim(self, now):
+        """Append what is due; return False if the store refused it."""
+        membership = self.services.controllers["membership"]
+        live = [
+            member.instance
+            for member in membership.members(now)
+            if member.state is MemberState.LIVE
+        ]
+        engines = list(self._engines(now))
+        own = self.services.instance
+        records = [
+            KeyedRecord(
+                target,
+                encode_lease(
+                    LeaseRecord(holder=own, is_settled=self.table.is_first(target))
+                ),
+            )
+            for target in self.table.due_claims(engines, live, now)
+        ]
+        records += [
+            KeyedRecord(target, encode_lease(LeaseRecord(holder=own, is_settled=True)))
+            for target in self.table.due_settlements(now)
+            if target in engines
+        ]
+        if not records:
+            return True
+        # A claim is judged against the topic as it is known here: if somebody
+        # else has written meanwhile, this instance reads first.
+        answer = await self.services.store.append(
+            LEASES_TOPIC, records, expected_end=self.follower.next_offset
+        )
+        log_event(
+            logger,
+            "leases-claimed",
+            targets=",".join(record.key for record in records),
+            outcome=type(answer).__name__,
+            live=len(live),
+        )
+        if isinstance(answer, StoreAppended):
+            await self.follower.catch_up()
+        return isinstance(answer, StoreAppended)
--- /dev/null
+++ b/skylarkpost/gateway/stewardship.py
@@ -0,0 +1,407 @@
+"""Controller for tickets, leases of engines, and places for requests."""
+
+import asyncio
+import contextlib
+import logging
+import math
+
+from skylarkpost.config import Target
+from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.eventlog import log_event
+from skylarkpost.gateway.exchange import GatewayProfile
+from skylarkpost.gateway.lease_keeper import LeaseKeeper
+from skylarkpost.membership import MemberState
+from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.placement.outstanding import ServicePlacer
+from skylarkpost.placement.placer import (
+    PlacementPolicy,
+    PlacementRequest,
+    Placer,
+    Preamble,
+)
+from skylarkpost.rpc import stewardship_pb2_grpc
+from skylarkpost.runtime import BackgroundTask
+from skylarkpost.stewardship.desk import DeskPatience, TicketDesk, lora_name_of
+from skylarkpost.stewardship.directory import StewardAddress
+from skylarkpost.stewardship.holder import TicketHolder
+from skylarkpost.stewardship.policy import StewardPolicy
+from skylarkpost.stewardship.service import StewardshipServicer
+from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
+from skylarkpost.targets import LoadReport
+from skylarkpost.targets.reports import ResidentLoad
+
+__all__ = ["GatewayStewardshipController"]
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.05
+PUBLISH_S = 0.25
+POLL_S = 1.0
+RENEWAL_CHECK_S = 0.5
+TOPIC = "targets"
+TICKET_LEASE_S = 10.0
+DISPATCH_MARGIN_S = 0.0
+# An ask waits for less than the shortest goal, so that a request whose steward
+# fell silent can still be served in time elsewhere.
+ASK_WAIT_S = 0.25
+ASK_TIMEOUT_S = 0.5
+STEWARD_DISTRUST_S = 1.0
+NO_TARGET_PAUSE_S = 0.1
+NO_TARGET_RETRY_S = 1.0
+# Measured on the engines of the first deployments; they read about 40 tokens
+# of a prompt in a millisecond, and take a quarter of a second for an adapter.
+PREFILL_RATE = 40_000.0
+LOAD_WAIT_S = 0.27
+POLICY = StewardPolicy(
+    ticket_lease=TICKET_LEASE_S,
+    report_lag=0.3,
+    order_linger=5.0,
+    loads_at_once=2,
+    drain_after=0.3,
+    least_residence=0.5,
+    demand_half_life=10.0,
+    engine_settles_orders=True,
+)
+
+
+@register_controller("stewardship", order=60, front_ends=(GATEWAY,))
+class GatewayStewardshipController(Controller):
+    """Finds a place for each request.
+
+    Engines are stewarded on leases of the store, see
+    `skylarkpost.stewardship.leases`; tickets, queues, residency and placement
+    are those of the other front end.
+
+    Parameters
+    ----------
+    services : Services
+        What the instance shares between its parts.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.keeper = LeaseKeeper(services=services, policy=POLICY, ask_wait=ASK_WAIT_S)
+        self.distrusted_until = {}
+        self.desk = TicketDesk(
+            services=services,
+            holder=TicketHolder(lease=TICKET_LEASE_S, dispatch_margin=0.0),
+            seats=self.keeper.seats,
+            find_steward=self.find_steward,
+            may_go_alone=self._number_alone,
+            engines=self,
+            patience=DeskPatience(ask_timeout=ASK_TIMEOUT_S, failed_asks=0),
+            on_silent=self._note_silent,
+        )
+        self.placer = Placer(
+            data_centre=services.data_centre,
+            policy=PlacementPolicy(prefill_rate=PREFILL_RATE, load_wait=LOAD_WAIT_S),
+        )
+        self.service_placer = ServicePlacer(data_centre=services.data_centre)
+        self.published_at = -math.inf
+        self.background = [
+            BackgroundTask(name=f"stewardship-{name}")
+            for name in ("tick", "poll", "renewals", "returns")
+        ]
+
+    def add_to_server(self, server):
+        """Serve asks for tickets of other instances."""
+        servicer = StewardshipServicer(keeper=self.keeper, clock=self.services.clock)
+        stewardship_pb2_grpc.add_StewardshipServicer_to_server(servicer, server)
+
+    async def start(self):
+        """Start the background work."""
+        self.membership.subscribe(TOPIC, self._note_digest)
+        self.keeper.start()
+        loops = (
+            self._run_ticks(),
+            self._run_polls(),
+            self._run_renewals(),
+            self.desk.courier.run_returns(),
+        )
+        for task, loop in zip(self.background, loops, strict=True):
+            task.start(loop)
+
+    async def stop(self):
+        """Stop the background work."""
+        for task in self.background:
+            await task.stop()
+        await self.keeper.stop()
+
+    def status(self):
+        """Return the leases."""
+        return {"leases": {k: v.holder for k, v in self.keeper.table.leases.items()}}
+
+    @property
+    def membership(self):
+        """The membership controller."""
+        return self.services.controllers["membership"]
+
+    @property
+    def config(self):
+        """The configuration controller."""
+        return self.services.controllers["config"]
+
+    async def acquire(self, exchange, *, avoid=frozenset(), now):
+        """Find a place for a request; waits for it if need be.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+            The request.
+        avoid : frozenset of str
+            Targets to use only if there is no other.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Ticket or Refused
+        """
+        if not exchange.is_model_request:
+            return self._acquire_service(exchange, avoid, now)
+        while True:
+            outcome = await self._acquire_engine(exchange, avoid)
+            is_final = getattr(outcome, "reason", None) is not Reason.NO_TARGET
+            now = self.services.clock()
+            if is_final or now + NO_TARGET_PAUSE_S >= self._give_up_at(exchange):
+                return outcome
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(exchange.cancel_event.wait(), NO_TARGET_PAUSE_S)
+
+    def release(self, ticket, *, unused_tokens=0, certain=True, succeeded=True):
+        """Give a ticket back.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The ticket.
+        unused_tokens : int
+            Tokens that were charged and not used.
+        certain : bool
+            Ignored: engines let runs finish before they unload.
+        succeeded : bool
+            Whether the target answered.
+        """
+        now = self.services.clock()
+        if ticket.kind == "service":
+            self.service_placer.ended(ticket, succeeded=succeeded, now=now)
+            return
+        self.placer.note_ended(ticket.target, ticket.ticket_id)
+        self.desk.release(ticket, unused_tokens=unused_tokens, certain=True)
+
+    def find_steward(self, target):
+        """Return the steward to ask for a target.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+
+        Returns
+        -------
+        StewardAddress or None
+        """
+        holder = self.keeper.table.holder(target)
+        if holder is None:
+            return None
+        now = self.services.clock()
+        if self.distrusted_until.get(holder, -math.inf) > now:
+            return None
+        for member in self.membership.members(now):
+            if member.instance == holder and member.state is not MemberState.SILENT:
+                number = self.keeper.table.leases[target].number
+                return StewardAddress(holder, member.address, number)
+        return None
+
+    async def load_report(self, address):
+        """Return what is known of an engine without its steward.
+
+        Parameters
+        ----------
+        address : str
+            The engine's.
+
+        Returns
+        -------
+        LoadReport or None
+        """
+        now = self.services.clock()
+        targets = self.services.controllers["directory"].targets.usable(now)
+        entry = next((each for each in targets if each.address == address), None)
+        if entry is None:
+            return None
+        resident = {
+            f"{name}@{version}": ResidentLoad(0, 0)
+            for model in entry.models
+            for name, version in model.adapters.items()
+        }
+        outstanding = len(self.placer.sent.get(entry.name, ()))
+        return LoadReport(
+            boot=entry.boot,
+            taken_at=now,
+            asked_at=now,
+            answered_at=now,
+            slots=0,
+            resident=resident,
+            loading=(),
+            running=outstanding,
+            waiting=0,
+            batch_limit=entry.slots,
+            prompt_cache_hits=0,
+            prompt_cache_tokens=0,
+        )
+
+    def profile_of(self, exchange):
+        """Return what a request asks of an engine.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+            The request.
+
+        Returns
+        -------
+        GatewayProfile
+        """
+        metadata = exchange.metadata
+        version = 0
+        if metadata.adapter is not None:
+            version = self.config.adapter_version(metadata.model, metadata.adapter)
+        model = metadata.model or exchange.service.engine.models[0].name
+        return GatewayProfile(model, metadata.adapter, version, exchange.urgency)
+
+    def _give_up_at(self, exchange):
+        return min(exchange.deadline, exchange.received_at + NO_TARGET_RETRY_S)
+
+    async def _acquire_engine(self, exchange, avoid):
+        now = self.services.clock()
+        exchange.profile = self.profile_of(exchange)
+        request = _placement_request(exchange)
+        targets = self._engines(exchange.service, now)
+        ranked = self.placer.rank(request, targets, now, avoid=avoid)
+        by_name = {target.name: target for target in targets}
+        asked = {}
+
+        def note_asked(target, ticket_id):
+            asked[target] = ticket_id
+            self.placer.note_sent(target, ticket_id, request, self.services.clock())
+
+        outcome = await self.desk.acquire(
+            exchange, [by_name[name] for name, _ in ranked], on_asked=note_asked
+        )
+        chosen = getattr(outcome, "target", None)
+        for target, ticket_id in asked.items():
+            if target != chosen:
+                self.placer.note_ended(target, ticket_id)
+        return outcome
+
+    def _acquire_service(self, exchange, avoid, now):
+        directory = self.services.controllers["directory"]
+        targets = [
+            _target(entry, kind="service", pool=entry.service, slots=0)
+            for entry in directory.of_service(exchange.service.name, now)
+        ]
+        ticket = self.service_placer.choose(
+            targets, request_id=exchange.request_id, avoid=avoid, now=now
+        )
+        if ticket is not None:
+            boot = directory.targets.find(ticket.target, now).boot
+            return ticket._replace(boot=boot)
+        return Refused(
+            reason=Reason.NO_TARGET,
+            message="No target of this route takes requests at present.",
+            run_state=RunState.NOT_RUN,
+            retry_after=NO_TARGET_RETRY_S,
+        )
+
+    def _engines(self, service, now):
+        directory = self.services.controllers["directory"]
+        engine = service.engine
+        model = engine.models[0].name
+        return [
+            _target(entry, kind="engine", pool=model, slots=engine.adapter_slots)
+            for entry in directory.of_service(service.name, now)
+            if any(held.name == model for held in entry.models)
+        ]
+
+    def _number_alone(self, target):
+        lease = self.keeper.table.leases.get(target.name)
+        return 0 if lease is None else lease.number
+
+    def _note_silent(self, steward):
+        now = self.services.clock()
+        self.distrusted_until[steward.instance] = now + STEWARD_DISTRUST_S
+        log_event(logger, "steward-silent", steward=steward.instance)
+
+    def _note_digest(self, member, payload, now):
+        summaries = decode_summaries(payload)
+        if summaries is None:
+            self.services.metrics.count_event("malformed-digest")
+            return
+        for summary in summaries:
+            self.placer.note_summary(summary, now)
+
+    async def _run_ticks(self):
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK_S)
+
+    def _tick(self):
+        now = self.services.clock()
+        self.keeper.tick(now)
+        summaries = [seat.summary(now) for seat in self.keeper.seats.values()]
+        for summary in summaries:
+            self.placer.note_summary(summary, now)
+        members = {
+            member.instance
+            for member in self.membership.members(now)
+            if member.state is not MemberState.SILENT
+        }
+        for target, summary in self.placer.summaries.items():
+            if summary.steward in members:
+                self.placer.note_alive(target, now)
+        if now - self.published_at >= PUBLISH_S:
+            self.published_at = now
+            self.membership.publish(TOPIC, encode_summaries(summaries))
+
+    async def _run_polls(self):
+        while True:
+            seats = list(self.keeper.seats.values())
+            await asyncio.gather(*(seat.poll() for seat in seats))
+            await asyncio.sleep(POLL_S)
+
+    async def _run_renewals(self):
+        while True:
+            await asyncio.sleep(RENEWAL_CHECK_S)
+            await self.desk.courier.renew()
+
+
+def _target(entry, *, kind, pool, slots):
+    return Target(
+        name=entry.name,
+        kind=kind,
+        pool=pool,
+        address=entry.address,
+        data_centre=entry.data_centre,
+        fencing=False,
+        slots=slots,
+        batch_limit=entry.slots,
+    )
+
+
+def _placement_request(exchange):
+    metadata = exchange.metadata
+    lora_name = lora_name_of(exchange.profile)
+    preambles, tokens = [], 0
+    chain = lora_name
+    for part in metadata.prompt_parts:
+        chain = f"{chain}/{part.part_id}"
+        tokens += part.tokens
+        preambles.append(Preamble(hash(chain), tokens))
+    return PlacementRequest(
+        lora_name=lora_name,
+        needs_adapter=bool(exchange.profile.adapter),
+        urgency=exchange.urgency,
+        prompt_tokens=metadata.prompt_tokens or 0,
+        preambles=tuple(preambles),
+    )
--- a/skylarkpost/limits/controller.py
+++ b/skylarkpost/limits/controller.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.limits.borrowing import PEER_TIMEOUT_S, Borrower
 from skylarkpost.limits.commands import AppendRecord, Neighbour
@@ -18,8 +18,8 @@
 from skylarkpost.limits.service import LimitsServicer
 from skylarkpost.limits.shares import TeamLimit
 from skylarkpost.limits.slots import ANYONE, SlotOwner, SlotTable
-from skylarkpost.platform import BackgroundTask
 from skylarkpost.rpc import CallFailed, call_peer, limits_pb2, limits_pb2_grpc
+from skylarkpost.runtime import BackgroundTask
 
 __all__ = ["LimitsController"]
 
--- a/skylarkpost/platform/instance_list.py
+++ b/skylarkpost/listing/instance_list.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform.sessions import HttpSessions
-from skylarkpost.platform.tasks import BackgroundTask
+from skylarkpost.runtime.sessions import HttpSessions
+from skylarkpost.runtime.tasks import BackgroundTask
 
 __all__ = [
     "InstanceList",
--- /dev/null
+++ b/skylarkpost/log/__init__.py
@@ -0,0 +1,23 @@
+"""Client and follower of the log on which lasting state is kept."""
+
+from skylarkpost.log.log_client import LogClient
+from skylarkpost.log.log_follower import LogFollower
+from skylarkpost.log.outcomes import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
+    LogRecord,
+    LogUnavailable,
+    Records,
+)
+
+__all__ = [
+    "AppendRefused",
+    "AppendUnknown",
+    "Appended",
+    "LogClient",
+    "LogFollower",
+    "LogRecord",
+    "LogUnavailable",
+    "Records",
+]
--- /dev/null
+++ b/skylarkpost/log/keyed_follower.py
@@ -0,0 +1,217 @@
+"""Follows one keyed topic of a store."""
+
+import asyncio
+import logging
+import math
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.log.keyed import (
+    KeyedRecord,
+    KeyedRecords,
+    KeyedSnapshot,
+    RecordsTrimmed,
+    StoreUnavailable,
+)
+from skylarkpost.runtime import BackgroundTask
+
+__all__ = ["KeyedFollower"]
+
+logger = logging.getLogger(__name__)
+
+# Part of a wait that an answer without records proves: the store answered no
+# sooner, but its clock may run a little fast.
+PROVEN_WAIT = 0.9
+FIRST_BACKOFF_S = 0.1
+# Entries are wanted back within two seconds of an outage's end.
+LARGEST_BACKOFF_S = 1.0
+
+
+class KeyedFollower:
+    """Hands on each change of a topic, in order; never steps back.
+
+    Parameters
+    ----------
+    store : object
+        With ``newest`` and ``read``, as `skylarkpost.platform.StoreClient`.
+    topic : str
+        The topic.
+    clock : callable
+        Returns the present time in seconds.
+    random : random.Random
+        For the jitter of retries.
+    on_record : callable
+        Takes a `KeyedRecord` and ``now``. An empty value drops the key.
+    wait : float
+        Longest wait of one read, in seconds: short enough that a silent
+        connection is noticed, long enough that an idle topic costs little.
+    pause : float
+        Seconds between two reads, so that a busy topic costs fewer calls.
+    peers : callable or None
+        Async; takes the topic and an offset, and returns a `PeerRecords` of an
+        instance that knows the topic further, or None. Asked while the store
+        cannot be read.
+
+    Attributes
+    ----------
+    next_offset : int or None
+        Everything before it is known; None before the first snapshot.
+    records : dict of str to KeyedRecord
+        Newest record of each key, dropped keys too.
+    fresh_at : float
+        Latest moment for which it is known that the topic held nothing more.
+    available : bool
+        Whether the last call was answered.
+    regained_at : float
+        When the store was last reached again after an outage.
+    """
+
+    def __init__(
+        self, *, store, topic, clock, random, on_record, wait, pause=0.0, peers=None
+    ):
+        self.store = store
+        self.topic = topic
+        self.clock = clock
+        self.random = random
+        self.on_record = on_record
+        self.wait = wait
+        self.pause = pause
+        self.peers = peers
+        self.next_offset = None
+        self.fresh_at = -math.inf
+        self.available = False
+        self.regained_at = -math.inf
+        self.lost_at = None
+        self.records = {}
+        self.synced = asyncio.Event()
+        self.background = BackgroundTask(name=f"follow-{topic}")
+
+    def start(self):
+        """Start following."""
+        self.background.start(self._run())
+
+    async def stop(self):
+        """Stop following."""
+        await self.background.stop()
+
+    async def catch_up(self):
+        """Read once without waiting; for those who need the present end.
+
+        Returns
+        -------
+        bool
+            Whether the end of the topic was reached.
+        """
+        began = self.clock()
+        if self.next_offset is None:
+            return False
+        answer = await self.store.read(self.topic, self.next_offset, wait=0.0)
+        if not isinstance(answer, KeyedRecords):
+            return False
+        self._take_records(answer, began)
+        return self.fresh_at >= began
+
+    async def _run(self):
+        backoff = FIRST_BACKOFF_S
+        while True:
+            answered = await self._step()
+            if answered:
+                backoff = FIRST_BACKOFF_S
+                if self.pause:
+                    await asyncio.sleep(self.pause)
+                continue
+            await self._ask_peers()
+            await asyncio.sleep(backoff * self.random.uniform(0.5, 1.0))
+            backoff = min(LARGEST_BACKOFF_S, 2 * backoff)
+
+    async def _step(self):
+        began = self.clock()
+        if self.next_offset is None:
+            answer = await self.store.newest(self.topic)
+        else:
+            answer = await self.store.read(self.topic, self.next_offset, wait=self.wait)
+        if isinstance(answer, StoreUnavailable):
+            self._note_lost(answer.detail)
+            return False
+        self._note_answered()
+        if isinstance(answer, RecordsTrimmed):
+            self.next_offset = None
+            return True
+        if isinstance(answer, KeyedSnapshot):
+            return self._take_snapshot(answer, began)
+        proven = 0.0 if answer.records else PROVEN_WAIT * self.wait
+        self._take_records(answer, began + proven)
+        return True
+
+    def _take_records(self, answer, fresh_at):
+        now = self.clock()
+        for record in answer.records:
+            if self.next_offset is not None and record.offset < self.next_offset:
+                continue
+            self._hand_on(record, now)
+            self.next_offset = record.offset + 1
+        if self.next_offset is not None and self.next_offset >= answer.end:
+            self.fresh_at = max(self.fresh_at, min(now, fresh_at))
+            self.synced.set()
+
+    def _take_snapshot(self, answer, began):
+        if any(answer.end <= known.offset for known in self.records.values()):
+            log_event(
+                logger, "snapshot-outdated", topic=self.topic, end_offset=answer.end
+            )
+            return False
+        now = self.clock()
+        present = {record.key for record in answer.records}
+        for key, known in list(self.records.items()):
+            if known.value and key not in present:
+                self._hand_on(KeyedRecord(key, b"", answer.end - 1), now)
+        self._take_newest(answer.records, now)
+        self.next_offset = answer.end
+        self.fresh_at = max(self.fresh_at, began)
+        self.synced.set()
+        return True
+
+    def _take_newest(self, records, now):
+        for record in sorted(records, key=lambda each: each.offset):
+            known = self.records.get(record.key)
+            if known is None or record.offset > known.offset:
+                self._hand_on(record, now)
+
+    def _hand_on(self, record, now):
+        self.records[record.key] = record
+        self.on_record(record, now)
+
+    async def _ask_peers(self):
+        if self.peers is None:
+            return
+        start = -1 if self.next_offset is None else self.next_offset
+        asked_at = self.clock()
+        answer = await self.peers(self.topic, start)
+        if answer is None or (self.next_offset or 0) > answer.end:
+            return
+        self._take_newest(answer.records, self.clock())
+        self.next_offset = answer.end
+        self.fresh_at = max(self.fresh_at, asked_at - answer.age)
+        self.synced.set()
+
+    def _note_lost(self, detail):
+        if self.lost_at is None:
+            self.lost_at = self.clock()
+            log_event(
+                logger,
+                "store-lost",
+                level=logging.WARNING,
+                topic=self.topic,
+                detail=detail,
+                next_offset=self.next_offset,
+            )
+        self.available = False
+
+    def _note_answered(self):
+        self.available = True
+        if self.lost_at is not None:
+            now = self.clock()
+            log_event(
+                logger, "store-regained", topic=self.topic, after=now - self.lost_at
+            )
+            self.regained_at = now
+            self.lost_at = None
--- a/skylarkpost/platform/log_client.py
+++ b/skylarkpost/log/log_client.py
@@ -7,7 +7,7 @@
 import aiohttp
 import msgspec
 
-from skylarkpost.platform.outcomes import (
+from skylarkpost.log.outcomes import (
     Appended,
     AppendRefused,
     AppendUnknown,
@@ -15,7 +15,7 @@
     LogUnavailable,
     Records,
 )
-from skylarkpost.platform.sessions import HttpSessions
+from skylarkpost.runtime.sessions import HttpSessions
 
 __all__ = ["LogClient"]
 
--- a/skylarkpost/platform/log_follower.py
+++ b/skylarkpost/log/log_follower.py
@@ -6,9 +6,9 @@
 import msgspec
 
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform.log_client import READ_LIMIT
-from skylarkpost.platform.outcomes import LogUnavailable
-from skylarkpost.platform.tasks import BackgroundTask
+from skylarkpost.log.log_client import READ_LIMIT
+from skylarkpost.log.outcomes import LogUnavailable
+from skylarkpost.runtime.tasks import BackgroundTask
 
 __all__ = ["LogFollower"]
 
--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from skylarkpost.daemon.controllers import Controller, register_controller
+from skylarkpost.controllers import API, GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.membership.core import MembershipCore
 from skylarkpost.membership.listing import TargetListing
@@ -15,12 +15,12 @@
     encode_reply,
 )
 from skylarkpost.membership.pause import PauseDetector
-from skylarkpost.platform.tasks import BackgroundTask
 from skylarkpost.rpc import (
     CallFailed,
     call_peer,
     membership_pb2_grpc,
 )
+from skylarkpost.runtime.tasks import BackgroundTask
 
 __all__ = ["MembershipController"]
 
@@ -32,7 +32,7 @@
 LIST_TOPIC = "instance-list"
 
 
-@register_controller("membership", order=10)
+@register_controller("membership", order=10, front_ends=(API, GATEWAY))
 class MembershipController(Controller):
     """Exchanges heartbeats with the other instances.
 
--- a/skylarkpost/membership/listing.py
+++ b/skylarkpost/membership/listing.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from skylarkpost.listing.instance_list import ListedInstance
 from skylarkpost.membership.member import TargetState
-from skylarkpost.platform.instance_list import ListedInstance
 
 __all__ = ["TargetListing"]
 
--- a/skylarkpost/placement/__init__.py
+++ b/skylarkpost/placement/__init__.py
@@ -1,6 +1,11 @@
 """Placement: which target a request asks for a ticket."""
 
-from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
+from skylarkpost.placement.placer import (
+    PlacementPolicy,
+    PlacementRequest,
+    Placer,
+    Preamble,
+)
 from skylarkpost.placement.preamble import preamble_hash
 from skylarkpost.placement.rendezvous import rendezvous_order
 from skylarkpost.placement.scores import TargetView, register_score
@@ -9,6 +14,7 @@
     "PlacementPolicy",
     "PlacementRequest",
     "Placer",
+    "Preamble",
     "TargetView",
     "preamble_hash",
     "register_score",
--- a/skylarkpost/placement/filter.py
+++ b/skylarkpost/placement/filter.py
@@ -1,12 +1,13 @@
 """The filter that gets a ticket for each request."""
 
+from skylarkpost.controllers import API, GATEWAY
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.outcomes import Refused
 
 __all__ = ["PlacementFilter"]
 
 
-@register_filter("placement", order=70)
+@register_filter("placement", order=70, front_ends=(API, GATEWAY))
 class PlacementFilter(Filter):
     """Chooses a target and waits until the request may go there.
 
--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -6,7 +6,7 @@
 from skylarkpost.placement.scores import TargetView, placement_score
 from skylarkpost.stewardship.summary import adapter_hash
 
-__all__ = ["PlacementPolicy", "PlacementRequest", "Placer"]
+__all__ = ["PlacementPolicy", "PlacementRequest", "Placer", "Preamble"]
 
 
 class PlacementPolicy(NamedTuple):
@@ -24,8 +24,6 @@
         Seconds of the round trip to another data centre.
     prefill_rate : float
         Tokens of a prompt that an engine works through in a second.
-    preamble_share : float
-        Part of a prompt that is the shared preamble.
     preamble_memory : float
         Seconds for which an engine is taken to keep a preamble.
     load_wait : float
@@ -39,12 +37,26 @@
     summary_lag: float = 1.0
     far_distance: float = 0.003
     prefill_rate: float = 8000.0
-    preamble_share: float = 0.8
     preamble_memory: float = 120.0
     load_wait: float = 0.6
     joined_load: float = 0.5
 
 
+class Preamble(NamedTuple):
+    """The beginning of a prompt, which an engine may have read before.
+
+    Attributes
+    ----------
+    key : int
+        Hash of the adapter and the text.
+    tokens : int
+        Its length.
+    """
+
+    key: int
+    tokens: float
+
+
 class PlacementRequest(NamedTuple):
     """What placement needs to know of a request.
 
@@ -58,15 +70,15 @@
         From 0 to 9; 9 is the most urgent.
     prompt_tokens : int
         Tokens of the prompt.
-    preamble : int
-        Hash of its first part.
+    preambles : tuple of Preamble
+        Beginnings of the prompt, the shortest first.
     """
 
     lora_name: str
     needs_adapter: bool
     urgency: int
     prompt_tokens: int
-    preamble: int
+    preambles: tuple[Preamble, ...]
 
 
 class _Sent:
@@ -160,8 +172,10 @@
         """
         sent = self.sent.setdefault(target, {})
         sent[ticket_id] = _Sent(now, request.lora_name)
-        self.preambles[(target, request.preamble)] = now
-        if len(self.preambles) > MAX_PREAMBLES:
+        for preamble in request.preambles:
+            self.preambles.pop((target, preamble.key), None)
+            self.preambles[(target, preamble.key)] = now
+        while len(self.preambles) > MAX_PREAMBLES:
             del self.preambles[next(iter(self.preambles))]
 
     def note_ended(self, target, ticket_id):
@@ -313,9 +327,11 @@
 
     def _prefill(self, request, name, now):
         tokens = request.prompt_tokens
-        seen_at = self.preambles.get((name, request.preamble))
-        if seen_at is not None and now - seen_at < self.policy.preamble_memory:
-            tokens *= 1.0 - self.policy.preamble_share
+        for preamble in reversed(request.preambles):
+            seen_at = self.preambles.get((name, preamble.key))
+            if seen_at is not None and now - seen_at < self.policy.preamble_memory:
+                tokens = max(0.0, tokens - preamble.tokens)
+                break
         return tokens / self.policy.prefill_rate
 
     def _outstanding(self, summary, sent):
--- a/skylarkpost/platform/__init__.py
+++ b/skylarkpost/platform/__init__.py
@@ -1,43 +1,27 @@
-"""Clients of the platform's services: the log and the list of instances."""
+"""Adapter to the users' platform: its names, formats and calls.
 
-from skylarkpost.platform.controllers import (
-    InstanceListController,
-    StateLogController,
-)
-from skylarkpost.platform.instance_list import (
-    InstanceList,
-    InstanceListClient,
-    InstanceListUnavailable,
-    ListedInstance,
-)
-from skylarkpost.platform.log_client import LogClient
-from skylarkpost.platform.log_follower import LogFollower
-from skylarkpost.platform.outcomes import (
-    Appended,
-    AppendRefused,
-    AppendUnknown,
-    LogRecord,
-    LogUnavailable,
-    Records,
+Nothing here decides. Names on the wire are decoded into the product's types;
+bytes that make no sense become a `Malformed`, which says what is wrong.
+"""
+
+from skylarkpost.platform.configuration import (
+    decode_adapter_version,
+    decode_configuration,
 )
-from skylarkpost.platform.sessions import HttpSessions
-from skylarkpost.platform.tasks import BackgroundTask
+from skylarkpost.platform.engines import EngineCodec
+from skylarkpost.platform.headers import HeaderCodec
+from skylarkpost.platform.malformed import Malformed
+from skylarkpost.platform.store import OPERATOR_TOPIC, TARGETS_TOPIC, StoreClient
+from skylarkpost.platform.targets import decode_target
 
 __all__ = [
-    "AppendRefused",
-    "AppendUnknown",
-    "Appended",
-    "BackgroundTask",
-    "HttpSessions",
-    "InstanceList",
-    "InstanceListClient",
-    "InstanceListController",
-    "InstanceListUnavailable",
-    "ListedInstance",
-    "LogClient",
-    "LogFollower",
-    "LogRecord",
-    "LogUnavailable",
-    "Records",
-    "StateLogController",
+    "OPERATOR_TOPIC",
+    "TARGETS_TOPIC",
+    "EngineCodec",
+    "HeaderCodec",
+    "Malformed",
+    "StoreClient",
+    "decode_adapter_version",
+    "decode_configuration",
+    "decode_target",
 ]
--- /dev/null
+++ b/skylarkpost/platform/configuration.py
@@ -0,0 +1,225 @@
+"""Decodes the operators' configuration."""
+
+from typing import Annotated
+
+import msgspec
+
+from skylarkpost.platform.malformed import Malformed
+from skylarkpost.routing import (
+    AdapterModel,
+    CallerBounds,
+    Configuration,
+    EngineLimits,
+    GatewayRoute,
+    GatewayTeam,
+    RouteKind,
+    TargetService,
+    WeightedService,
+    key_digest,
+)
+
+__all__ = ["decode_adapter_version", "decode_configuration"]
+
+KINDS = {
+    "safe": RouteKind.SAFE,
+    "unsafe": RouteKind.UNSAFE,
+    "streaming": RouteKind.STREAM,
+}
+TOKENS = "tokens"
+MS_PER_S = 1000.0
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class SplitOnWire(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class RouteOnWire(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    route_kind: str
+    timeout_ms: float
+    # The time within which an answer earns its full credit, not a bound.
+    latency_goal_ms: float
+    # A rank: 0 is the most urgent.
+    priority: int
+    # Servers that one client attempt may be sent to, the first one included.
+    attempts: int
+    service: str = ""
+    split: list[SplitOnWire] = []
+    public: bool = False
+    resumable: bool = False
+    gap_target_ms: float | None = None
+
+
+class ModelOnWire(msgspec.Struct, rename="camel"):
+    name: str
+    weights_mb: float
+    load_s: float = msgspec.field(name="loadS")
+    adapters: Count = 0
+    adapter_mb: float = 0.0
+
+
+class EngineOnWire(msgspec.Struct, rename="camel"):
+    models: list[ModelOnWire]
+    # Room for weights and adapters together; models carry the same name for
+    # their own size.
+    weights_mb: float
+    adapter_slots: Count = 0
+    slots: Count = 1
+    kv_capacity: Count = 0
+
+
+class ServiceOnWire(msgspec.Struct, rename="camel"):
+    name: str
+    health_path: str
+    # Over all callers, not for each.
+    max_conns: int
+    engine: EngineOnWire | None = None
+
+
+class BoundsOnWire(msgspec.Struct, rename="camel"):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class TenantOnWire(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+    # "tokens", or requests if it is missing.
+    unit: str | None = None
+    plain_tokens: Count = 1
+    rate_per_s: float = msgspec.field(default=0.0, name="ratePerS")
+    burst: float = 0.0
+
+
+class ConfigurationOnWire(msgspec.Struct, rename="camel"):
+    version: int
+    routes: list[RouteOnWire]
+    services: list[ServiceOnWire]
+    limits: BoundsOnWire
+    tenants: list[TenantOnWire] = []
+
+
+class AdapterVersionOnWire(msgspec.Struct):
+    model: str
+    adapter: str
+    version: int
+
+
+def decode_configuration(payload):
+    """Decode one version of the configuration.
+
+    Parameters
+    ----------
+    payload : bytes
+        The entry's value.
+
+    Returns
+    -------
+    Configuration or Malformed
+    """
+    try:
+        wire = msgspec.json.decode(payload, type=ConfigurationOnWire)
+        routes = tuple(_route(each) for each in wire.routes)
+    except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
+        return Malformed(f"configuration: {error}")
+    return Configuration(
+        version=wire.version,
+        routes=routes,
+        services={each.name: _service(each) for each in wire.services},
+        teams={each.name: _team(each) for each in wire.tenants},
+        bounds=CallerBounds(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_timeout=wire.limits.header_timeout_ms / MS_PER_S,
+            idle_timeout=wire.limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def decode_adapter_version(payload):
+    """Decode the announcement of a new version of an adapter.
+
+    Parameters
+    ----------
+    payload : bytes
+        The entry's value.
+
+    Returns
+    -------
+    tuple of (str, str, int) or Malformed
+        Base model, adapter and version.
+    """
+    try:
+        wire = msgspec.json.decode(payload, type=AdapterVersionOnWire)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Malformed(f"adapter version: {error}")
+    return wire.model, wire.adapter, wire.version
+
+
+def _route(wire):
+    services = [WeightedService(each.service, each.weight) for each in wire.split]
+    pause = wire.gap_target_ms
+    return GatewayRoute(
+        name=wire.name,
+        host=wire.host.lower(),
+        path_prefix=wire.path_prefix,
+        kind=KINDS[wire.route_kind],
+        timeout=wire.timeout_ms / MS_PER_S,
+        latency_goal=wire.latency_goal_ms / MS_PER_S,
+        pause_goal=None if pause is None else pause / MS_PER_S,
+        rank=wire.priority,
+        services=tuple(services) or (WeightedService(wire.service, 1.0),),
+        max_targets=max(1, wire.attempts),
+        is_public=wire.public,
+        is_resumable=wire.resumable,
+    )
+
+
+def _service(wire):
+    engine = wire.engine
+    return TargetService(
+        name=wire.name,
+        health_path=wire.health_path,
+        max_connections=wire.max_conns,
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(wire):
+    models = tuple(
+        AdapterModel(
+            name=each.name,
+            size=each.weights_mb,
+            load_time=each.load_s,
+            adapters=each.adapters,
+            adapter_size=each.adapter_mb,
+        )
+        for each in wire.models
+    )
+    return EngineLimits(
+        models=models,
+        batch=wire.slots,
+        adapter_slots=wire.adapter_slots,
+        weights_size=wire.weights_mb,
+        cache_tokens=wire.kv_capacity,
+    )
+
+
+def _team(wire):
+    return GatewayTeam(
+        name=wire.name,
+        key_digests=tuple(key_digest(key.encode()) for key in wire.api_keys),
+        rank=wire.priority,
+        rate=wire.rate_per_s,
+        burst=wire.burst,
+        counts_tokens=wire.unit == TOKENS,
+        plain_tokens=wire.plain_tokens,
+    )
--- /dev/null
+++ b/skylarkpost/platform/headers.py
@@ -0,0 +1,188 @@
+"""Headers of requests and answers."""
+
+import math
+
+from skylarkpost.gateway.metadata import AnswerMetadata, PromptPart, RequestMetadata
+
+__all__ = ["HeaderCodec"]
+
+ATTEMPT = "x-attempt-id"
+DEADLINE = "x-deadline-ms"
+MODEL = "x-model"
+TOKENS = "x-token-count"
+PROMPT_PARTS = "x-prompt-prefix"
+EXPECT_TARGET = "x-expect-instance"
+EXPECT_VERSION = "x-expect-version"
+TENANT = "x-tenant"
+PRIORITY = "x-request-priority"
+NOT_EXECUTED = "x-not-executed"
+LAST_EVENT = "last-event-id"
+STAMP = "x-server-stamp"
+AUTHORIZATION = "authorization"
+KEY_SCHEME = "bearer "
+MS_PER_S = 1000.0
+
+# Set by the system alone: what a caller sends under these names is dropped.
+RESERVED = frozenset(
+    {
+        AUTHORIZATION,
+        EXPECT_TARGET,
+        EXPECT_VERSION,
+        TENANT,
+        PRIORITY,
+        DEADLINE,
+        "x-pin-ms",
+        "x-hold",
+        "x-kv-backup",
+        "kv-from",
+        "kv-fetch",
+    }
+)
+
+
+class HeaderCodec:
+    """Reads and writes the platform's headers.
+
+    Header names are lower-case text, values text in Latin-1.
+    """
+
+    @staticmethod
+    def read_request(headers):
+        """Decode the headers of a caller's request.
+
+        Parameters
+        ----------
+        headers : list of (str, str)
+            As received; names in lower case.
+
+        Returns
+        -------
+        RequestMetadata
+            A value that cannot be read counts as missing.
+        """
+        values = dict(headers)
+        model, _, adapter = values.get(MODEL, "").partition("/")
+        prompt, output = _token_counts(values.get(TOKENS))
+        authorization = values.get(AUTHORIZATION, "")
+        key = None
+        if authorization.lower().startswith(KEY_SCHEME):
+            key = authorization[len(KEY_SCHEME) :].strip()
+        return RequestMetadata(
+            attempt_id=values.get(ATTEMPT, ""),
+            key=key,
+            patience=_seconds(values.get(DEADLINE)),
+            model=model or None,
+            adapter=adapter or None,
+            prompt_tokens=prompt,
+            output_tokens=output,
+            prompt_parts=_parts(values.get(PROMPT_PARTS)),
+            last_event_id=values.get(LAST_EVENT),
+        )
+
+    @staticmethod
+    def for_target(headers, *, target, team, patience, urgency_rank, version):
+        """Return the headers that a target gets.
+
+        Parameters
+        ----------
+        headers : list of (str, str)
+            The caller's, without those that concern its connection.
+        target : str
+            Id of the target that alone may answer.
+        team : str or None
+            Team of the caller's key.
+        patience : float
+            Seconds that are left.
+        urgency_rank : int or None
+            0 is the most urgent; None to leave it to the target.
+        version : int or None
+            Version that the adapter has to have.
+
+        Returns
+        -------
+        list of (str, str)
+        """
+        kept = [(name, value) for name, value in headers if name not in RESERVED]
+        kept.append((EXPECT_TARGET, target))
+        kept.append((DEADLINE, str(max(1, math.floor(patience * MS_PER_S)))))
+        if team is not None:
+            kept.append((TENANT, team))
+        if urgency_rank is not None:
+            kept.append((PRIORITY, str(min(9, max(0, urgency_rank)))))
+        if version is not None:
+            kept.append((EXPECT_VERSION, str(version)))
+        return kept
+
+    @staticmethod
+    def resumed(headers, last_event_id):
+        """Return a request's headers with the event after which it goes on.
+
+        Parameters
+        ----------
+        headers : list of (str, str)
+            The caller's.
+        last_event_id : str
+            Last event that the caller has.
+
+        Returns
+        -------
+        list of (str, str)
+        """
+        kept = [(name, value) for name, value in headers if name != LAST_EVENT]
+        return [*kept, (LAST_EVENT, last_event_id)]
+
+    @staticmethod
+    def read_answer(status, headers):
+        """Decode the headers of a target's answer.
+
+        Parameters
+        ----------
+        status : int
+            HTTP status.
+        headers : list of (str, str)
+            As received; names in lower case.
+
+        Returns
+        -------
+        AnswerMetadata
+        """
+        values = dict(headers)
+        attempt = values.get(ATTEMPT)
+        misdirected = status == 421
+        unread = status == 400 and attempt is None
+        return AnswerMetadata(
+            attempt_id=attempt,
+            not_executed=NOT_EXECUTED in values or misdirected or unread,
+            is_misdirected=misdirected,
+            is_stamped=STAMP in values,
+        )
+
+
+def _seconds(text):
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value / MS_PER_S if math.isfinite(value) and value > 0 else None
+
+
+def _token_counts(text):
+    if text is None:
+        return None, None
+    prompt, _, output = text.partition(",")
+    try:
+        return int(prompt), int(output or 0)
+    except ValueError:
+        return None, None
+
+
+def _parts(text):
+    if not text:
+        return ()
+    parts = []
+    for each in text.split(","):
+        part_id, _, tokens = each.strip().rpartition(":")
+        if not part_id or not tokens.isdigit():
+            return ()
+        parts.append(PromptPart(part_id, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/skylarkpost/platform/store.py
@@ -0,0 +1,236 @@
+"""Client of the platform's store."""
+
+import base64
+import socket
+import struct
+
+import aiohttp
+import msgspec
+
+from skylarkpost.log.keyed import (
+    KeyedRecord,
+    KeyedRecords,
+    KeyedSnapshot,
+    RecordsTrimmed,
+    StoreAppended,
+    StoreConflict,
+    StoreUnavailable,
+    StoreUnknown,
+)
+
+__all__ = ["OPERATOR_TOPIC", "TARGETS_TOPIC", "StoreClient"]
+
+OPERATOR_TOPIC = "keyed.op"
+TARGETS_TOPIC = "keyed.servers"
+# Each keyed topic has this one partition.
+PARTITION = "0"
+CONNECT_TIMEOUT_S = 1.0
+# The store answers within some milliseconds; slow days stretch that sixty-fold.
+ANSWER_TIMEOUT_S = 2.0
+# Bounds how long bytes may stay unacknowledged on a connection gone silent.
+USER_TIMEOUT_MS = 3000
+READ_SIZE_KB = 1024
+HEADER = struct.Struct(">QQ")
+LENGTH = struct.Struct(">I")
+
+
+class NewestItem(msgspec.Struct):
+    key: str
+    value: str
+    offset: int
+
+
+class NewestPage(msgspec.Struct, rename="camel"):
+    items: list[NewestItem]
+    has_more: bool
+    end_offset: int
+
+
+class Ends(msgspec.Struct, rename="camel"):
+    offset: int = 0
+    end_offset: int = 0
+
+
+class StoreClient:
+    """Calls of the store. Failures are values.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the store.
+    """
+
+    def __init__(self, *, address):
+        self.base_url = f"http://{address}"
+        self.session = None
+
+    async def append(self, topic, records, *, expected_end=None):
+        """Append keyed records, all or none of them.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        records : list of KeyedRecord
+            The records; their offsets are ignored.
+        expected_end : int or None
+            Append only if the topic ends there.
+
+        Returns
+        -------
+        StoreAppended, StoreConflict, StoreUnavailable or StoreUnknown
+        """
+        query = {"topic": topic, "part": PARTITION}
+        if expected_end is not None:
+            query["asOf"] = str(expected_end)
+        body = b"".join(_pack(record) for record in records)
+        answer = await self._call("POST", "/-/log-append", query, body=body)
+        if isinstance(answer, StoreUnavailable | StoreUnknown):
+            return answer
+        status, payload = answer
+        if status not in (200, 412):
+            return StoreUnavailable(f"append: status {status}")
+        try:
+            ends = msgspec.json.decode(payload, type=Ends)
+        except msgspec.DecodeError as error:
+            return StoreUnknown(f"append: {error}")
+        if status == 412:
+            return StoreConflict(ends.end_offset)
+        return StoreAppended(ends.offset, ends.end_offset)
+
+    async def read(self, topic, start, *, wait):
+        """Read records, waiting for the first one if there is none.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            Offset of the first record wanted.
+        wait : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        KeyedRecords, RecordsTrimmed or StoreUnavailable
+        """
+        query = {
+            "topic": topic,
+            "part": PARTITION,
+            "from": str(start),
+            "maxKb": str(READ_SIZE_KB),
+            "waitMs": str(int(wait * 1000)),
+        }
+        answer = await self._call("GET", "/-/log-read", query, extra=wait)
+        if isinstance(answer, StoreUnknown):
+            return StoreUnavailable(answer.detail)
+        if isinstance(answer, StoreUnavailable):
+            return answer
+        status, payload = answer
+        if status == 410:
+            return RecordsTrimmed()
+        if status != 200 or len(payload) < HEADER.size:
+            return StoreUnavailable(f"read: status {status}, {len(payload)} bytes")
+        end, _ = HEADER.unpack_from(payload)
+        return KeyedRecords(_unpack(payload, start), end)
+
+    async def newest(self, topic):
+        """Read the newest record of each key.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+
+        Returns
+        -------
+        KeyedSnapshot or StoreUnavailable
+            Its end is that of the first page, since pages are taken one after
+            the other.
+        """
+        records, end, after = [], None, None
+        while True:
+            query = {"topic": topic, "part": PARTITION}
+            if after is not None:
+                query["after"] = after
+            answer = await self._call("GET", "/-/log-newest", query)
+            if isinstance(answer, StoreUnknown):
+                return StoreUnavailable(answer.detail)
+            if isinstance(answer, StoreUnavailable):
+                return answer
+            status, payload = answer
+            if status != 200:
+                return StoreUnavailable(f"newest: status {status}")
+            try:
+                page = msgspec.json.decode(payload, type=NewestPage)
+                records += [
+                    KeyedRecord(i.key, base64.b64decode(i.value), i.offset)
+                    for i in page.items
+                ]
+            except (msgspec.DecodeError, ValueError) as error:
+                return StoreUnavailable(f"newest: {error}")
+            end = page.end_offset if end is None else end
+            if not page.has_more or not page.items:
+                return KeyedSnapshot(tuple(records), end)
+            after = page.items[-1].key
+
+    async def close(self):
+        """Close all connections."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def _call(self, method, path, query, *, body=None, extra=0.0):
+        timeout = aiohttp.ClientTimeout(
+            total=ANSWER_TIMEOUT_S + extra, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._open().request(
+                method,
+                self.base_url + path,
+                params=query,
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            return StoreUnavailable(f"not connected: {error!r}")
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return StoreUnknown(f"no answer: {error!r}")
+
+    def _open(self):
+        if self.session is None:
+            connector = aiohttp.TCPConnector(limit=0, socket_factory=_make_socket)
+            self.session = aiohttp.ClientSession(connector=connector)
+        return self.session
+
+
+def _make_socket(address):
+    family, kind, protocol = address[0], address[1], address[2]
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    return sock
+
+
+def _pack(record):
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + record.value
+    return LENGTH.pack(len(content)) + content
+
+
+def _unpack(payload, start):
+    records, at, offset = [], HEADER.size, start
+    while at + LENGTH.size <= len(payload):
+        (size,) = LENGTH.unpack_from(payload, at)
+        at += LENGTH.size
+        content = payload[at : at + size]
+        at += size
+        if len(content) == size and content and len(content) > content[0]:
+            key = content[1 : 1 + content[0]].decode("utf-8", "replace")
+            records.append(KeyedRecord(key, content[1 + content[0] :], offset))
+        offset += 1
+    return tuple(records)
--- a/skylarkpost/quarantine/controller.py
+++ b/skylarkpost/quarantine/controller.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import Appended
+from skylarkpost.log import Appended
 from skylarkpost.quarantine.suspects import (
     Crash,
     CrashReport,
--- a/skylarkpost/relay/controller.py
+++ b/skylarkpost/relay/controller.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.outcomes import Refused
 from skylarkpost.relay.retry_budget import RetryBudget
 from skylarkpost.targets import EngineClient, ServiceClient
--- /dev/null
+++ b/skylarkpost/routing/__init__.py
@@ -0,0 +1,30 @@
+"""Routes, services and teams of the gateway, as one version names them."""
+
+from skylarkpost.routing.configuration import (
+    AdapterModel,
+    CallerBounds,
+    Configuration,
+    EngineLimits,
+    GatewayRoute,
+    GatewayTeam,
+    RouteKind,
+    TargetService,
+    WeightedService,
+)
+from skylarkpost.routing.state import ConfigurationState
+from skylarkpost.routing.table import RouteTable, key_digest
+
+__all__ = [
+    "AdapterModel",
+    "CallerBounds",
+    "Configuration",
+    "ConfigurationState",
+    "EngineLimits",
+    "GatewayRoute",
+    "GatewayTeam",
+    "RouteKind",
+    "RouteTable",
+    "TargetService",
+    "WeightedService",
+    "key_digest",
+]
--- /dev/null
+++ b/skylarkpost/settings/gateway.py
@@ -0,0 +1,79 @@
+"""Settings of an instance that serves routed HTTP requests."""
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from skylarkpost.settings.schema import LogSettings, Name
+
+__all__ = ["GatewaySettings"]
+
+Address = Annotated[str, Field(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+Seconds = Annotated[float, Field(ge=0.0, le=3600.0)]
+Milliseconds = Annotated[float, Field(ge=0.0, le=3_600_000.0)]
+
+
+class Section(BaseModel):
+    """Base of all sections: unknown keys are left alone, values never change.
+
+    A deployment may add keys before this version knows them.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class GatewayInstanceSettings(Section):
+    """``[instance]``: who and where this instance is."""
+
+    id: Name = Field(description="Unique id of this instance.")
+    data_centre: Name = Field(description="Data centre that it runs in.")
+    front_address: Address = Field(description="For callers.")
+    ready_address: Address = Field(description="For the balancer's question.")
+    peer_address: Address = Field(description="For the other instances (gRPC).")
+    metrics_address: Address = Field(description="For metrics.")
+    seeds: tuple[Address, ...] = Field(
+        default=(), description="Instances that may know the others."
+    )
+
+
+class StoreSettings(Section):
+    """``[store]``: where the lasting state is."""
+
+    address: Address = Field(description="The store.")
+
+
+class BoundSettings(Section):
+    """``[bounds]``: what the deployment promises and asks for."""
+
+    drain_ms: Milliseconds = Field(
+        default=2000.0, description="Time in which a leaving target is left alone."
+    )
+    lease_ms: Milliseconds = Field(
+        default=3000.0,
+        description="Pause between the orders of two stewards of one target.",
+    )
+    grace_s: Seconds = Field(default=8.0, description="From SIGTERM to SIGKILL.")
+    heartbeat_ms: Milliseconds = Field(
+        default=1200.0, description="Between two announcements of a target."
+    )
+    retry_ratio: float = Field(
+        default=0.2, ge=0.0, le=10.0, description="Retries for each request."
+    )
+    retry_window_s: Seconds = Field(
+        default=10.0, description="Span over which retries are counted."
+    )
+    retry_slack: float = Field(
+        default=58.0, ge=0.0, description="Retries in a span beyond the ratio."
+    )
+    adapter_version_ms: Milliseconds = Field(
+        default=5000.0, description="Time for a new version of an adapter."
+    )
+
+
+class GatewaySettings(Section):
+    """The whole file."""
+
+    instance: GatewayInstanceSettings
+    store: StoreSettings
+    bounds: BoundSettings = BoundSettings()
+    log: LogSettings = LogSettings()
--- a/skylarkpost/settings/loading.py
+++ b/skylarkpost/settings/loading.py
@@ -36,13 +36,15 @@
         return f"{where}{found}: {self.problem}"
 
 
-def load_settings(path):
+def load_settings(path, *, schema=Settings):
     """Read and check a settings file.
 
     Parameters
     ----------
     path : str or pathlib.Path
         The TOML file.
+    schema : type
+        The settings' model.
 
     Returns
     -------
@@ -57,7 +59,7 @@
     except tomllib.TOMLDecodeError as error:
         return [SettingsFault(str(path), "", "", f"is not TOML: {error}")]
     try:
-        return Settings.model_validate(values)
+        return schema.model_validate(values)
     except pydantic.ValidationError as error:
         return [_fault(str(path), detail) for detail in error.errors()]
 
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -26,6 +26,11 @@
     http_port: Port = Field(description="Port for callers and operators.")
     peer_port: Port = Field(description="Port for the other instances (gRPC).")
 
+    @property
+    def peer_address(self):
+        """Address for the other instances, ``IP:PORT``."""
+        return f"{self.address}:{self.peer_port}"
+
 
 class PlatformSettings(Section):
     """``[platform]``: where the platform's services are."""
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -5,13 +5,18 @@
 import logging
 import math
 
-from skylarkpost.daemon import Controller, register_controller
+from skylarkpost.controllers import Controller, register_controller
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.placement.outstanding import ServicePlacer
-from skylarkpost.placement.placer import PlacementPolicy, PlacementRequest, Placer
+from skylarkpost.placement.placer import (
+    PlacementPolicy,
+    PlacementRequest,
+    Placer,
+    Preamble,
+)
 from skylarkpost.placement.preamble import preamble_hash, prompt_text
-from skylarkpost.platform import BackgroundTask
 from skylarkpost.rpc import stewardship_pb2_grpc
+from skylarkpost.runtime import BackgroundTask
 from skylarkpost.stewardship.authority import Authority
 from skylarkpost.stewardship.desk import TicketDesk, lora_name_of
 from skylarkpost.stewardship.directory import Directory
@@ -123,7 +128,6 @@
             policy=PlacementPolicy(
                 score=placement.score,
                 prefill_rate=placement.prefill_rate,
-                preamble_share=placement.preamble_share,
             ),
         )
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
@@ -347,12 +351,16 @@
         profile = exchange.profile
         lora_name = lora_name_of(profile)
         prompt = prompt_text(exchange.content)
+        share = self.services.settings.placement.preamble_share
+        preamble = Preamble(
+            preamble_hash(f"{lora_name}\n{prompt}"), share * exchange.prompt_tokens
+        )
         return PlacementRequest(
             lora_name=lora_name,
             needs_adapter=bool(profile.adapter),
             urgency=profile.urgency,
             prompt_tokens=exchange.prompt_tokens,
-            preamble=preamble_hash(f"{lora_name}\n{prompt}"),
+            preambles=(preamble,),
         )
 
     def _engines(self):
--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+from typing import NamedTuple
 
 from skylarkpost.eventlog import log_event
 from skylarkpost.outcomes import Reason, Refused, RunState
@@ -18,7 +19,7 @@
 )
 from skylarkpost.targets import LoadReport
 
-__all__ = ["NotSteward", "TicketDesk"]
+__all__ = ["DeskPatience", "NotSteward", "TicketDesk"]
 
 logger = logging.getLogger(__name__)
 
@@ -40,6 +41,25 @@
     """The answer of an instance that is not steward of the target."""
 
 
+class DeskPatience(NamedTuple):
+    """How long a request tries to get a ticket.
+
+    Attributes
+    ----------
+    ask_timeout : float
+        Longest time until a steward answers one ask, in seconds; longer than
+        the stewards let an ask wait.
+    failed_asks : int
+        Failed asks after which the next target is tried.
+    targets_asked : int
+        Targets that are asked.
+    """
+
+    ask_timeout: float = ASK_TIMEOUT_S
+    failed_asks: int = MAX_FAILED_ASKS
+    targets_asked: int = MAX_TARGETS_ASKED
+
+
 class TicketDesk:
     """Asks stewards for tickets on behalf of requests.
 
@@ -58,9 +78,26 @@
         go to a resident adapter although no steward is left, or None.
     engines : skylarkpost.targets.EngineClient
         Client of the engines.
+    patience : DeskPatience
+        How long a request tries.
+    on_silent : callable or None
+        Called with a steward's address when it has not answered.
     """
 
-    def __init__(self, *, services, holder, seats, find_steward, may_go_alone, engines):
+    def __init__(
+        self,
+        *,
+        services,
+        holder,
+        seats,
+        find_steward,
+        may_go_alone,
+        engines,
+        patience=None,
+        on_silent=None,
+    ):
+        self.patience = patience or DeskPatience()
+        self.on_silent = on_silent
         self.services = services
         self.holder = holder
         self.seats = seats
@@ -89,7 +126,7 @@
         Ticket or Refused
         """
         refusals = []
-        for target in targets[:MAX_TARGETS_ASKED]:
+        for target in targets[: self.patience.targets_asked]:
             request = self._request(exchange)
             on_asked(target.name, request.ticket_id)
             outcome = await self._ask(exchange, target, request)
@@ -172,7 +209,7 @@
                 return answer
             if isinstance(answer, NotSteward | CallFailed):
                 failures += 1
-                if failures > MAX_FAILED_ASKS:
+                if failures > self.patience.failed_asks:
                     return _refused(Reason.NO_TARGET, LEAST_RETRY_S)
                 await asyncio.sleep(NOT_STEWARD_PAUSE_S)
 
@@ -193,9 +230,13 @@
         peers = self.services.peers
         stub = stewardship_pb2_grpc.StewardshipStub(peers.get(steward.address))
         ask = ask_to_wire(request, target.name, now)
-        answer = await call_peer(stub.RequestTicket, ask, timeout=ASK_TIMEOUT_S)
+        answer = await call_peer(
+            stub.RequestTicket, ask, timeout=self.patience.ask_timeout
+        )
         if isinstance(answer, CallFailed):
             peers.renew(steward.address)
+            if self.on_silent is not None:
+                self.on_silent(steward)
             return answer
         if answer.state == pb.TicketAnswer.GRANTED:
             return grant_from_wire(answer, request)
--- a/skylarkpost/stewardship/keeper.py
+++ b/skylarkpost/stewardship/keeper.py
@@ -4,7 +4,7 @@
 import logging
 
 from skylarkpost.eventlog import log_event
-from skylarkpost.platform import Appended
+from skylarkpost.log import Appended
 from skylarkpost.rpc import CallFailed, call_peer, stewardship_pb2_grpc
 from skylarkpost.stewardship.election import ClaimTarget
 from skylarkpost.stewardship.seat import StewardSeat
--- a/skylarkpost/stewardship/policy.py
+++ b/skylarkpost/stewardship/policy.py
@@ -45,6 +45,9 @@
         Name in the registry of queue orders.
     eviction : str
         Name in the registry of eviction policies.
+    engine_settles_orders : bool
+        Whether the engine itself lets runs finish before it unloads. Tickets
+        then need no authority, only orders do.
     """
 
     ticket_lease: float = 10.0
@@ -64,3 +67,4 @@
     backoff_most: float = 60.0
     queue_order: str = "fair"
     eviction: str = "worth"
+    engine_settles_orders: bool = False
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -53,6 +53,8 @@
         The claim that it acts on.
     on_stale : callable
         Called with the target's name when the engine has seen a newer steward.
+    ask_wait : float
+        Longest time that one ask waits for its answer, in seconds.
 
     Attributes
     ----------
@@ -64,13 +66,24 @@
         Number of the claim before, whose steward may hand its tickets over.
     """
 
-    def __init__(self, *, steward, engines, permits, clock, claim, on_stale):
+    def __init__(
+        self,
+        *,
+        steward,
+        engines,
+        permits,
+        clock,
+        claim,
+        on_stale,
+        ask_wait=ASK_WAIT_S,
+    ):
         self.steward = steward
         self.engines = engines
         self.permits = permits
         self.clock = clock
         self.claim = claim
         self.on_stale = on_stale
+        self.ask_wait = ask_wait
         self.silent_since = None
         self.last_report = None
         self.predecessor = None
@@ -116,7 +129,7 @@
         self._asked_at[ticket_id] = now
         self.carry_out(self.steward.request(request, now))
         try:
-            return await asyncio.wait_for(asyncio.shield(waiter), ASK_WAIT_S)
+            return await asyncio.wait_for(asyncio.shield(waiter), self.ask_wait)
         except TimeoutError:
             return None
 
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -197,7 +197,7 @@
         list of str
             Ids of the tickets that live on.
         """
-        if not self.authority.is_valid(now):
+        if not self._may_stand_for(now):
             return []
         renewed = []
         for ticket, boot in tickets:
@@ -439,7 +439,12 @@
     def _may_act(self, now):
         if self.retired or self.boot is None:
             return False
-        return self.authority.is_valid(now)
+        return self._may_stand_for(now)
+
+    def _may_stand_for(self, now):
+        # Where the engine lets runs finish before it unloads, a ticket of a
+        # steward that was replaced does no harm.
+        return self.policy.engine_settles_orders or self.authority.is_valid(now)
 
     def _advance(self, now):
         self.book.lapse(now)
@@ -448,7 +453,8 @@
             return commands
         if self.takeover.must_fence:
             return commands + self._fence(now)
-        commands += self.slots.advance(now, evicts_from=self.evicts_from())
+        if self.authority.is_valid(now):
+            commands += self.slots.advance(now, evicts_from=self.evicts_from())
         if self._may_grant(now):
             commands += self._grant_all(now)
         return commands
@@ -542,7 +548,7 @@
             return False
         if not self.takeover.may_grant(now):
             return False
-        return self.authority.is_valid(now)
+        return self._may_stand_for(now)
 
     def _adopt(self, ticket, boot, now):
         if self.boot is not None and boot != self.boot:
--- /dev/null
+++ b/skylarkpost/targets/counted_engine.py
@@ -0,0 +1,313 @@
+"""Orders to an engine that counts them, one at a time and in order."""
+
+import asyncio
+import logging
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.targets.outcomes import (
+    OrderDone,
+    OrderFailed,
+    OrderRefused,
+    OrderUnknown,
+    TargetUnavailable,
+)
+from skylarkpost.targets.reports import LoadReport, ResidentLoad, TargetHealth
+from skylarkpost.targets.state import EngineOrder, EngineState, OrderVerdict
+
+__all__ = ["CountedEngine"]
+
+logger = logging.getLogger(__name__)
+
+# An order is answered within milliseconds; its connection may have gone silent.
+ORDER_TIMEOUT_S = 0.8
+# A load from the weight store takes about a quarter of a second.
+FIRST_LOOK_S = 0.2
+LOOK_AGAIN_S = 0.04
+# A copy that the engine has kept loads ten times as fast.
+WARM_LOOK_S = 0.025
+MODEL_LOAD_RETRY_S = 1.0
+MAX_KEPT_COPIES = 48
+
+
+class CountedEngine:
+    """One engine, as its steward orders it about.
+
+    It takes the place of `EngineClient` for a `StewardSeat`. Each order carries
+    the count of orders that the engine has accepted before, so that an order
+    that was thought lost cannot be carried out after a newer one.
+
+    Parameters
+    ----------
+    entry : skylarkpost.discovery.TargetEntry
+        The engine's announcement.
+    model : skylarkpost.routing.AdapterModel
+        The base model that it serves.
+    limits : skylarkpost.routing.EngineLimits
+        What it holds.
+    instance : str
+        This instance, which gives the orders.
+    call : callable
+        Async; takes the engine's entry, a request line's method and path, a
+        body and a timeout, and returns a `CallAnswer` or `CallLost`.
+    codec : object
+        As `skylarkpost.platform.EngineCodec`.
+    clock : callable
+        Returns the present time in seconds.
+    may_order : callable
+        Returns whether this instance may give orders now.
+
+    Attributes
+    ----------
+    entry : TargetEntry
+        Newest announcement of this run.
+    orders_accepted : int or None
+        As counted here; None when it has to be asked for.
+    """
+
+    def __init__(
+        self, *, entry, model, limits, instance, call, codec, clock, may_order
+    ):
+        self.entry = entry
+        self.model = model
+        self.limits = limits
+        self.instance = instance
+        self.call = call
+        self.codec = codec
+        self.clock = clock
+        self.may_order = may_order
+        self.orders_accepted = None
+        self.state = None
+        self.versions = {}
+        self.kept = {}
+        self.fencing_number = 0
+        self.model_ordered_at = None
+        self._lock = asyncio.Lock()
+
+    async def load_report(self, address):
+        """Ask for a report.
+
+        Parameters
+        ----------
+        address : str
+            The engine's; known already.
+
+        Returns
+        -------
+        LoadReport or TargetUnavailable
+        """
+        asked_at = self.clock()
+        state = await self._read_state()
+        if not isinstance(state, EngineState):
+            return TargetUnavailable(detail=str(state))
+        held = next((m for m in state.models if m.name == self.model.name), None)
+        if held is None:
+            await self._load_model(state)
+            return TargetUnavailable(detail="the base model is not loaded")
+        now = self.clock()
+        resident = {
+            f"{name}@{version}": ResidentLoad(0, 0)
+            for name, version in held.adapters.items()
+        }
+        return LoadReport(
+            boot=self.entry.boot,
+            taken_at=asked_at,
+            asked_at=asked_at,
+            answered_at=now,
+            slots=self.limits.adapter_slots,
+            resident=resident,
+            loading=state.pending.get(self.model.name, ()),
+            running=state.running,
+            waiting=state.waiting,
+            batch_limit=self.limits.batch,
+            prompt_cache_hits=0,
+            prompt_cache_tokens=0,
+        )
+
+    async def health(self, address):
+        """Return a health answer without an uptime: the engine tells none.
+
+        Parameters
+        ----------
+        address : str
+            The engine's.
+
+        Returns
+        -------
+        TargetHealth
+        """
+        now = self.clock()
+        return TargetHealth(self.entry.boot, None, now, now)
+
+    async def load(
+        self, address, *, weight_name, version, fencing_number, boot, timeout
+    ):
+        """Load an adapter, and wait until it is there.
+
+        Parameters
+        ----------
+        address : str
+            The engine's.
+        weight_name, version : str
+            Adapter and version.
+        fencing_number : int
+            Of the steward.
+        boot : str
+            Run of the engine that the order is for.
+        timeout : float
+            Longest time, in seconds.
+
+        Returns
+        -------
+        OrderDone, OrderRefused, OrderFailed or OrderUnknown
+        """
+        self.fencing_number = fencing_number
+        if boot != self.entry.boot:
+            return OrderRefused(code="wrong-boot")
+        deadline = self.clock() + timeout
+        was_kept = weight_name in self.kept
+        verdict = await self._order(True, weight_name, int(version))
+        started = verdict is OrderVerdict.STARTED
+        look_after = WARM_LOOK_S if was_kept else FIRST_LOOK_S
+        while verdict is OrderVerdict.STARTED or (
+            started and verdict is OrderVerdict.CONFLICT
+        ):
+            if self.clock() + look_after > deadline:
+                return OrderUnknown(detail="the load takes too long")
+            await asyncio.sleep(look_after)
+            look_after = LOOK_AGAIN_S
+            verdict = await self._order(True, weight_name, int(version))
+        if verdict is OrderVerdict.HOLDS:
+            self.versions[weight_name] = int(version)
+            self._note_kept(weight_name)
+        return self._outcome(verdict)
+
+    async def unload(self, address, *, lora_name, fencing_number, boot, timeout):
+        """Unload an adapter.
+
+        Parameters
+        ----------
+        address : str
+            The engine's.
+        lora_name : str
+            ``ADAPTER@VERSION``.
+        fencing_number : int
+            Of the steward.
+        boot : str
+            Run of the engine that the order is for.
+        timeout : float
+            Longest time, in seconds.
+
+        Returns
+        -------
+        OrderDone, OrderRefused, OrderFailed or OrderUnknown
+        """
+        self.fencing_number = fencing_number
+        if boot != self.entry.boot:
+            return OrderRefused(code="wrong-boot")
+        adapter, _, version = lora_name.rpartition("@")
+        if self.versions.get(adapter, int(version)) != int(version):
+            # A newer version has taken its place; the order would hit that one.
+            return OrderDone(boot=boot)
+        deadline = self.clock() + timeout
+        verdict = await self._order(False, adapter, None)
+        while verdict is OrderVerdict.STARTED and self.clock() < deadline:
+            await asyncio.sleep(LOOK_AGAIN_S)
+            verdict = await self._order(False, adapter, None)
+        if verdict is OrderVerdict.STARTED:
+            return OrderUnknown(detail="runs on the adapter have not ended")
+        if verdict is OrderVerdict.HOLDS:
+            self.versions.pop(adapter, None)
+        return self._outcome(verdict)
+
+    def _outcome(self, verdict):
+        if verdict is OrderVerdict.HOLDS:
+            return OrderDone(boot=self.entry.boot)
+        if verdict is OrderVerdict.CONFLICT:
+            return OrderFailed(code=verdict.value)
+        if verdict is OrderVerdict.UNKNOWN:
+            return OrderUnknown(detail="no answer")
+        return OrderRefused(code=verdict.value)
+
+    async def _order(self, is_load, adapter, version):
+        async with self._lock:
+            if not self.may_order():
+                return OrderVerdict.REFUSED
+            if self.orders_accepted is None:
+                state = await self._read_state()
+                if not isinstance(state, EngineState) or not self.may_order():
+                    return OrderVerdict.REFUSED
+            order = EngineOrder(
+                is_load=is_load,
+                model=self.model.name,
+                adapter=adapter,
+                version=version,
+                holder=self.instance,
+                fencing_number=self.fencing_number,
+                orders_accepted=self.orders_accepted,
+            )
+            return await self._send(order)
+
+    async def _send(self, order):
+        method, path = self.codec.order_request
+        body = self.codec.encode_order(order)
+        answer = await self.call(self.entry, method, path, body, ORDER_TIMEOUT_S)
+        status = getattr(answer, "status", None)
+        if status is None:
+            verdict = OrderVerdict.UNKNOWN if answer.was_sent else OrderVerdict.REFUSED
+            detail = answer.detail
+        else:
+            verdict, detail = self.codec.decode_order_reply(status, answer.body)
+        log_event(
+            logger,
+            "order-answered",
+            target=self.entry.name,
+            boot=self.entry.boot,
+            load=order.is_load,
+            model=order.model,
+            adapter=order.adapter,
+            version=order.version,
+            count=order.orders_accepted,
+            fencing_number=order.fencing_number,
+            status=status,
+            verdict=verdict,
+            detail=detail,
+        )
+        if verdict is OrderVerdict.STARTED:
+            self.orders_accepted += 1
+        elif verdict is OrderVerdict.HOLDS:
+            # An unload of an idle adapter is done at once and counts as well.
+            if not order.is_load:
+                self.orders_accepted += 1
+        elif verdict in (OrderVerdict.CONFLICT, OrderVerdict.UNKNOWN):
+            self.orders_accepted = None
+        return verdict
+
+    async def _read_state(self):
+        method, path = self.codec.report_request
+        answer = await self.call(self.entry, method, path, b"", ORDER_TIMEOUT_S)
+        status = getattr(answer, "status", None)
+        if status != 200:
+            return f"no report: {answer}"
+        state = self.codec.decode_report(answer.body)
+        if isinstance(state, EngineState):
+            self.state = state
+            if self.orders_accepted is None or not self._lock.locked():
+                self.orders_accepted = state.orders_accepted
+        return state
+
+    async def _load_model(self, state):
+        now = self.clock()
+        asked = self.model_ordered_at
+        if state.is_busy or not self.may_order():
+            return
+        if asked is not None and now - asked < MODEL_LOAD_RETRY_S:
+            return
+        self.model_ordered_at = now
+        self.versions = {}
+        await self._order(True, None, None)
+
+    def _note_kept(self, adapter):
+        self.kept.pop(adapter, None)
+        self.kept[adapter] = None
+        if len(self.kept) > MAX_KEPT_COPIES:
+            del self.kept[next(iter(self.kept))]
--- a/skylarkpost/targets/engine_calls.py
+++ b/skylarkpost/targets/engine_calls.py
@@ -2,7 +2,7 @@
 
 import time
 
-from skylarkpost.platform.sessions import HttpSessions
+from skylarkpost.runtime.sessions import HttpSessions
 from skylarkpost.targets.calls import Call
 
 __all__ = [
--- /dev/null
+++ b/skylarkpost/transport/client.py
@@ -0,0 +1,343 @@
+"""One connection to a target: a request at a time, its answer piece by piece."""
+
+import asyncio
+import socket
+from collections import deque
+from typing import NamedTuple
+
+import httptools
+
+from skylarkpost.transport.headers import socket_options
+
+__all__ = [
+    "AnswerBroken",
+    "AnswerHead",
+    "ConnectFailed",
+    "TargetConnection",
+    "open_connection",
+]
+
+# Unacknowledged bytes for so long mean that the target is out of reach.
+USER_TIMEOUT_S = 3.0
+MAX_BUFFERED = 262_144
+CLOSE = "close"
+
+
+class ConnectFailed(NamedTuple):
+    """No connection could be opened; nothing was sent.
+
+    Attributes
+    ----------
+    detail : str
+        What happened.
+    """
+
+    detail: str
+
+
+class AnswerHead(NamedTuple):
+    """Status and headers of an answer.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : list of (str, str)
+        Names in lower case.
+    """
+
+    status: int
+    headers: list
+
+
+class AnswerBroken(NamedTuple):
+    """The answer cannot be had, or its rest.
+
+    Attributes
+    ----------
+    detail : str
+        What happened.
+    had_bytes : bool
+        Whether any byte of it had come.
+    """
+
+    detail: str
+    had_bytes: bool
+
+
+class AnswerEnd(NamedTuple):
+    """The answer is complete."""
+
+
+class TargetConnection(asyncio.Protocol):
+    """A connection to one target.
+
+    Parameters
+    ----------
+    clock : callable
+        Returns the present time in seconds.
+
+    Attributes
+    ----------
+    idle_since : float
+        When it was last used.
+    idle_timeout : float or None
+        Seconds after which the target closes it, as the target has said.
+    used : int
+        Requests sent on it.
+    is_open : bool
+        Whether it may be used.
+    """
+
+    def __init__(self, *, clock):
+        self.clock = clock
+        self.transport = None
+        self.idle_since = clock()
+        self.idle_timeout = None
+        self.used = 0
+        self.is_open = False
+        self.closes_after = False
+        self.events = deque()
+        self.waiter = None
+        self.at_work = False
+        self.had_bytes = False
+        self.on_lost = None
+        self._buffered = 0
+        self._writing_paused = False
+        self._reset_parser()
+
+    def connection_made(self, transport):
+        """See `asyncio.BaseProtocol`."""
+        self.transport = transport
+        self.is_open = True
+
+    def connection_lost(self, exc):
+        """End the answer at work. See `asyncio.BaseProtocol`."""
+        if self.at_work:
+            ended_cleanly = exc is None and self._until_close and self._in_body
+            if ended_cleanly:
+                self._push(AnswerEnd())
+            else:
+                self._push(AnswerBroken(repr(exc) if exc else "closed", self.had_bytes))
+        self._shut()
+
+    def eof_received(self):
+        """Close; `connection_lost` follows. See `asyncio.Protocol`."""
+        return False
+
+    def pause_writing(self):
+        """See `asyncio.BaseProtocol`."""
+        self._writing_paused = True
+
+    def resume_writing(self):
+        """See `asyncio.BaseProtocol`."""
+        self._writing_paused = False
+
+    def data_received(self, data):
+        """Parse what came. See `asyncio.Protocol`."""
+        if not self.at_work:
+            # Bytes that belong to no request: the connection is out of step.
+            self.abort()
+            return
+        self.had_bytes = True
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._push(AnswerBroken(f"no answer in HTTP: {error}", True))
+            self.abort()
+
+    def on_message_begin(self):
+        """See `httptools.HttpResponseParser`."""
+        if self._is_complete:
+            # Another answer after the one that was asked for.
+            self.closes_after = True
+            self._surplus = True
+        self._headers = []
+
+    def on_header(self, name, value):
+        """See `httptools.HttpResponseParser`."""
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        """Hand the head on. See `httptools.HttpResponseParser`."""
+        if self._surplus:
+            return
+        status = self.parser.get_status_code()
+        if status < 200:
+            self._informational = True
+            return
+        names = {name for name, _ in self._headers}
+        framed = "content-length" in names or "transfer-encoding" in names
+        self._until_close = not framed and status not in (204, 304)
+        self._in_body = True
+        self._note_persistence(self._headers)
+        self._push(AnswerHead(status, self._headers))
+
+    def on_body(self, body):
+        """Hand a piece on. See `httptools.HttpResponseParser`."""
+        if self._surplus:
+            return
+        self._buffered += len(body)
+        if self._buffered > MAX_BUFFERED:
+            self.transport.pause_reading()
+        self._push(bytes(body))
+
+    def on_message_complete(self):
+        """Hand the end on. See `httptools.HttpResponseParser`."""
+        if self._surplus:
+            return
+        if self._informational:
+            self._informational = False
+            return
+        self._in_body = False
+        self._is_complete = True
+        if not self.parser.should_keep_alive():
+            self.closes_after = True
+        self._push(AnswerEnd())
+
+    def send(self, payload):
+        """Send a request.
+
+        Parameters
+        ----------
+        payload : bytes
+            Head and body.
+        """
+        assert not self.at_work, "a connection takes one request at a time"
+        self._reset_parser()
+        self.events.clear()
+        self.at_work = True
+        self.had_bytes = False
+        self.used += 1
+        self.transport.write(payload)
+
+    def skip_answer(self):
+        """Drop an answer that belongs to an earlier request; await the next."""
+        self._reset_parser()
+        self.events.clear()
+
+    async def receive(self):
+        """Return what comes next of the answer.
+
+        Returns
+        -------
+        AnswerHead, bytes, AnswerEnd or AnswerBroken
+        """
+        while not self.events:
+            if not self.is_open:
+                return AnswerBroken("closed", self.had_bytes)
+            self.waiter = asyncio.get_running_loop().create_future()
+            try:
+                await self.waiter
+            finally:
+                self.waiter = None
+        event = self.events.popleft()
+        if isinstance(event, bytes):
+            self._buffered -= len(event)
+            if self._buffered <= MAX_BUFFERED // 2 and self.is_open:
+                self.transport.resume_reading()
+        if isinstance(event, AnswerEnd | AnswerBroken):
+            self.at_work = False
+            self.idle_since = self.clock()
+        return event
+
+    @property
+    def is_reusable(self):
+        """Whether another request may follow."""
+        return (
+            self.is_open
+            and not self.at_work
+            and not self.closes_after
+            and not self.events
+            and not self._writing_paused
+            and not self.transport.is_closing()
+            and self.transport.get_write_buffer_size() == 0
+        )
+
+    def abort(self):
+        """Close at once; a request at work is broken off."""
+        if self.transport is not None:
+            self.transport.abort()
+        self._shut()
+
+    def close(self):
+        """Close an idle connection."""
+        if self.transport is not None:
+            self.transport.close()
+        self._shut()
+
+    def _shut(self):
+        self.is_open = False
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+        if self.on_lost is not None:
+            callback, self.on_lost = self.on_lost, None
+            callback(self)
+
+    def _push(self, event):
+        self.events.append(event)
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
+
+    def _reset_parser(self):
+        self.parser = httptools.HttpResponseParser(self)
+        self._headers = []
+        self._until_close = False
+        self._in_body = False
+        self._is_complete = False
+        self._informational = False
+        self._surplus = False
+
+    def _note_persistence(self, headers):
+        for name, value in headers:
+            if name == "connection" and CLOSE in value.lower():
+                self.closes_after = True
+            elif name == "keep-alive":
+                self.idle_timeout = _timeout_of(value) or self.idle_timeout
+
+
+def _timeout_of(value):
+    for part in value.split(","):
+        key, _, number = part.strip().partition("=")
+        if key.lower() == "timeout" and number.strip().isdigit():
+            return float(number)
+    return None
+
+
+async def open_connection(address, *, timeout, clock):
+    """Connect to a target.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+    timeout : float
+        Longest time that it may take, in seconds.
+    clock : callable
+        Returns the present time in seconds.
+
+    Returns
+    -------
+    TargetConnection or ConnectFailed
+    """
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    socket_options(sock, user_timeout=USER_TIMEOUT_S)
+    try:
+        async with asyncio.timeout(timeout):
+            await loop.sock_connect(sock, (host, int(port)))
+            _, connection = await loop.create_connection(
+                lambda: TargetConnection(clock=clock), sock=sock
+            )
+    except TimeoutError:
+        sock.close()
+        return ConnectFailed("no connection in time")
+    except OSError as error:
+        sock.close()
+        return ConnectFailed(f"refused: {error.strerror or error!r}")
+    except BaseException:
+        sock.close()
+        raise
+    return connection
--- /dev/null
+++ b/skylarkpost/transport/headers.py
@@ -0,0 +1,63 @@
+"""Headers that concern one connection only."""
+
+__all__ = ["forwardable", "socket_options"]
+
+import socket
+
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    }
+)
+KEEP_ALIVE_IDLE_S = 2
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 3
+
+
+def forwardable(headers):
+    """Return the headers that go on to the other side.
+
+    Parameters
+    ----------
+    headers : list of (str, str)
+        As received; names in lower case.
+
+    Returns
+    -------
+    list of (str, str)
+        Without those that concern one connection, also those that the
+        ``Connection`` header names.
+    """
+    dropped = set(HOP_BY_HOP)
+    for name, value in headers:
+        if name == "connection":
+            dropped.update(each.strip().lower() for each in value.split(","))
+    return [(name, value) for name, value in headers if name not in dropped]
+
+
+def socket_options(sock, *, user_timeout):
+    """Have the kernel notice a peer that went silent.
+
+    Parameters
+    ----------
+    sock : socket.socket
+        A TCP socket.
+    user_timeout : float
+        Longest time that sent bytes may stay unacknowledged, in seconds.
+    """
+    milliseconds = int(user_timeout * 1000)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
--- /dev/null
+++ b/skylarkpost/transport/server.py
@@ -0,0 +1,444 @@
+"""One caller's connection: parses requests and writes answers in order."""
+
+import asyncio
+import http
+from collections import deque
+from dataclasses import dataclass
+from typing import Any, NamedTuple
+
+import httptools
+
+from skylarkpost.transport.headers import socket_options
+
+__all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainAnswer"]
+
+# A caller that stops acknowledging is given up after this time.
+USER_TIMEOUT_S = 10.0
+MAX_PIPELINED = 8
+# The parser counts lines; a little more than the names and values themselves.
+HEADER_OVERHEAD = 4
+BODYLESS = frozenset({204, 304})
+PHRASES = {each.value: each.phrase for each in http.HTTPStatus}
+PHRASES[499] = "Client Closed Request"
+
+
+class BodyBrokenError(Exception):
+    """The body of an answer cannot be finished."""
+
+
+class PlainAnswer(NamedTuple):
+    """An answer that is there in full.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status.
+    headers : tuple of (str, str)
+        Without those of the framing.
+    body : bytes
+        The whole body.
+    closes : bool
+        Whether the connection is closed after it.
+    """
+
+    status: int
+    headers: tuple = ()
+    body: bytes = b""
+    closes: bool = False
+
+
+@dataclass(kw_only=True)
+class IncomingRequest:
+    """A request that was received whole.
+
+    Attributes
+    ----------
+    method, target : str
+        Of the request line; the target is the path with its query.
+    headers : list of (str, str)
+        Names in lower case.
+    body : bytes
+        The whole body.
+    received_at : float
+        When its first byte came, in seconds.
+    completed_at : float
+        When its last byte came.
+    keeps_alive : bool
+        Whether the caller wants to use the connection again.
+    speaks_chunked : bool
+        Whether the caller understands chunked bodies.
+    is_half_closed : bool
+        Whether the caller has closed its sending side.
+    has_left : bool
+        Whether the connection is lost.
+    on_change : callable or None
+        Called when one of these two is set.
+    """
+
+    method: str
+    target: str
+    headers: list
+    body: bytes
+    received_at: float
+    completed_at: float
+    keeps_alive: bool
+    speaks_chunked: bool
+    is_half_closed: bool = False
+    has_left: bool = False
+    on_change: Any = None
+
+    def note_half_closed(self):
+        """Note that the caller has closed its sending side."""
+        self.is_half_closed = True
+        if self.on_change is not None:
+            self.on_change()
+
+    def note_left(self):
+        """Note that the connection is lost."""
+        self.has_left = True
+        if self.on_change is not None:
+            self.on_change()
+
+    def header(self, name, default=None):
+        """Return the first value of a header.
+
+        Parameters
+        ----------
+        name : str
+            In lower case.
+        default : str or None
+            Returned if it is missing.
+
+        Returns
+        -------
+        str or None
+        """
+        return next((v for n, v in self.headers if n == name), default)
+
+
+class CallerConnection(asyncio.Protocol):
+    """Serves the requests of one connection, one after the other.
+
+    Parameters
+    ----------
+    handler : callable
+        Async; takes an `IncomingRequest` and returns a `PlainAnswer`, or an
+        outcome with ``status``, ``headers`` and an async generator ``body``.
+    bounds : callable
+        Returns the `skylarkpost.routing.CallerBounds` in force.
+    clock : callable
+        Returns the present time in seconds.
+    connections : set
+        Open connections; this one adds and removes itself.
+    is_closing : callable
+        Returns whether connections should end after their present request.
+    """
+
+    def __init__(self, *, handler, bounds, clock, connections, is_closing):
+        self.handler = handler
+        self.bounds = bounds
+        self.clock = clock
+        self.connections = connections
+        self.is_closing = is_closing
+        self.transport = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.requests = deque()
+        self.current = None
+        self.refusal = None
+        self.task = None
+        self.timer = None
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.half_closed = False
+        self.is_lost = False
+        self._begun_at = None
+        self._last_byte_at = None
+        self._raw_head_bytes = 0
+        self._in_head = False
+        self._reset_message()
+
+    def connection_made(self, transport):
+        """Start the idle timer. See `asyncio.BaseProtocol`."""
+        self.transport = transport
+        self.connections.add(self)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            socket_options(sock, user_timeout=USER_TIMEOUT_S)
+        self._last_byte_at = self.clock()
+        self._set_timer()
+
+    def connection_lost(self, exc):
+        """Tell the request at work. See `asyncio.BaseProtocol`."""
+        self.is_lost = True
+        self.connections.discard(self)
+        self.writable.set()
+        if self.timer is not None:
+            self.timer.cancel()
+        for request in (self.current, *self.requests):
+            if request is not None:
+                request.note_left()
+        self.requests.clear()
+
+    def eof_received(self):
+        """Keep the sending side open while a request is at work."""
+        self.half_closed = True
+        for request in (self.current, *self.requests):
+            if request is not None:
+                request.note_half_closed()
+        # A request that is still incomplete will never be complete.
+        return self.current is not None or bool(self.requests)
+
+    def pause_writing(self):
+        """See `asyncio.BaseProtocol`."""
+        self.writable.clear()
+
+    def resume_writing(self):
+        """See `asyncio.BaseProtocol`."""
+        self.writable.set()
+
+    def data_received(self, data):
+        """Parse what came. See `asyncio.Protocol`."""
+        if self.refusal is not None:
+            return
+        self._last_byte_at = self.clock()
+        if self._begun_at is None:
+            self._begun_at = self._last_byte_at
+        if self._in_head or self._is_between():
+            self._raw_head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "Upgrades are not supported.")
+        except httptools.HttpParserError as error:
+            if self.refusal is None:
+                self._refuse(400, f"The request cannot be parsed: {error}")
+        if self._in_head and self._raw_head_bytes > self.bounds().header_bytes:
+            self._refuse(431, "The head is too large.")
+        if len(self.requests) >= MAX_PIPELINED:
+            self.transport.pause_reading()
+        self._set_timer()
+
+    def on_message_begin(self):
+        """See `httptools.HttpRequestParser`."""
+        self._reset_message()
+        self._in_head = True
+        if self._begun_at is None:
+            self._begun_at = self._last_byte_at
+        # The time for a head is shorter than the one that the timer was set to.
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def on_url(self, url):
+        """See `httptools.HttpRequestParser`."""
+        self._url += url
+
+    def on_header(self, name, value):
+        """See `httptools.HttpRequestParser`."""
+        self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD
+        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self):
+        """Check the head. See `httptools.HttpRequestParser`."""
+        self._in_head = False
+        self._raw_head_bytes = 0
+        names = [name for name, _ in self._headers]
+        fault = None
+        if self._head_bytes + len(self._url) > self.bounds().header_bytes:
+            return self._refuse(431, "The head is too large.")
+        if "transfer-encoding" in names and "content-length" in names:
+            fault = "Both Content-Length and Transfer-Encoding are set."
+        elif names.count("content-length") > 1:
+            fault = "Content-Length is set twice."
+        elif names.count("host") != 1:
+            fault = "There has to be one Host header."
+        elif not self._url.startswith(b"/"):
+            fault = "The target has to be a path."
+        if fault is not None:
+            return self._refuse(400, fault)
+        values = dict(self._headers)
+        length = values.get("content-length", "0")
+        if length.isdigit() and int(length) > self.bounds().body_bytes:
+            return self._refuse(413, "The body is too large.")
+        if values.get("expect", "").lower() == "100-continue" and not self.is_lost:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        return None
+
+    def on_body(self, body):
+        """See `httptools.HttpRequestParser`."""
+        if self.refusal is not None:
+            return
+        self._body += body
+        if len(self._body) > self.bounds().body_bytes:
+            self._refuse(413, "The body is too large.")
+
+    def on_message_complete(self):
+        """Queue the request. See `httptools.HttpRequestParser`."""
+        if self.refusal is not None:
+            return
+        version = self.parser.get_http_version()
+        request = IncomingRequest(
+            method=self.parser.get_method().decode("latin-1"),
+            target=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=bytes(self._body),
+            received_at=self._begun_at,
+            completed_at=self.clock(),
+            keeps_alive=self.parser.should_keep_alive(),
+            speaks_chunked=version == "1.1",
+        )
+        self._begun_at = None
+        self._reset_message()
+        self.requests.append(request)
+        self._start()
+
+    def close_when_idle(self):
+        """Close now if no request is at work or on its way."""
+        if self.current is None and not self.requests and self._begun_at is None:
+            self.transport.close()
+
+    def _reset_message(self):
+        self._url = b""
+        self._headers = []
+        self._head_bytes = 0
+        self._body = bytearray()
+
+    def _is_between(self):
+        return not self._in_head and not self._headers
+
+    def _refuse(self, status, message):
+        self.refusal = PlainAnswer(
+            status,
+            (("content-type", "application/json"),),
+            b'{"error": {"message": "%s", "run_state": "not-run"}}'
+            % message.replace('"', "'").encode("ascii", "replace"),
+            closes=True,
+        )
+        self._start()
+
+    def _start(self):
+        if self.task is None and not self.is_lost:
+            self.task = asyncio.get_running_loop().create_task(self._serve())
+
+    async def _serve(self):
+        try:
+            while self.requests and not self.is_lost:
+                self.current = self.requests.popleft()
+                self.current.is_half_closed = self.half_closed
+                self.transport.resume_reading()
+                answer = await self.handler(self.current)
+                stays = await self._respond(self.current, answer)
+                self.current = None
+                if not stays:
+                    self._close()
+                    return
+            if self.refusal is not None and not self.is_lost:
+                await self._respond(None, self.refusal)
+                self._close()
+                return
+            if self.half_closed:
+                self._close()
+            self._last_byte_at = self.clock()
+        finally:
+            self.task = None
+            self._set_timer()
+
+    async def _respond(self, request, answer):
+        """Write an answer; return whether the connection can be used again."""
+        closes = request is None or not request.keeps_alive or self.is_closing()
+        if isinstance(answer, PlainAnswer):
+            closes = closes or answer.closes
+            self._write_plain(request, answer, closes)
+            return not closes
+        return await self._write_stream(request, answer, closes)
+
+    def _write_plain(self, request, answer, closes):
+        if self.is_lost:
+            return
+        headers = [*answer.headers]
+        is_head = request is not None and request.method == "HEAD"
+        if answer.status not in BODYLESS:
+            named = {name for name, _ in headers}
+            if not (is_head and "content-length" in named):
+                headers.append(("content-length", str(len(answer.body))))
+        body = b"" if is_head else answer.body
+        self.transport.write(self._head(answer.status, headers, closes) + body)
+
+    async def _write_stream(self, request, answer, closes):
+        headers = list(answer.headers)
+        lengths = [value for name, value in headers if name == "content-length"]
+        has_body = request.method != "HEAD" and answer.status not in BODYLESS
+        chunked = has_body and not lengths and request.speaks_chunked
+        if has_body and not lengths and not chunked:
+            closes = True
+        if chunked:
+            headers.append(("transfer-encoding", "chunked"))
+        body = answer.body
+        try:
+            if not self.is_lost:
+                self.transport.write(self._head(answer.status, headers, closes))
+            async for piece in body:
+                if self.is_lost:
+                    return False
+                if not piece or not has_body:
+                    continue
+                if chunked:
+                    piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+                self.transport.write(piece)
+                if not self.writable.is_set():
+                    await self.writable.wait()
+            if chunked and not self.is_lost:
+                self.transport.write(b"0\r\n\r\n")
+        except BodyBrokenError:
+            # Only a reset shows that a body without length is incomplete.
+            if has_body and not lengths and not chunked:
+                self.transport.abort()
+            return False
+        finally:
+            await body.aclose()
+        return not closes
+
+    def _head(self, status, headers, closes):
+        phrase = PHRASES.get(status, "Unknown")
+        lines = [f"HTTP/1.1 {status} {phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if closes:
+            lines.append("connection: close")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1", "replace")
+
+    def _close(self):
+        if not self.is_lost:
+            self.transport.close()
+
+    def _set_timer(self):
+        if self.timer is not None or self.is_lost:
+            return
+        loop = asyncio.get_running_loop()
+        self.timer = loop.call_later(self._time_left(), self._check_time)
+
+    def _time_left(self):
+        bounds = self.bounds()
+        if self._in_head and self._begun_at is not None:
+            due = self._begun_at + bounds.header_timeout
+        else:
+            due = self._last_byte_at + bounds.idle_timeout
+        return max(0.02, due - self.clock())
+
+    def _check_time(self):
+        self.timer = None
+        is_busy = self.task is not None or self.current is not None
+        if self.is_lost or is_busy:
+            return
+        if self._due():
+            if self._begun_at is not None:
+                self._refuse(408, "The request did not arrive in time.")
+            else:
+                self._close()
+            return
+        self._set_timer()
+
+    def _due(self):
+        bounds, now = self.bounds(), self.clock()
+        if self._in_head and self._begun_at is not None:
+            return now >= self._begun_at + bounds.header_timeout
+        return now >= self._last_byte_at + bounds.idle_timeout
--- a/tests/claims/test_filter.py
+++ b/tests/claims/test_filter.py
@@ -8,8 +8,7 @@
 from skylarkpost.claims.filter import ClaimFilter
 from skylarkpost.daemon import Services
 from skylarkpost.filters import Answer, Exchange
-from skylarkpost.outcomes import Reason, Refused, Relayed, RunState
-from skylarkpost.platform import (
+from skylarkpost.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
@@ -17,6 +16,7 @@
     LogUnavailable,
     Records,
 )
+from skylarkpost.outcomes import Reason, Refused, Relayed, RunState
 from skylarkpost.settings import Settings
 
 BOOKING = SimpleNamespace(name="booking", repeatable=False)
--- a/tests/cli/test_session.py
+++ b/tests/cli/test_session.py
@@ -3,7 +3,7 @@
 from skylarkpost.cli.history import describe_verdict
 from skylarkpost.cli.session import ConfigSession, NotPublished, OutcomeUnknown
 from skylarkpost.config.verdicts import Accepted
-from skylarkpost.platform import (
+from skylarkpost.log import (
     Appended,
     AppendRefused,
     AppendUnknown,
--- a/tests/config/test_controller.py
+++ b/tests/config/test_controller.py
@@ -7,8 +7,8 @@
 import pytest
 
 from skylarkpost.config.controller import ConfigController
+from skylarkpost.log import Appended, LogRecord, LogUnavailable, Records
 from skylarkpost.metrics import Metrics
-from skylarkpost.platform import Appended, LogRecord, LogUnavailable, Records
 from skylarkpost.rpc import PeerChannels
 
 
--- a/tests/limits/test_controller.py
+++ b/tests/limits/test_controller.py
@@ -11,8 +11,8 @@
 from skylarkpost.limits.controller import LimitsController
 from skylarkpost.limits.filter import TeamLimitFilter
 from skylarkpost.limits.loading import HeldPermit, ask_once
+from skylarkpost.log import Appended
 from skylarkpost.outcomes import Reason, Refused
-from skylarkpost.platform import Appended
 from skylarkpost.settings import Settings
 
 TEAM = SimpleNamespace(name="depot", rate=100.0, burst=1000.0)
--- a/tests/platform/test_log_client.py
+++ b/tests/log/test_log_client.py
@@ -4,13 +4,15 @@
 import pytest
 from starlette.responses import Response
 
-from skylarkpost.platform import (
-    Appended,
-    AppendRefused,
-    AppendUnknown,
+from skylarkpost.listing import (
     InstanceList,
     InstanceListClient,
     InstanceListUnavailable,
+)
+from skylarkpost.log import (
+    Appended,
+    AppendRefused,
+    AppendUnknown,
     LogClient,
     LogUnavailable,
 )
--- a/tests/platform/test_log_follower.py
+++ b/tests/log/test_log_follower.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from skylarkpost.platform import LogFollower, LogRecord, LogUnavailable, Records
+from skylarkpost.log import LogFollower, LogRecord, LogUnavailable, Records
 
 
 class FakeLog:
--- a/tests/membership/simulation.py
+++ b/tests/membership/simulation.py
@@ -4,8 +4,8 @@
 import itertools
 import random
 
+from skylarkpost.listing import ListedInstance
 from skylarkpost.membership import MembershipCore
-from skylarkpost.platform import ListedInstance
 
 TIMEOUT_S = 0.5
 TICK_S = 0.1
--- a/tests/membership/test_controller.py
+++ b/tests/membership/test_controller.py
@@ -6,9 +6,9 @@
 import grpc
 import pytest
 
+from skylarkpost.listing import InstanceList, ListedInstance
 from skylarkpost.membership import MembershipController, MemberState
 from skylarkpost.metrics import Metrics
-from skylarkpost.platform import InstanceList, ListedInstance
 from skylarkpost.rpc import PeerChannels
 from standins.fleet import free_port
 
--- a/tests/membership/test_listing.py
+++ b/tests/membership/test_listing.py
@@ -1,5 +1,5 @@
+from skylarkpost.listing import ListedInstance
 from skylarkpost.membership import PauseDetector, TargetListing
-from skylarkpost.platform import ListedInstance
 from skylarkpost.rendezvous import choose_members
 
 
--- a/tests/placement/test_placer.py
+++ b/tests/placement/test_placer.py
@@ -1,4 +1,4 @@
-from skylarkpost.placement import PlacementRequest, Placer, rendezvous_order
+from skylarkpost.placement import PlacementRequest, Placer, Preamble, rendezvous_order
 from skylarkpost.placement.outstanding import ServicePlacer
 from skylarkpost.stewardship import (
     TargetSummary,
@@ -9,7 +9,7 @@
 from tests.stewardship.fakes import FakeTarget
 
 ENGINES = [FakeTarget(name=f"e-{n}", data_centre=f"dc-{n % 3}") for n in range(6)]
-REQUEST = PlacementRequest("a@1", True, 5, 800, 17)
+REQUEST = PlacementRequest("a@1", True, 5, 800, (Preamble(17, 640.0),))
 
 
 def summary(name, **changes):
@@ -89,6 +89,7 @@
 def test_a_preamble_seen_before_draws_its_like():
     made = placer(*(summary(e.name) for e in ENGINES))
     base = REQUEST._replace(lora_name="base", needs_adapter=False, prompt_tokens=8000)
+    base = base._replace(preambles=(Preamble(17, 6400.0),))
     made.note_sent("e-4", "r1", base, 0.0)
     made.note_ended("e-4", "r1")
     assert made.rank(base, ENGINES, 0.1)[0][0] == "e-4"
@@ -155,5 +156,5 @@
 
 def test_requests_for_the_base_model_are_not_bound_to_homes():
     made = placer(*(summary(target.name) for target in MANY))
-    base = PlacementRequest("granite", False, 5, 800, 17)
+    base = PlacementRequest("granite", False, 5, 800, (Preamble(17, 640.0),))
     assert len(made.rank(base, MANY, 0.1)) == len(MANY)
--- a/tests/quarantine/test_controller.py
+++ b/tests/quarantine/test_controller.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from skylarkpost.log import Appended, AppendRefused
 from skylarkpost.metrics import Metrics
-from skylarkpost.platform import Appended, AppendRefused
 from skylarkpost.quarantine import Crash, CrashReport, Quarantined
 from skylarkpost.quarantine import controller as module
 from skylarkpost.quarantine.controller import QuarantineController
