Keep orders in step with engines that lose them, and limits with their window

Now a conflict or a lost answer stops orders until one report gives count and contents of the same moment; one version of an adapter at a time; an order that was not given does not count as a failed load.

Callers were refused within their team's limit: the deployment counts rate and burst over a window, and tolerates a slack; shares follow the demand told between instances.

Ruled out: resynchronising the count alone (a stale report lowered it, then orders were refused in a loop).

--- a/skylarkpost/gateway/app.py
+++ b/skylarkpost/gateway/app.py
@@ -103,9 +103,7 @@
             raise
         except Exception:
             # One request must not hang for a fault that it alone brings out.
-            logger.exception(
-                "event=request-crashed request=%s", exchange.request_id
-            )
+            logger.exception("event=request-crashed request=%s", exchange.request_id)
             self.services.metrics.count_event("request-crashed")
             ran = RunState.UNKNOWN if exchange.dispatched else RunState.NOT_RUN
             return Refused(
--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -119,7 +119,10 @@
         if isinstance(decoded, Malformed):
             self._log_malformed(record, decoded)
             return
+        before = self.state.configuration
         applied = self.state.apply(decoded, record.value, now)
+        if applied:
+            _log_limits(before, decoded)
         log_event(
             logger,
             "configuration-applied" if applied else "configuration-older",
@@ -158,3 +161,17 @@
             offset=record.offset,
             detail=malformed.detail,
         )
+
+
+def _log_limits(before, after):
+    for name, team in after.teams.items():
+        known = None if before is None else before.teams.get(name)
+        if known is None or (known.rate, known.burst) != (team.rate, team.burst):
+            log_event(
+                logger,
+                "team-limit",
+                team=name,
+                rate=team.rate,
+                burst=team.burst,
+                version=after.version,
+            )
--- a/skylarkpost/gateway/filters.py
+++ b/skylarkpost/gateway/filters.py
@@ -7,9 +7,11 @@
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.routing import key_digest
 
-__all__ = ["GatewayKeyFilter", "RouteFilter", "choose_service"]
+__all__ = ["GatewayKeyFilter", "LeavingFilter", "RouteFilter", "choose_service"]
 
 NOT_READY_RETRY_S = 0.5
+# Another instance can serve at once.
+ELSEWHERE_RETRY_S = 0.02
 
 
 def choose_service(route, attempt_id):
@@ -37,6 +39,25 @@
     return route.services[-1].service
 
 
+@register_filter("leaving", order=5, front_ends=(GATEWAY,))
+class LeavingFilter(Filter):
+    """Sends callers to other instances once this one is about to end.
+
+    A balancer without another instance in the data centre goes on sending new
+    connections; their requests could not be finished here.
+    """
+
+    async def apply(self, exchange):
+        """Refuse during the last part of a shutdown. See `Filter.apply`."""
+        if not self.services.leaving:
+            return None
+        return Refused(
+            reason=Reason.SHUTTING_DOWN,
+            message="This instance is shutting down.",
+            retry_after=ELSEWHERE_RETRY_S,
+        )
+
+
 @register_filter("route", order=10, front_ends=(GATEWAY,))
 class RouteFilter(Filter):
     """Finds the route, and the service behind it."""
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -140,9 +140,6 @@
                     self._end_connection(exchange, ticket, connection)
 
     def _payload(self, exchange, ticket, left):
-        version = None
-        if "@" in ticket.lora_name:
-            version = int(ticket.lora_name.rpartition("@")[2])
         incoming = exchange.incoming
         headers = HeaderCodec.for_target(
             forwardable(incoming.headers),
@@ -150,7 +147,6 @@
             team=exchange.team,
             patience=left,
             urgency_rank=exchange.rank if exchange.is_model_request else None,
-            version=version,
         )
         return encode_request(incoming.method, incoming.target, headers, incoming.body)
 
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -133,17 +133,13 @@
         log_event(logger, "shutdown-started", open_requests=len(services.exchanges))
         services.draining = True
         await asyncio.sleep(NOTICE_S)
-        for server, side in self.listeners:
-            if not side:
-                server.close()
         services.leaving = True
-        for connection in list(self.connections):
-            connection.close_when_idle()
-        while self.connections and services.clock() < deadline:
+        while True:
+            for connection in list(self.connections):
+                connection.close_when_idle()
+            if not self.connections or services.clock() >= deadline:
+                break
             await asyncio.sleep(DRAIN_POLL_S)
-            if not services.exchanges:
-                for connection in list(self.connections):
-                    connection.close_when_idle()
         log_event(logger, "requests-ended", left_open=len(services.exchanges))
 
     async def _stop(self):
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -28,6 +28,9 @@
 LEASES_TOPIC = "keyed.skylarkpost-leases"
 # Shorter than the time for which a read proves an authority.
 READ_WAIT_S = 2.0
+# A read that takes longer than its wait, and a little, is not going well; the
+# authority ends half a second later.
+MAX_AGE_S = 2.4
 CLAIM_CHECK_S = 0.1
 CLAIM_RETRY_S = 0.3
 
@@ -97,6 +100,7 @@
             on_record=self._take_record,
             wait=READ_WAIT_S,
             peers=services.topic_readers,
+            max_age=MAX_AGE_S,
         )
         services.followers[LEASES_TOPIC] = self.follower
         self.claiming = BackgroundTask(name="lease-claims")
@@ -180,6 +184,7 @@
             claim=lease,
             on_stale=lambda name: self._drop(name, "stale-fencing-number"),
             ask_wait=self.ask_wait,
+            in_force=lambda name: self._in_force(limits.models[0].name, name),
         )
         log_event(
             logger,
@@ -189,6 +194,13 @@
             orders_in=self.table.orders_from.get(lease.target, now) - now,
         )
 
+    def _in_force(self, model, lora_name):
+        adapter, _, version = lora_name.rpartition("@")
+        if not adapter:
+            return lora_name
+        newest = self.services.controllers["config"].adapter_version(model, adapter)
+        return f"{adapter}@{max(newest, int(version))}"
+
     def _drop(self, name, reason):
         seat = self.seats.pop(name, None)
         if seat is not None:
--- a/skylarkpost/gateway/main.py
+++ b/skylarkpost/gateway/main.py
@@ -29,6 +29,7 @@
     "skylarkpost.gateway.filters",
     "skylarkpost.gateway.fleet",
     "skylarkpost.gateway.forward",
+    "skylarkpost.gateway.quota",
     "skylarkpost.gateway.stewardship",
     "skylarkpost.membership.controller",
     "skylarkpost.placement.filter",
--- /dev/null
+++ b/skylarkpost/gateway/quota.py
@@ -0,0 +1,147 @@
+"""Controller and filter for the teams' limits over all instances."""
+
+import asyncio
+import math
+
+import msgspec
+
+from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.filters import Filter, register_filter
+from skylarkpost.limits.demand_share import DemandShares
+from skylarkpost.membership import MemberState
+from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.runtime import BackgroundTask
+
+__all__ = ["QuotaController", "QuotaFilter", "units_of"]
+
+TOPIC = "demand"
+PUBLISH_S = 0.4
+# A cut lasts some seconds; an instance behind it goes on admitting its share.
+FORGET_AFTER_S = 15.0
+PRECISION = 1
+
+
+@register_controller("quota", order=30, front_ends=(GATEWAY,))
+class QuotaController(Controller):
+    """Tells the other instances the demand of teams, and hears theirs.
+
+    Parameters
+    ----------
+    services : GatewayServices
+        What the instance shares between its parts.
+    """
+
+    def __init__(self, *, services):
+        super().__init__(services=services)
+        self.shares = DemandShares(
+            own=services.instance,
+            slack=services.settings.bounds.quota_slack,
+            window=services.settings.bounds.quota_window_s,
+        )
+        self.silent_since = {}
+        self.background = BackgroundTask(name="quota")
+
+    async def start(self):
+        """Start telling the demand."""
+        self.services.controllers["membership"].subscribe(TOPIC, self._hear)
+        self.background.start(self._run())
+
+    async def stop(self):
+        """Stop."""
+        await self.background.stop()
+
+    def status(self):
+        """Return the demand of each team here, in units a second."""
+        return self.shares.own_demands(self.services.clock())
+
+    def admit(self, team, units, now):
+        """Charge a request; see `DemandShares.admit`."""
+        instances = max(self.services.fleet_size(), 1 + len(self.shares.heard))
+        return self.shares.admit(team, units, instances=instances, now=now)
+
+    def _hear(self, member, payload, now):
+        try:
+            demands = msgspec.msgpack.decode(payload, type=dict[str, float])
+        except msgspec.DecodeError:
+            self.services.metrics.count_event("malformed-digest")
+            return
+        self.shares.hear(member.instance, demands)
+
+    async def _run(self):
+        membership = self.services.controllers["membership"]
+        while True:
+            now = self.services.clock()
+            demands = self.shares.own_demands(now)
+            told = {team: round(rate, PRECISION) for team, rate in demands.items()}
+            membership.publish(TOPIC, msgspec.msgpack.encode(told))
+            self._forget_gone(membership, now)
+            await asyncio.sleep(PUBLISH_S)
+
+    def _forget_gone(self, membership, now):
+        heard = {
+            member.instance
+            for member in membership.core.members()
+            if member.state is not MemberState.SILENT
+        }
+        for instance in list(self.shares.heard):
+            if instance in heard:
+                self.silent_since.pop(instance, None)
+                continue
+            since = self.silent_since.setdefault(instance, now)
+            if now - since > FORGET_AFTER_S:
+                self.shares.forget(instance)
+                del self.silent_since[instance]
+
+
+def units_of(team, metadata):
+    """Return what a request counts against its team's limit.
+
+    Parameters
+    ----------
+    team : skylarkpost.routing.GatewayTeam
+        The team.
+    metadata : RequestMetadata
+        What the request says of itself.
+
+    Returns
+    -------
+    float
+    """
+    if not team.counts_tokens:
+        return 1.0
+    if metadata.prompt_tokens is None:
+        return float(team.plain_tokens)
+    return float(metadata.prompt_tokens + (metadata.output_tokens or 0))
+
+
+@register_filter("quota", order=50, front_ends=(GATEWAY,))
+class QuotaFilter(Filter):
+    """Refuses at once what lies beyond a team's limit."""
+
+    async def apply(self, exchange):
+        """Charge the request. See `Filter.apply`."""
+        if exchange.team is None:
+            return None
+        team = exchange.table.configuration.teams[exchange.team]
+        if team.rate <= 0:
+            return None
+        now = self.services.clock()
+        controller = self.services.controllers["quota"]
+        units = units_of(team, exchange.metadata)
+        outcome = controller.admit(team, units, now)
+        if isinstance(outcome, float):
+            return Refused(
+                reason=Reason.OVER_RATE,
+                message="The team has used up its rate and burst.",
+                retry_after=None if math.isinf(outcome) else outcome,
+            )
+        exchange.admitted = outcome
+        exchange.on_finish(self._refund)
+        return None
+
+    async def _refund(self, exchange):
+        if exchange.dispatched:
+            return
+        controller = self.services.controllers["quota"]
+        now = self.services.clock()
+        controller.shares.refund(exchange.team, exchange.admitted, now)
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -37,6 +37,7 @@
 TICK_S = 0.05
 PUBLISH_S = 0.25
 POLL_S = 1.0
+POLL_CHECK_S = 0.1
 RENEWAL_CHECK_S = 0.5
 TOPIC = "targets"
 TICKET_LEASE_S = 10.0
@@ -54,7 +55,7 @@
 LOAD_WAIT_S = 0.27
 POLICY = StewardPolicy(
     ticket_lease=TICKET_LEASE_S,
-    report_lag=0.3,
+    report_lag=0.4,
     order_linger=5.0,
     loads_at_once=2,
     drain_after=0.3,
@@ -98,6 +99,7 @@
         )
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
         self.published_at = -math.inf
+        self.polled_at = {}
         self.background = [
             BackgroundTask(name=f"stewardship-{name}")
             for name in ("tick", "poll", "renewals", "returns")
@@ -366,9 +368,17 @@
 
     async def _run_polls(self):
         while True:
-            seats = list(self.keeper.seats.values())
-            await asyncio.gather(*(seat.poll() for seat in seats))
-            await asyncio.sleep(POLL_S)
+            now = self.services.clock()
+            due = [
+                seat
+                for name, seat in self.keeper.seats.items()
+                if now - self.polled_at.get(name, -math.inf) >= POLL_S
+                or seat.engines.needs_report(now)
+            ]
+            for seat in due:
+                self.polled_at[seat.steward.target.name] = now
+            await asyncio.gather(*(seat.poll() for seat in due))
+            await asyncio.sleep(POLL_CHECK_S)
 
     async def _run_renewals(self):
         while True:
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -24,6 +24,7 @@
 FIRST_BACKOFF_S = 0.1
 # Entries are wanted back within two seconds of an outage's end.
 LARGEST_BACKOFF_S = 1.0
+AGE_CHECK_S = 0.2
 
 
 class KeyedFollower:
@@ -50,6 +51,9 @@
         Async; takes the topic and an offset, and returns a `PeerRecords` of an
         instance that knows the topic further, or None. Asked while the store
         cannot be read.
+    max_age : float or None
+        Peers are also asked when what is known is older, in seconds: a read on
+        a connection that went silent takes longer to fail.
 
     Attributes
     ----------
@@ -66,7 +70,17 @@
     """
 
     def __init__(
-        self, *, store, topic, clock, random, on_record, wait, pause=0.0, peers=None
+        self,
+        *,
+        store,
+        topic,
+        clock,
+        random,
+        on_record,
+        wait,
+        pause=0.0,
+        peers=None,
+        max_age=None,
     ):
         self.store = store
         self.topic = topic
@@ -76,6 +90,7 @@
         self.wait = wait
         self.pause = pause
         self.peers = peers
+        self.max_age = max_age
         self.next_offset = None
         self.fresh_at = -math.inf
         self.available = False
@@ -84,14 +99,18 @@
         self.records = {}
         self.synced = asyncio.Event()
         self.background = BackgroundTask(name=f"follow-{topic}")
+        self.watch = BackgroundTask(name=f"watch-{topic}")
 
     def start(self):
         """Start following."""
         self.background.start(self._run())
+        if self.max_age is not None:
+            self.watch.start(self._watch_age())
 
     async def stop(self):
         """Stop following."""
         await self.background.stop()
+        await self.watch.stop()
 
     async def catch_up(self):
         """Read once without waiting; for those who need the present end.
@@ -123,12 +142,21 @@
             await asyncio.sleep(backoff * self.random.uniform(0.5, 1.0))
             backoff = min(LARGEST_BACKOFF_S, 2 * backoff)
 
+    async def _watch_age(self):
+        while True:
+            await asyncio.sleep(AGE_CHECK_S)
+            if self.clock() - self.fresh_at > self.max_age:
+                await self._ask_peers()
+
     async def _step(self):
         began = self.clock()
+        wait = 0.0
         if self.next_offset is None:
             answer = await self.store.newest(self.topic)
         else:
-            answer = await self.store.read(self.topic, self.next_offset, wait=self.wait)
+            # After an outage the first answer should tell at once that it is over.
+            wait = self.wait if self.lost_at is None else 0.0
+            answer = await self.store.read(self.topic, self.next_offset, wait=wait)
         if isinstance(answer, StoreUnavailable):
             self._note_lost(answer.detail)
             return False
@@ -138,7 +166,7 @@
             return True
         if isinstance(answer, KeyedSnapshot):
             return self._take_snapshot(answer, began)
-        proven = 0.0 if answer.records else PROVEN_WAIT * self.wait
+        proven = 0.0 if answer.records else PROVEN_WAIT * wait
         self._take_records(answer, began + proven)
         return True
 
--- a/skylarkpost/platform/engines.py
+++ b/skylarkpost/platform/engines.py
@@ -18,7 +18,7 @@
     421: OrderVerdict.OTHER_TARGET,
     429: OrderVerdict.REFUSED,
     503: OrderVerdict.REFUSED,
-    400: OrderVerdict.REFUSED,
+    400: OrderVerdict.INVALID,
 }
 
 
--- a/skylarkpost/platform/targets.py
+++ b/skylarkpost/platform/targets.py
@@ -13,6 +13,8 @@
 
 
 class ModelOnWire(msgspec.Struct):
+    """A base model in a server's list."""
+
     name: str
     version: int
     # NAME@VERSION
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -65,6 +65,12 @@
     retry_slack: float = Field(
         default=58.0, ge=0.0, description="Retries in a span beyond the ratio."
     )
+    quota_window_s: float = Field(
+        default=8.0, gt=0.0, description="Span over which a team's limit is counted."
+    )
+    quota_slack: float = Field(
+        default=0.0, ge=0.0, description="Units tolerated beyond a team's limit."
+    )
     adapter_version_ms: Milliseconds = Field(
         default=5000.0, description="Time for a new version of an adapter."
     )
--- a/skylarkpost/stewardship/seat.py
+++ b/skylarkpost/stewardship/seat.py
@@ -18,6 +18,7 @@
     LoadReport,
     OrderDone,
     OrderFailed,
+    OrderNotGiven,
     OrderRefused,
     TargetHealth,
 )
@@ -55,6 +56,9 @@
         Called with the target's name when the engine has seen a newer steward.
     ask_wait : float
         Longest time that one ask waits for its answer, in seconds.
+    in_force : callable or None
+        Returns the name under which an adapter is to be served now, for holders
+        that have not heard of its newest version.
 
     Attributes
     ----------
@@ -76,6 +80,7 @@
         claim,
         on_stale,
         ask_wait=ASK_WAIT_S,
+        in_force=None,
     ):
         self.steward = steward
         self.engines = engines
@@ -84,6 +89,7 @@
         self.claim = claim
         self.on_stale = on_stale
         self.ask_wait = ask_wait
+        self.in_force = in_force
         self.silent_since = None
         self.last_report = None
         self.predecessor = None
@@ -120,6 +126,8 @@
         """
         if self.closed:
             return None
+        if self.in_force is not None:
+            request = request._replace(lora_name=self.in_force(request.lora_name))
         ticket_id = request.ticket_id
         waiter = self._waiters.get(ticket_id)
         if waiter is None:
@@ -347,6 +355,9 @@
             outcome=type(outcome).__name__,
             code=getattr(outcome, "code", None),
         )
+        if isinstance(outcome, OrderNotGiven):
+            self.carry_out(self.steward.order_withdrawn(command, self.clock()))
+            return
         succeeded = isinstance(outcome, OrderDone)
         certain = isinstance(outcome, OrderDone | OrderFailed | OrderRefused)
         self.carry_out(
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -152,6 +152,8 @@
         if needs_room:
             victims = self.victims.choose(evicts_from, self.load_cost, now)
         commands = self._repeat_unloads(now)
+        if may_evict:
+            commands += self._unload_replaced(now)
         commands += self._use_permits(candidates, victims, now)
         commands += self._ask_permit(candidates, victims, now)
         if may_evict:
@@ -204,6 +206,27 @@
         self._unload_ended(lora_name, succeeded, certain, now)
         return []
 
+    def order_withdrawn(self, order, lora_name, *, now):
+        """Note that an order was not given; nothing has changed on the engine.
+
+        Parameters
+        ----------
+        order : int
+            Number of the order.
+        lora_name : str
+            What it was about.
+        now : float
+            The present time, in seconds.
+        """
+        if self._orders.get(lora_name) != order:
+            return
+        del self._orders[lora_name]
+        if self.residency.state(lora_name) is AdapterState.LOADING:
+            self.residency.set_state(lora_name, None, now=now)
+        elif self.residency.state(lora_name) is AdapterState.UNLOADING:
+            self.residency.set_state(lora_name, AdapterState.RESIDENT, now=now)
+            self.queue.set_ready(lora_name, ready=True)
+
     def apply_report(self, report, now):
         """Take in a load report.
 
@@ -266,12 +289,30 @@
             waiters
             for waiters in self.queue.blocked_adapters(now)
             if self.residency.state(waiters.lora_name) is None
+            and not self._other_versions(waiters.lora_name)
             and waiters.lora_name not in self.barred
             and not self.backoff.remaining(waiters.lora_name, now)
         ]
         blocked.sort(key=self._load_order)
         return blocked
 
+    def _other_versions(self, lora_name):
+        # An engine holds one version of an adapter; orders to unload name none.
+        adapter = _adapter_of(lora_name)
+        return [
+            name
+            for name in self.residency.adapters
+            if name != lora_name and _adapter_of(name) == adapter
+        ]
+
+    def _unload_replaced(self, now):
+        return [
+            self._order_unload(name, now)
+            for waiters in self.queue.blocked_adapters(now)
+            for name in self._other_versions(waiters.lora_name)
+            if self.residency.state(name) in HOLDS_COPY and not self.book.in_use(name)
+        ]
+
     def _load_order(self, waiters):
         team = waiters.oldest.request.team
         share = self.load_shares.start_tag(team)
@@ -459,3 +500,7 @@
             self.queue.set_ready(name, ready=False)
         known = [name for name in self.demand.counts if name != self.base_model]
         self.prefetch(sorted(known, key=lambda name: -self.demand.value(name, now)))
+
+
+def _adapter_of(lora_name):
+    return lora_name.rpartition("@")[0]
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -288,6 +288,25 @@
         )
         return commands + self._advance(now)
 
+    def order_withdrawn(self, command, now):
+        """Note that an order was not given after all.
+
+        Parameters
+        ----------
+        command : LoadAdapter or UnloadAdapter
+            The order.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Command
+        """
+        if command.boot != self.boot:
+            return []
+        self.slots.order_withdrawn(command.order, command.lora_name, now=now)
+        return self._advance(now)
+
     def fence_ended(self, command, now, *, succeeded):
         """Take in the answer to a `FenceTarget` command.
 
--- a/skylarkpost/targets/counted_engine.py
+++ b/skylarkpost/targets/counted_engine.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import logging
+import math
 
 from skylarkpost.eventlog import log_event
 from skylarkpost.targets.outcomes import (
     OrderDone,
     OrderFailed,
+    OrderNotGiven,
     OrderRefused,
     OrderUnknown,
     TargetUnavailable,
@@ -20,12 +22,17 @@
 
 # An order is answered within milliseconds; its connection may have gone silent.
 ORDER_TIMEOUT_S = 0.8
-# A load from the weight store takes about a quarter of a second.
-FIRST_LOOK_S = 0.2
-LOOK_AGAIN_S = 0.04
+# A load from the weight store takes a quarter of a second and a few steps.
+FIRST_LOOK_S = 0.255
+LOOK_AGAIN_S = 0.015
 # A copy that the engine has kept loads ten times as fast.
 WARM_LOOK_S = 0.025
 MODEL_LOAD_RETRY_S = 1.0
+# A report is some hundred milliseconds old; one that is asked for so long
+# after an order shows whether it was accepted.
+REPORT_SETTLE_S = 0.4
+# Before an order that was not carried out is tried again.
+NOT_GIVEN_PAUSE_S = 0.1
 MAX_KEPT_COPIES = 48
 
 
@@ -61,7 +68,8 @@
     entry : TargetEntry
         Newest announcement of this run.
     orders_accepted : int or None
-        As counted here; None when it has to be asked for.
+        As counted here; None when a report has to tell it. No order is given
+        before, since the report also tells what the engine holds.
     """
 
     def __init__(
@@ -77,10 +85,10 @@
         self.may_order = may_order
         self.orders_accepted = None
         self.state = None
-        self.versions = {}
         self.kept = {}
         self.fencing_number = 0
         self.model_ordered_at = None
+        self.last_order_at = -math.inf
         self._lock = asyncio.Lock()
 
     async def load_report(self, address):
@@ -96,9 +104,15 @@
         LoadReport or TargetUnavailable
         """
         asked_at = self.clock()
+        last_order_at = self.last_order_at
         state = await self._read_state()
         if not isinstance(state, EngineState):
             return TargetUnavailable(detail=str(state))
+        was_quiet = self.last_order_at == last_order_at
+        if was_quiet and asked_at >= last_order_at + REPORT_SETTLE_S:
+            # Count and contents are of the same moment: an order carried out
+            # late either shows in both, or changes the count hereafter.
+            self.orders_accepted = state.orders_accepted
         held = next((m for m in state.models if m.name == self.model.name), None)
         if held is None:
             await self._load_model(state)
@@ -165,19 +179,18 @@
             return OrderRefused(code="wrong-boot")
         deadline = self.clock() + timeout
         was_kept = weight_name in self.kept
-        verdict = await self._order(True, weight_name, int(version))
-        started = verdict is OrderVerdict.STARTED
+        verdict = await self._order_once(True, weight_name, int(version))
         look_after = WARM_LOOK_S if was_kept else FIRST_LOOK_S
-        while verdict is OrderVerdict.STARTED or (
-            started and verdict is OrderVerdict.CONFLICT
-        ):
+        while verdict is OrderVerdict.STARTED:
             if self.clock() + look_after > deadline:
                 return OrderUnknown(detail="the load takes too long")
             await asyncio.sleep(look_after)
             look_after = LOOK_AGAIN_S
-            verdict = await self._order(True, weight_name, int(version))
+            # The same order again asks whether it has been carried out.
+            verdict = await self._order(True, weight_name, int(version), again=True)
+            if verdict in (OrderVerdict.CONFLICT, OrderVerdict.REFUSED):
+                return OrderUnknown(detail="the load cannot be followed")
         if verdict is OrderVerdict.HOLDS:
-            self.versions[weight_name] = int(version)
             self._note_kept(weight_name)
         return self._outcome(verdict)
 
@@ -204,38 +217,56 @@
         self.fencing_number = fencing_number
         if boot != self.entry.boot:
             return OrderRefused(code="wrong-boot")
-        adapter, _, version = lora_name.rpartition("@")
-        if self.versions.get(adapter, int(version)) != int(version):
-            # A newer version has taken its place; the order would hit that one.
-            return OrderDone(boot=boot)
+        adapter = lora_name.rpartition("@")[0]
         deadline = self.clock() + timeout
-        verdict = await self._order(False, adapter, None)
+        verdict = await self._order_once(False, adapter, None)
         while verdict is OrderVerdict.STARTED and self.clock() < deadline:
             await asyncio.sleep(LOOK_AGAIN_S)
-            verdict = await self._order(False, adapter, None)
+            verdict = await self._order(False, adapter, None, again=True)
+            if verdict in (OrderVerdict.CONFLICT, OrderVerdict.REFUSED):
+                return OrderUnknown(detail="the unload cannot be followed")
         if verdict is OrderVerdict.STARTED:
             return OrderUnknown(detail="runs on the adapter have not ended")
-        if verdict is OrderVerdict.HOLDS:
-            self.versions.pop(adapter, None)
         return self._outcome(verdict)
 
+    def needs_report(self, now):
+        """Return whether a report is wanted, and would show the last order.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        is_settled = now >= self.last_order_at + REPORT_SETTLE_S
+        return self.orders_accepted is None and is_settled
+
     def _outcome(self, verdict):
         if verdict is OrderVerdict.HOLDS:
             return OrderDone(boot=self.entry.boot)
-        if verdict is OrderVerdict.CONFLICT:
+        if verdict is OrderVerdict.FENCED:
+            return OrderRefused(code="stale-fencing-number")
+        if verdict is OrderVerdict.INVALID:
             return OrderFailed(code=verdict.value)
         if verdict is OrderVerdict.UNKNOWN:
             return OrderUnknown(detail="no answer")
-        return OrderRefused(code=verdict.value)
+        return OrderNotGiven(code=verdict.value)
 
-    async def _order(self, is_load, adapter, version):
+    async def _order_once(self, is_load, adapter, version):
+        verdict = await self._order(is_load, adapter, version)
+        is_accepted = verdict in (OrderVerdict.STARTED, OrderVerdict.HOLDS)
+        if not is_accepted and verdict is not OrderVerdict.UNKNOWN:
+            # What holds the order up does not end at once.
+            await asyncio.sleep(NOT_GIVEN_PAUSE_S)
+        return verdict
+
+    async def _order(self, is_load, adapter, version, *, again=False):
         async with self._lock:
-            if not self.may_order():
+            if self.orders_accepted is None or not self.may_order():
                 return OrderVerdict.REFUSED
-            if self.orders_accepted is None:
-                state = await self._read_state()
-                if not isinstance(state, EngineState) or not self.may_order():
-                    return OrderVerdict.REFUSED
             order = EngineOrder(
                 is_load=is_load,
                 model=self.model.name,
@@ -245,9 +276,10 @@
                 fencing_number=self.fencing_number,
                 orders_accepted=self.orders_accepted,
             )
-            return await self._send(order)
+            return await self._send(order, again)
 
-    async def _send(self, order):
+    async def _send(self, order, again):
+        self.last_order_at = self.clock()
         method, path = self.codec.order_request
         body = self.codec.encode_order(order)
         answer = await self.call(self.entry, method, path, body, ORDER_TIMEOUT_S)
@@ -272,16 +304,21 @@
             verdict=verdict,
             detail=detail,
         )
-        if verdict is OrderVerdict.STARTED:
-            self.orders_accepted += 1
-        elif verdict is OrderVerdict.HOLDS:
-            # An unload of an idle adapter is done at once and counts as well.
-            if not order.is_load:
-                self.orders_accepted += 1
-        elif verdict in (OrderVerdict.CONFLICT, OrderVerdict.UNKNOWN):
-            self.orders_accepted = None
+        self._count(order, verdict, again)
         return verdict
 
+    def _count(self, order, verdict, again):
+        if verdict in (OrderVerdict.CONFLICT, OrderVerdict.UNKNOWN):
+            self.orders_accepted = None
+        elif again:
+            # Asked about an order that was counted before.
+            return
+        elif verdict is OrderVerdict.STARTED:
+            self.orders_accepted += 1
+        elif verdict is OrderVerdict.HOLDS and not order.is_load:
+            # The unload of an idle adapter is done at once.
+            self.orders_accepted += 1
+
     async def _read_state(self):
         method, path = self.codec.report_request
         answer = await self.call(self.entry, method, path, b"", ORDER_TIMEOUT_S)
@@ -291,8 +328,6 @@
         state = self.codec.decode_report(answer.body)
         if isinstance(state, EngineState):
             self.state = state
-            if self.orders_accepted is None or not self._lock.locked():
-                self.orders_accepted = state.orders_accepted
         return state
 
     async def _load_model(self, state):
@@ -303,7 +338,6 @@
         if asked is not None and now - asked < MODEL_LOAD_RETRY_S:
             return
         self.model_ordered_at = now
-        self.versions = {}
         await self._order(True, None, None)
 
     def _note_kept(self, adapter):
--- a/skylarkpost/targets/outcomes.py
+++ b/skylarkpost/targets/outcomes.py
@@ -11,6 +11,7 @@
     "NotRun",
     "OrderDone",
     "OrderFailed",
+    "OrderNotGiven",
     "OrderRefused",
     "OrderUnknown",
     "StreamBroken",
@@ -152,6 +153,19 @@
     code: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class OrderNotGiven:
+    """The order was not carried out, for no fault of what it is about.
+
+    Parameters
+    ----------
+    code : str
+        Why.
+    """
+
+    code: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class OrderUnknown:
     """No answer came; the order may have been or still be carried out.
--- a/skylarkpost/targets/state.py
+++ b/skylarkpost/targets/state.py
@@ -75,6 +75,7 @@
     FENCED = "fenced"
     OTHER_TARGET = "other-target"
     REFUSED = "refused"
+    INVALID = "invalid"
     UNKNOWN = "unknown"
 
 
