Let stewards tell how long a request would wait, and ask the next one in time

Load pattern: adapters absent, orders lost, prompts queued at one engine. Callers gave up after 2.4 s while their request sat at one steward.

A steward keeps the prompts granted and not yet read, and the beginnings that the engine keeps; a request names the wait that it takes there and goes to the next target otherwise, or is refused with a time to come back. Orders that are not answered are given again at once with the same count. Targets that fail more than their pool, or cannot be reached, are left alone. Leases go to instances of the target's own data centre first.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -71,6 +71,7 @@
         while True:
             ticket = exchange.ticket
             result = await self._attempt(exchange, ticket)
+            self._judge(exchange, ticket, result)
             if exchange.cancelled is not None:
                 return exchange.cancelled
             if not isinstance(result, AttemptFailure):
@@ -92,6 +93,20 @@
                 return self._after(exchange, result, outcome)
             exchange.ticket = outcome
 
+    def _judge(self, exchange, ticket, result):
+        if exchange.cancelled is not None:
+            return
+        kind = result.kind if isinstance(result, AttemptFailure) else None
+        if kind is FailureKind.TIMED_OUT and exchange.dispatched:
+            reached, failed = True, True
+        else:
+            reached = kind not in (FailureKind.NOT_SENT, FailureKind.UNKNOWN)
+            failed = kind is FailureKind.FAILED or (
+                kind is None and result.status >= SERVER_ERROR
+            )
+        controller = self.services.controllers["stewardship"]
+        controller.note_result(ticket, reached=reached, failed=failed)
+
     async def _next_ticket(self, exchange, avoid):
         controller = self.services.controllers["stewardship"]
         ticket, exchange.ticket = exchange.ticket, None
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -238,12 +238,14 @@
     async def _claim(self, now):
         """Append what is due; return False if the store refused it."""
         membership = self.services.controllers["membership"]
-        live = [
-            member.instance
+        live = {
+            member.instance: member.data_centre
             for member in membership.members(now)
             if member.state is MemberState.LIVE
-        ]
-        engines = list(self._engines(now))
+        }
+        engines = {
+            name: entry.data_centre for name, (entry, _) in self._engines(now).items()
+        }
         own = self.services.instance
         records = [
             KeyedRecord(
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import math
+import zlib
 
 from skylarkpost.config import Target
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
@@ -12,19 +13,26 @@
 from skylarkpost.gateway.lease_keeper import LeaseKeeper
 from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.placement.health import TargetHealth
 from skylarkpost.placement.outstanding import ServicePlacer
 from skylarkpost.placement.placer import (
     PlacementPolicy,
     PlacementRequest,
     Placer,
-    Preamble,
 )
+from skylarkpost.placement.scores import expected_wait
 from skylarkpost.rpc import stewardship_pb2_grpc
 from skylarkpost.runtime import BackgroundTask
-from skylarkpost.stewardship.desk import DeskPatience, TicketDesk, lora_name_of
+from skylarkpost.stewardship.desk import (
+    AskDetails,
+    DeskPatience,
+    TicketDesk,
+    lora_name_of,
+)
 from skylarkpost.stewardship.directory import StewardAddress
 from skylarkpost.stewardship.holder import TicketHolder
 from skylarkpost.stewardship.policy import StewardPolicy
+from skylarkpost.stewardship.prefill import Preamble
 from skylarkpost.stewardship.service import StewardshipServicer
 from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
 from skylarkpost.targets import LoadReport
@@ -49,6 +57,14 @@
 STEWARD_DISTRUST_S = 1.0
 NO_TARGET_PAUSE_S = 0.1
 NO_TARGET_RETRY_S = 1.0
+LEAST_RETRY_S = 0.2
+TARGETS_ASKED = 3
+# A steward that expects this much more than was expected here is left for the
+# next best target.
+TOLERATED_DELAY_S = 0.15
+# Part of the time after which callers give up that a request may wait for its
+# first token; a caller that is refused by then can come back and be served.
+WAIT_PART = 0.75
 # Measured on the engines of the first deployments; they read about 40 tokens
 # of a prompt in a millisecond, and take a quarter of a second for an adapter.
 PREFILL_RATE = 40_000.0
@@ -62,6 +78,7 @@
     least_residence=0.5,
     demand_half_life=10.0,
     engine_settles_orders=True,
+    one_version=True,
 )
 
 
@@ -97,6 +114,7 @@
             data_centre=services.data_centre,
             policy=PlacementPolicy(prefill_rate=PREFILL_RATE, load_wait=LOAD_WAIT_S),
         )
+        self.health = TargetHealth()
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
         self.published_at = -math.inf
         self.polled_at = {}
@@ -165,7 +183,8 @@
             outcome = await self._acquire_engine(exchange, avoid)
             is_final = getattr(outcome, "reason", None) is not Reason.NO_TARGET
             now = self.services.clock()
-            if is_final or now + NO_TARGET_PAUSE_S >= self._give_up_at(exchange):
+            give_up_at = exchange.received_at + self._longest_wait(exchange)
+            if is_final or now + NO_TARGET_PAUSE_S >= give_up_at:
                 return outcome
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(exchange.cancel_event.wait(), NO_TARGET_PAUSE_S)
@@ -272,49 +291,120 @@
         model = metadata.model or exchange.service.engine.models[0].name
         return GatewayProfile(model, metadata.adapter, version, exchange.urgency)
 
-    def _give_up_at(self, exchange):
-        return min(exchange.deadline, exchange.received_at + NO_TARGET_RETRY_S)
+    def note_result(self, ticket, *, reached, failed):
+        """Note how a target dealt with a request.
 
-    async def _acquire_engine(self, exchange, avoid):
+        Parameters
+        ----------
+        ticket : Ticket
+            Of the request.
+        reached : bool
+            Whether the target answered at all.
+        failed : bool
+            Whether its answer was a failure of the target.
+        """
         now = self.services.clock()
+        if reached:
+            self.health.answered(ticket.boot, now, failed=failed)
+        else:
+            self.health.unreachable(ticket.boot, now)
+
+    async def _acquire_engine(self, exchange, avoid):
+        """Ask the best targets, the next one if a steward expects a long wait."""
         exchange.profile = self.profile_of(exchange)
         request = _placement_request(exchange)
-        targets = self._engines(exchange.service, now)
-        ranked = self.placer.rank(request, targets, now, avoid=avoid)
-        by_name = {target.name: target for target in targets}
-        asked = {}
-
-        def note_asked(target, ticket_id):
-            asked[target] = ticket_id
-            self.placer.note_sent(target, ticket_id, request, self.services.clock())
+        give_up_at = exchange.received_at + self._longest_wait(exchange)
+        refusals = []
+        tried = set()
+        for asks_left in reversed(range(TARGETS_ASKED)):
+            now = self.services.clock()
+            if exchange.cancelled is not None:
+                return exchange.cancelled
+            targets = self._engines(exchange.service, now)
+            avoided = avoid | self._avoided(targets, now) | tried
+            ranked = self.placer.rank(request, targets, now, avoid=avoided)
+            if not ranked:
+                return _no_target("No engine of this model is there.")
+            name, view = ranked[0]
+            wait = expected_wait(view)
+            if now + wait > give_up_at:
+                return _too_busy(now + wait - give_up_at)
+            tolerated = give_up_at - now
+            if asks_left and len(ranked) > len(avoided):
+                tolerated = min(tolerated, wait + TOLERATED_DELAY_S)
+            target = next(each for each in targets if each.name == name)
+            outcome = await self._ask(
+                exchange, request, target, tolerated=tolerated, give_up_at=give_up_at
+            )
+            if not isinstance(outcome, Refused):
+                return outcome
+            if outcome.reason is Reason.QUEUE_FULL:
+                self.placer.note_wait(
+                    name,
+                    outcome.retry_after,
+                    self.services.clock(),
+                    urgency=exchange.urgency,
+                )
+            else:
+                tried.add(name)
+            refusals.append(outcome)
+        return refusals[-1]
+
+    async def _ask(self, exchange, request, target, *, tolerated, give_up_at):
+        asked = []
+
+        def note_asked(name, ticket_id):
+            asked.append(ticket_id)
+            now = self.services.clock()
+            self.placer.note_asked(name, ticket_id, request, now)
 
+        details = AskDetails(
+            prompt_tokens=request.prompt_tokens,
+            preambles=request.preambles,
+            patience=tolerated,
+            deadline=give_up_at,
+        )
         outcome = await self.desk.acquire(
-            exchange, [by_name[name] for name, _ in ranked], on_asked=note_asked
+            exchange, [target], on_asked=note_asked, details=details
         )
-        chosen = getattr(outcome, "target", None)
-        for target, ticket_id in asked.items():
-            if target != chosen:
-                self.placer.note_ended(target, ticket_id)
+        if getattr(outcome, "target", None) is None:
+            for ticket_id in asked:
+                self.placer.note_ended(target.name, ticket_id)
+        else:
+            self.placer.note_started(target.name, request, self.services.clock())
         return outcome
 
+    def _longest_wait(self, exchange):
+        left = exchange.deadline - exchange.received_at
+        return min(left, WAIT_PART * exchange.route.abandoned_after)
+
+    def _avoided(self, targets, now):
+        boots = self._boots(targets)
+        avoided = self.health.avoided(list(boots), now)
+        return frozenset(boots[boot] for boot in avoided)
+
+    def _boots(self, targets):
+        entries = self.services.controllers["directory"].targets.entries
+        return {
+            entries[each.name].boot: each.name
+            for each in targets
+            if each.name in entries
+        }
+
     def _acquire_service(self, exchange, avoid, now):
         directory = self.services.controllers["directory"]
         targets = [
             _target(entry, kind="service", pool=entry.service, slots=0)
             for entry in directory.of_service(exchange.service.name, now)
         ]
+        avoid = avoid | self._avoided(targets, now)
         ticket = self.service_placer.choose(
             targets, request_id=exchange.request_id, avoid=avoid, now=now
         )
         if ticket is not None:
             boot = directory.targets.find(ticket.target, now).boot
             return ticket._replace(boot=boot)
-        return Refused(
-            reason=Reason.NO_TARGET,
-            message="No target of this route takes requests at present.",
-            run_state=RunState.NOT_RUN,
-            retry_after=NO_TARGET_RETRY_S,
-        )
+        return _no_target("No target of this route takes requests at present.")
 
     def _engines(self, service, now):
         directory = self.services.controllers["directory"]
@@ -407,7 +497,7 @@
     for part in metadata.prompt_parts:
         chain = f"{chain}/{part.part_id}"
         tokens += part.tokens
-        preambles.append(Preamble(hash(chain), tokens))
+        preambles.append(Preamble(zlib.crc32(chain.encode()), tokens))
     return PlacementRequest(
         lora_name=lora_name,
         needs_adapter=bool(exchange.profile.adapter),
@@ -415,3 +505,21 @@
         prompt_tokens=metadata.prompt_tokens or 0,
         preambles=tuple(preambles),
     )
+
+
+def _no_target(message):
+    return Refused(
+        reason=Reason.NO_TARGET,
+        message=message,
+        run_state=RunState.NOT_RUN,
+        retry_after=NO_TARGET_RETRY_S,
+    )
+
+
+def _too_busy(retry_after):
+    return Refused(
+        reason=Reason.QUEUE_FULL,
+        message="No engine could begin in time.",
+        run_state=RunState.NOT_RUN,
+        retry_after=max(LEAST_RETRY_S, retry_after),
+    )
--- a/skylarkpost/placement/__init__.py
+++ b/skylarkpost/placement/__init__.py
@@ -4,11 +4,11 @@
     PlacementPolicy,
     PlacementRequest,
     Placer,
-    Preamble,
 )
 from skylarkpost.placement.preamble import preamble_hash
 from skylarkpost.placement.rendezvous import rendezvous_order
 from skylarkpost.placement.scores import TargetView, register_score
+from skylarkpost.stewardship.prefill import Preamble
 
 __all__ = [
     "PlacementPolicy",
--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -4,9 +4,10 @@
 
 from skylarkpost.placement.rendezvous import rendezvous_order
 from skylarkpost.placement.scores import TargetView, placement_score
+from skylarkpost.stewardship.prefill import Preamble, PreambleMemory, PrefillBacklog
 from skylarkpost.stewardship.summary import adapter_hash
 
-__all__ = ["PlacementPolicy", "PlacementRequest", "Placer", "Preamble"]
+__all__ = ["PlacementPolicy", "PlacementRequest", "Placer"]
 
 
 class PlacementPolicy(NamedTuple):
@@ -24,8 +25,8 @@
         Seconds of the round trip to another data centre.
     prefill_rate : float
         Tokens of a prompt that an engine works through in a second.
-    preamble_memory : float
-        Seconds for which an engine is taken to keep a preamble.
+    kept_tokens : float
+        Tokens of prompts that an engine is taken to keep.
     load_wait : float
         Seconds for a load where no summary says how long it takes.
     joined_load : float
@@ -37,26 +38,11 @@
     summary_lag: float = 1.0
     far_distance: float = 0.003
     prefill_rate: float = 8000.0
-    preamble_memory: float = 120.0
+    kept_tokens: float = 200_000.0
     load_wait: float = 0.6
     joined_load: float = 0.5
 
 
-class Preamble(NamedTuple):
-    """The beginning of a prompt, which an engine may have read before.
-
-    Attributes
-    ----------
-    key : int
-        Hash of the adapter and the text.
-    tokens : int
-        Its length.
-    """
-
-    key: int
-    tokens: float
-
-
 class PlacementRequest(NamedTuple):
     """What placement needs to know of a request.
 
@@ -89,7 +75,6 @@
         self.lora_name = lora_name
 
 
-MAX_PREAMBLES = 4096
 MAX_HOMES = 8192
 HOMES_RANKED = 8
 
@@ -116,6 +101,7 @@
         self.heard_at = {}
         self.sent = {}
         self.preambles = {}
+        self.backlogs = {}
         self.home_targets = ()
         self.homes = {}
 
@@ -156,7 +142,7 @@
         if target in self.heard_at:
             self.heard_at[target] = now
 
-    def note_sent(self, target, ticket_id, request, now):
+    def note_asked(self, target, ticket_id, request, now):
         """Note that a ticket was asked for.
 
         Parameters
@@ -172,11 +158,60 @@
         """
         sent = self.sent.setdefault(target, {})
         sent[ticket_id] = _Sent(now, request.lora_name)
-        for preamble in request.preambles:
-            self.preambles.pop((target, preamble.key), None)
-            self.preambles[(target, preamble.key)] = now
-        while len(self.preambles) > MAX_PREAMBLES:
-            del self.preambles[next(iter(self.preambles))]
+
+    def note_started(self, target, request, now):
+        """Note that a request has its ticket, and is read before later ones.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        request : PlacementRequest
+            The request.
+        now : float
+            The present time, in seconds.
+        """
+        self._backlog(target, now).add(
+            self._prefill(request, target), urgency=request.urgency, now=now
+        )
+        self._memory(target).note(request.preambles)
+
+    def note_sent(self, target, ticket_id, request, now):
+        """Note that a ticket was asked for, and that its prompt will be read.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        ticket_id : str
+            The ticket.
+        request : PlacementRequest
+            The request.
+        now : float
+            The present time, in seconds.
+        """
+        self.note_asked(target, ticket_id, request, now)
+        self._memory(target).note(request.preambles)
+
+    def note_wait(self, target, wait, now, *, urgency):
+        """Note what a steward said of the wait at its target.
+
+        Parameters
+        ----------
+        target : str
+            The target.
+        wait : float
+            Seconds to the first token of a request like the one that was asked
+            for.
+        now : float
+            The present time, in seconds.
+        urgency : int
+            Of that request.
+        """
+        backlog = self._backlog(target, now)
+        missing = wait - backlog.ahead(urgency, now=now)
+        if missing > 0.0:
+            backlog.add(missing, urgency=urgency, now=now)
 
     def note_ended(self, target, ticket_id):
         """Note that a request has left a target.
@@ -247,7 +282,10 @@
             target=target.name,
             queue_wait=self._queue_wait(request, target, summary, sent),
             load_wait=load_wait,
-            prefill=self._prefill(request, target.name, now),
+            prefill=self._prefill(request, target.name),
+            prefill_wait=self._backlog(target.name, now).ahead(
+                request.urgency, now=now
+            ),
             distance=self.policy.far_distance if is_far else 0.0,
             outstanding=outstanding,
             fullness=outstanding / max(1, target.batch_limit),
@@ -325,14 +363,19 @@
             return 0.0
         return ahead * summary.service_time / summary.batch_limit
 
-    def _prefill(self, request, name, now):
-        tokens = request.prompt_tokens
-        for preamble in reversed(request.preambles):
-            seen_at = self.preambles.get((name, preamble.key))
-            if seen_at is not None and now - seen_at < self.policy.preamble_memory:
-                tokens = max(0.0, tokens - preamble.tokens)
-                break
-        return tokens / self.policy.prefill_rate
+    def _prefill(self, request, name):
+        missing = self._memory(name).missing(request.preambles, request.prompt_tokens)
+        return missing / self.policy.prefill_rate
+
+    def _memory(self, name):
+        if name not in self.preambles:
+            self.preambles[name] = PreambleMemory(capacity=self.policy.kept_tokens)
+        return self.preambles[name]
+
+    def _backlog(self, name, now):
+        if name not in self.backlogs:
+            self.backlogs[name] = PrefillBacklog(now=now)
+        return self.backlogs[name]
 
     def _outstanding(self, summary, sent):
         if summary is None:
--- a/skylarkpost/placement/scores.py
+++ b/skylarkpost/placement/scores.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["TargetView", "placement_score", "register_score"]
+__all__ = ["TargetView", "expected_wait", "placement_score", "register_score"]
 
 AWAY_PENALTY_S = 0.15
 VICTIM_PENALTY_S = 1.0
@@ -26,6 +26,8 @@
         Expected seconds until the adapter is resident; 0 if it is.
     prefill : float
         Expected seconds to work through the prompt.
+    prefill_wait : float
+        Expected seconds to work through the prompts before it.
     distance : float
         Seconds of the round trip to the target.
     outstanding : int
@@ -44,6 +46,7 @@
     queue_wait: float
     load_wait: float
     prefill: float
+    prefill_wait: float
     distance: float
     outstanding: int
     fullness: float
@@ -99,12 +102,29 @@
     want it. An adapter that is loaded where the batch is nearly full will have
     its later requests wait there.
     """
-    wait = view.queue_wait + view.load_wait + view.prefill + view.distance
+    wait = expected_wait(view)
     if not view.is_resident:
         wait += _cost_to_others(view)
     return (wait, view.home_rank)
 
 
+def expected_wait(view):
+    """Return the expected time to the first token, in seconds.
+
+    Parameters
+    ----------
+    view : TargetView
+        What is known of the target.
+
+    Returns
+    -------
+    float
+    """
+    # Other prompts are read while an adapter loads.
+    before = max(view.load_wait, view.prefill_wait)
+    return view.queue_wait + before + view.prefill + view.distance
+
+
 def _cost_to_others(view):
     away = AWAY_PENALTY_S * min(view.home_rank, MAX_PENALISED_RANK)
     victim = VICTIM_PENALTY_S * min(view.victim_worth, MAX_PENALISED_WORTH)
--- a/skylarkpost/routing/configuration.py
+++ b/skylarkpost/routing/configuration.py
@@ -16,6 +16,13 @@
 ]
 
 
+# Callers give up a silent stream after the longest of these: seconds, latency
+# goals, and pauses.
+ABANDON_S = 2.0
+ABANDON_GOALS = 4.0
+ABANDON_PAUSES = 8.0
+
+
 class RouteKind(enum.StrEnum):
     """What may be done with a request whose outcome is not known."""
 
@@ -83,6 +90,12 @@
     is_public: bool
     is_resumable: bool
 
+    @property
+    def abandoned_after(self):
+        """Seconds after which callers give up a stream that does not begin."""
+        pause = ABANDON_PAUSES * (self.pause_goal or 0.0)
+        return max(ABANDON_S, ABANDON_GOALS * self.latency_goal, pause)
+
     @property
     def is_repeatable(self):
         """Whether a request that may have run may be sent again."""
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -12,7 +12,6 @@
     PlacementPolicy,
     PlacementRequest,
     Placer,
-    Preamble,
 )
 from skylarkpost.placement.preamble import preamble_hash, prompt_text
 from skylarkpost.rpc import stewardship_pb2_grpc
@@ -24,6 +23,7 @@
 from skylarkpost.stewardship.holder import TicketHolder
 from skylarkpost.stewardship.keeper import SeatKeeper
 from skylarkpost.stewardship.policy import StewardPolicy
+from skylarkpost.stewardship.prefill import Preamble
 from skylarkpost.stewardship.service import StewardshipServicer
 from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
 from skylarkpost.stewardship.table import CLAIM, RELEASE, StewardshipTable
--- a/skylarkpost/stewardship/desk.py
+++ b/skylarkpost/stewardship/desk.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import logging
+import math
 from typing import NamedTuple
 
 from skylarkpost.eventlog import log_event
@@ -19,7 +20,7 @@
 )
 from skylarkpost.targets import LoadReport
 
-__all__ = ["DeskPatience", "NotSteward", "TicketDesk"]
+__all__ = ["AskDetails", "DeskPatience", "NotSteward", "TicketDesk"]
 
 logger = logging.getLogger(__name__)
 
@@ -60,6 +61,27 @@
     targets_asked: int = MAX_TARGETS_ASKED
 
 
+class AskDetails(NamedTuple):
+    """What a steward is told beside the ticket's own data.
+
+    Attributes
+    ----------
+    prompt_tokens : int
+        Tokens of the prompt; 0 to leave the steward's backlog alone.
+    preambles : tuple of Preamble
+        Beginnings of the prompt.
+    patience : float
+        Longest time to the first token that is taken, in seconds.
+    deadline : float
+        Latest time for a grant, in seconds.
+    """
+
+    prompt_tokens: int = 0
+    preambles: tuple = ()
+    patience: float = math.inf
+    deadline: float = math.inf
+
+
 class TicketDesk:
     """Asks stewards for tickets on behalf of requests.
 
@@ -109,7 +131,7 @@
         )
         self._numbers = itertools.count(1)
 
-    async def acquire(self, exchange, targets, *, on_asked):
+    async def acquire(self, exchange, targets, *, on_asked, details=None):
         """Get a ticket from the first target that gives one.
 
         Parameters
@@ -120,6 +142,8 @@
             The targets to ask, the best first.
         on_asked : callable
             Called with each target's name and the ticket's id.
+        details : AskDetails or None
+            What stewards are told besides.
 
         Returns
         -------
@@ -127,7 +151,7 @@
         """
         refusals = []
         for target in targets[: self.patience.targets_asked]:
-            request = self._request(exchange)
+            request = self._request(exchange, details or AskDetails())
             on_asked(target.name, request.ticket_id)
             outcome = await self._ask(exchange, target, request)
             if isinstance(outcome, Ticket):
@@ -165,7 +189,7 @@
         )
         self.courier.send_soon()
 
-    def _request(self, exchange):
+    def _request(self, exchange, details):
         profile = exchange.profile
         store = self.services.controllers["config"].store
         team = store.team(exchange.team) if exchange.team else None
@@ -178,8 +202,11 @@
             weight=1.0 if team is None else team.weight,
             urgency=profile.urgency,
             tokens=max(1, exchange.prompt_tokens + exchange.output_tokens),
-            deadline=exchange.deadline,
+            deadline=min(exchange.deadline, details.deadline),
             suspect=exchange.suspect,
+            prompt_tokens=details.prompt_tokens,
+            preambles=details.preambles,
+            patience=details.patience,
         )
 
     async def _ask(self, exchange, target, request):
--- a/skylarkpost/stewardship/leases.py
+++ b/skylarkpost/stewardship/leases.py
@@ -39,6 +39,10 @@
         A holder is replaced when it has been missing for so long.
     rank_delay : float
         Each next candidate waits so much longer.
+    away_delay : float
+        Candidates of other data centres wait so much longer than those of the
+        target's own: a cut between data centres ends within some seconds, and
+        behind it only the target's own can reach it.
     settle : float
         Time after the start in which the other instances are heard.
     """
@@ -48,6 +52,7 @@
     margin: float = 0.5
     silence: float = 1.0
     rank_delay: float = 1.0
+    away_delay: float = 6.0
     settle: float = 1.5
 
 
@@ -263,10 +268,10 @@
 
         Parameters
         ----------
-        targets : list of str
-            All engines.
-        live : list of str
-            Instances that are heard, this one included.
+        targets : dict of str to str
+            Data centres of all engines, by target.
+        live : dict of str to str
+            Data centres of the instances that are heard, this one included.
         now : float
             The present time, in seconds.
 
@@ -274,18 +279,29 @@
         -------
         list of str
         """
-        return [name for name in targets if self._ought_to_claim(name, live, now)]
+        return [
+            name
+            for name, data_centre in targets.items()
+            if self._ought_to_claim(name, data_centre, live, now)
+        ]
 
-    def _ought_to_claim(self, target, live, now):
+    def _ought_to_claim(self, target, data_centre, live, now):
         holder = self.holder(target)
         if holder is not None and holder in live:
             self.vacant_since.pop(target, None)
             return False
         since = self.vacant_since.setdefault(target, now)
-        order = choose_members(target, live, len(live))
+        home = [name for name, place in live.items() if place == data_centre]
+        away = [name for name in live if name not in home]
+        order = [
+            *choose_members(target, home, len(home)),
+            *choose_members(target, away, len(away)),
+        ]
         if self.own not in order:
             return False
         delay = order.index(self.own) * self.policy.rank_delay
+        if self.own not in home:
+            delay += self.policy.away_delay
         if holder is not None:
             delay += self.policy.silence
         return now - since >= delay
--- a/skylarkpost/stewardship/messages.py
+++ b/skylarkpost/stewardship/messages.py
@@ -1,5 +1,6 @@
 """What goes into the steward of a target and what comes out of it."""
 
+import math
 from typing import NamedTuple
 
 from skylarkpost.outcomes import Reason
@@ -43,6 +44,13 @@
         End of the wait, in seconds of the steward's clock.
     suspect : bool
         Whether an engine crashed once while the request ran on it.
+    prompt_tokens : int
+        Tokens of the prompt; 0 if the holder does not tell.
+    preambles : tuple of Preamble
+        Beginnings of the prompt, the shortest first.
+    patience : float
+        Longest time to the first token, in seconds, that the holder takes here
+        rather than ask elsewhere.
     """
 
     ticket_id: str
@@ -54,6 +62,9 @@
     tokens: int
     deadline: float
     suspect: bool = False
+    prompt_tokens: int = 0
+    preambles: tuple = ()
+    patience: float = math.inf
 
 
 class HeldTicket(NamedTuple):
--- a/skylarkpost/stewardship/policy.py
+++ b/skylarkpost/stewardship/policy.py
@@ -48,6 +48,12 @@
     engine_settles_orders : bool
         Whether the engine itself lets runs finish before it unloads. Tickets
         then need no authority, only orders do.
+    one_version : bool
+        Whether the engine holds only one version of an adapter.
+    prefill_rate : float
+        Tokens of prompts that the engine reads in a second.
+    kept_tokens : float
+        Tokens of prompts that it keeps.
     """
 
     ticket_lease: float = 10.0
@@ -68,3 +74,6 @@
     queue_order: str = "fair"
     eviction: str = "worth"
     engine_settles_orders: bool = False
+    one_version: bool = False
+    prefill_rate: float = 40_000.0
+    kept_tokens: float = 200_000.0
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -297,7 +297,9 @@
         return blocked
 
     def _other_versions(self, lora_name):
-        # An engine holds one version of an adapter; orders to unload name none.
+        # Orders to unload name no version where the engine holds only one.
+        if not self.policy.one_version:
+            return []
         adapter = _adapter_of(lora_name)
         return [
             name
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -12,6 +12,7 @@
     RefuseTicket,
 )
 from skylarkpost.stewardship.policy import StewardPolicy
+from skylarkpost.stewardship.prefill import PreambleMemory, PrefillBacklog
 from skylarkpost.stewardship.queue import FairQueue
 from skylarkpost.stewardship.slots import SlotPlanner
 from skylarkpost.stewardship.summary import TargetSummary, adapter_hash
@@ -93,6 +94,8 @@
         self.retired = False
         self.batch_limit = target.batch_limit
         self.service_time = FIRST_SERVICE_TIME_S
+        self.kept = PreambleMemory(capacity=self.policy.kept_tokens)
+        self.backlog = PrefillBacklog(now=now)
         self.queue = FairQueue(
             limit=self.policy.queue_limit,
             order=self.policy.queue_order,
@@ -142,6 +145,13 @@
         reason = self._reason_to_refuse(request, now)
         if reason is not None:
             return [self._refuse(request, reason, now)]
+        start = self.expected_start(request, now)
+        if start > request.patience:
+            return [
+                RefuseTicket(
+                    request.ticket_id, request.holder, Reason.QUEUE_FULL, start
+                )
+            ]
         self.slots.demand.add(request.lora_name, now=now)
         ready = self.slots.is_usable(request.lora_name)
         is_new = not ready and not self.queue.is_blocked(request.lora_name)
@@ -225,6 +235,8 @@
         self.batch_limit = report.batch_limit
         if change.restarted:
             self.book.clear()
+            self.kept.clear()
+            self.backlog.clear()
             self.takeover.restarted()
         return commands + self._advance(now)
 
@@ -378,6 +390,32 @@
         for ticket in tickets:
             self._adopt(ticket, boot, now)
 
+    def expected_start(self, request, now):
+        """Return how long a request would wait for its first token.
+
+        Parameters
+        ----------
+        request : TicketRequest
+            The request.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        wait = self.expected_wait(request.urgency)
+        if not self.slots.is_usable(request.lora_name):
+            wait += self._expected_load_wait(now)
+        # Prompts that are being read meanwhile are not waited for.
+        ahead = self.backlog.ahead(request.urgency, now=now)
+        return max(wait, ahead) + self._prefill_time(request)
+
+    def _prefill_time(self, request):
+        missing = self.kept.missing(request.preambles, request.prompt_tokens)
+        return missing / self.policy.prefill_rate
+
     def expected_wait(self, urgency):
         """Return how long a new request of an urgency waits for the batch.
 
@@ -503,6 +541,8 @@
             suspect=request.suspect,
         )
         self.book.add(held)
+        self.backlog.add(self._prefill_time(request), urgency=request.urgency, now=now)
+        self.kept.note(request.preambles)
         assert self.book.occupied() <= self.batch_limit + self.policy.batch_slack
         self.queue.shares.charge(
             request.team, weight=request.weight, cost=request.tokens
--- a/skylarkpost/stewardship/wire.py
+++ b/skylarkpost/stewardship/wire.py
@@ -1,5 +1,7 @@
 """Converts between the messages of the cores and those on the wire."""
 
+import math
+
 from skylarkpost.outcomes import Reason
 from skylarkpost.rpc import stewardship_pb2 as pb
 from skylarkpost.stewardship.messages import (
@@ -9,6 +11,7 @@
     RefuseTicket,
     TicketRequest,
 )
+from skylarkpost.stewardship.prefill import Preamble
 
 __all__ = [
     "answer_to_wire",
@@ -50,6 +53,11 @@
         tokens=request.tokens,
         remaining=max(0.0, request.deadline - now),
         suspect=request.suspect,
+        prompt_tokens=request.prompt_tokens,
+        preambles=[
+            pb.Preamble(key=each.key, tokens=each.tokens) for each in request.preambles
+        ],
+        patience=0.0 if math.isinf(request.patience) else request.patience,
     )
 
 
@@ -65,6 +73,9 @@
         tokens=ask.tokens,
         deadline=now + ask.remaining,
         suspect=ask.suspect,
+        prompt_tokens=ask.prompt_tokens,
+        preambles=tuple(Preamble(each.key, each.tokens) for each in ask.preambles),
+        patience=ask.patience or math.inf,
     )
 
 
--- a/skylarkpost/targets/counted_engine.py
+++ b/skylarkpost/targets/counted_engine.py
@@ -20,8 +20,10 @@
 
 logger = logging.getLogger(__name__)
 
-# An order is answered within milliseconds; its connection may have gone silent.
-ORDER_TIMEOUT_S = 0.8
+# An order is answered within milliseconds. One that is not answered is given
+# again: since both carry the same count, the engine accepts only one of them.
+ORDER_TIMEOUTS_S = (0.12, 0.25, 0.5)
+REPORT_TIMEOUT_S = 0.8
 # A load from the weight store takes a quarter of a second and a few steps.
 FIRST_LOOK_S = 0.255
 LOOK_AGAIN_S = 0.015
@@ -276,13 +278,30 @@
                 fencing_number=self.fencing_number,
                 orders_accepted=self.orders_accepted,
             )
-            return await self._send(order, again)
+            return await self._give(order, again)
+
+    async def _give(self, order, again):
+        was_lost = False
+        for timeout in ORDER_TIMEOUTS_S:
+            verdict = await self._send(order, timeout)
+            if verdict is OrderVerdict.CONFLICT and was_lost:
+                # The one that was thought lost has been accepted.
+                counted = order._replace(orders_accepted=order.orders_accepted + 1)
+                verdict = await self._send(counted, timeout)
+                if verdict in (OrderVerdict.STARTED, OrderVerdict.HOLDS):
+                    self.orders_accepted = counted.orders_accepted
+                    return verdict
+            if verdict is not OrderVerdict.UNKNOWN or not self.may_order():
+                break
+            was_lost = True
+        self._count(order, verdict, again)
+        return verdict
 
-    async def _send(self, order, again):
+    async def _send(self, order, timeout):
         self.last_order_at = self.clock()
         method, path = self.codec.order_request
         body = self.codec.encode_order(order)
-        answer = await self.call(self.entry, method, path, body, ORDER_TIMEOUT_S)
+        answer = await self.call(self.entry, method, path, body, timeout)
         status = getattr(answer, "status", None)
         if status is None:
             verdict = OrderVerdict.UNKNOWN if answer.was_sent else OrderVerdict.REFUSED
@@ -304,7 +323,6 @@
             verdict=verdict,
             detail=detail,
         )
-        self._count(order, verdict, again)
         return verdict
 
     def _count(self, order, verdict, again):
@@ -321,7 +339,7 @@
 
     async def _read_state(self):
         method, path = self.codec.report_request
-        answer = await self.call(self.entry, method, path, b"", ORDER_TIMEOUT_S)
+        answer = await self.call(self.entry, method, path, b"", REPORT_TIMEOUT_S)
         status = getattr(answer, "status", None)
         if status != 200:
             return f"no report: {answer}"
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -18,7 +18,7 @@
 ]
 
 # Unacknowledged bytes for so long mean that the target is out of reach.
-USER_TIMEOUT_S = 3.0
+USER_TIMEOUT_S = 1.0
 MAX_BUFFERED = 262_144
 CLOSE = "close"
 
--- a/skylarkpost/transport/pool.py
+++ b/skylarkpost/transport/pool.py
@@ -7,7 +7,8 @@
 
 __all__ = ["ConnectionPool", "NoConnection", "reuse_bound"]
 
-CONNECT_TIMEOUT_S = 1.0
+# Some round trips, even between data centres; a cut shows no sooner.
+CONNECT_TIMEOUT_S = 0.3
 # Used where a target does not say when it closes an idle connection.
 UNSTATED_IDLE_S = 1.0
 # A connection is left alone for the last part of its time, so that a request
