--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -217,7 +217,7 @@
                 request=exchange.request_id,
                 answers=metadata.attempt_id,
             )
-            connection.skip_answer()
+            await connection.skip_answer()
 
     def _relay(self, exchange, ticket, connection, head, pieces):
         headers = forwardable(head.headers)
--- a/skylarkpost/stewardship/leases.py
+++ b/skylarkpost/stewardship/leases.py
@@ -178,7 +178,7 @@
         self.vacant_since.pop(target, None)
         if lease.holder != self.own or lease.is_released:
             self.orders_from.pop(target, None)
-        elif record.is_settled:
+        elif record.is_settled or (before is not None and self._is_own(before)):
             self.orders_from.setdefault(target, now)
         else:
             self.orders_from[target] = now + self._wait_after(before)
@@ -307,8 +307,6 @@
         return now - since >= delay
 
     def _wait_after(self, before):
-        if before is not None and self._is_own(before):
-            return 0.0
         if before is not None and before.is_released:
             return self.policy.pause + self.policy.margin
         return self.policy.authority + self.policy.pause + self.policy.margin
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -149,9 +149,9 @@
     def on_message_begin(self):
         """See `httptools.HttpResponseParser`."""
         if self._is_complete:
-            # Another answer after the one that was asked for.
+            # Another answer after the first: the connection is out of step.
             self.closes_after = True
-            self._surplus = True
+            self._is_complete = False
         self._headers = []
 
     def on_header(self, name, value):
@@ -160,8 +160,6 @@
 
     def on_headers_complete(self):
         """Hand the head on. See `httptools.HttpResponseParser`."""
-        if self._surplus:
-            return
         status = self.parser.get_status_code()
         if status < 200:
             self._informational = True
@@ -175,8 +173,6 @@
 
     def on_body(self, body):
         """Hand a piece on. See `httptools.HttpResponseParser`."""
-        if self._surplus:
-            return
         self._buffered += len(body)
         if self._buffered > MAX_BUFFERED:
             self.transport.pause_reading()
@@ -184,8 +180,6 @@
 
     def on_message_complete(self):
         """Hand the end on. See `httptools.HttpResponseParser`."""
-        if self._surplus:
-            return
         if self._informational:
             self._informational = False
             return
@@ -211,10 +205,14 @@
         self.used += 1
         self.transport.write(payload)
 
-    def skip_answer(self):
-        """Drop an answer that belongs to an earlier request; await the next."""
-        self._reset_parser()
-        self.events.clear()
+    async def skip_answer(self):
+        """Drop the rest of an answer that belongs to an earlier request."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, AnswerBroken):
+                self.events.appendleft(event)
+            if isinstance(event, AnswerEnd | AnswerBroken):
+                return
 
     async def receive(self):
         """Return what comes next of the answer.
@@ -223,6 +221,13 @@
         -------
         AnswerHead, bytes, AnswerEnd or AnswerBroken
         """
+        event = await self._next_event()
+        if isinstance(event, AnswerEnd | AnswerBroken):
+            self.at_work = False
+            self.idle_since = self.clock()
+        return event
+
+    async def _next_event(self):
         while not self.events:
             if not self.is_open:
                 return AnswerBroken("closed", self.had_bytes)
@@ -236,9 +241,6 @@
             self._buffered -= len(event)
             if self._buffered <= MAX_BUFFERED // 2 and self.is_open:
                 self.transport.resume_reading()
-        if isinstance(event, AnswerEnd | AnswerBroken):
-            self.at_work = False
-            self.idle_since = self.clock()
         return event
 
     @property
@@ -286,7 +288,6 @@
         self._in_body = False
         self._is_complete = False
         self._informational = False
-        self._surplus = False
 
     def _note_persistence(self, headers):
         for name, value in headers:
--- a/skylarkpost/transport/headers.py
+++ b/skylarkpost/transport/headers.py
@@ -1,8 +1,9 @@
 """Headers that concern one connection only."""
 
-__all__ = ["forwardable", "socket_options"]
-
 import socket
+import struct
+
+__all__ = ["forwardable", "reset", "socket_options"]
 
 HOP_BY_HOP = frozenset(
     {
@@ -18,6 +19,8 @@
         "expect",
     }
 )
+# On, and for no time: a close sends a reset.
+NO_LINGER = struct.pack("ii", 1, 0)
 KEEP_ALIVE_IDLE_S = 2
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 3
@@ -44,6 +47,20 @@
     return [(name, value) for name, value in headers if name not in dropped]
 
 
+def reset(transport):
+    """Close a connection so that the other side sees it broken off.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        A TCP connection.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+    transport.abort()
+
+
 def socket_options(sock, *, user_timeout):
     """Have the kernel notice a peer that went silent.
 
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from skylarkpost.transport.headers import socket_options
+from skylarkpost.transport.headers import reset, socket_options
 
 __all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainAnswer"]
 
@@ -392,7 +392,7 @@
         except BodyBrokenError:
             # Only a reset shows that a body without length is incomplete.
             if has_body and not lengths and not chunked:
-                self.transport.abort()
+                reset(self.transport)
             return False
         finally:
             await body.aclose()
--- /dev/null
+++ b/tests/discovery/test_directory.py
@@ -0,0 +1,49 @@
+from skylarkpost.discovery import TargetDirectory, TargetEntry, TargetState
+
+
+def entry(name="t", started_at_ms=1, **changes):
+    values = {
+        "name": name,
+        "service": "desk",
+        "address": "127.0.0.1:1",
+        "data_centre": "yaba",
+        "slots": 6,
+        "state": TargetState.READY,
+        "started_at_ms": started_at_ms,
+        "orders_accepted": 0,
+        "models": (),
+        "leaves_in": None,
+    }
+    return TargetEntry(**(values | changes))
+
+
+def test_a_leaving_target_is_not_used():
+    directory = TargetDirectory(lapse_grace=2.0)
+    directory.put(entry(state=TargetState.LEAVING), 0.0)
+    assert directory.usable(0.0) == []
+
+
+def test_an_announcement_of_an_earlier_run_is_dropped():
+    directory = TargetDirectory(lapse_grace=2.0)
+    directory.put(entry(started_at_ms=5), 0.0)
+    assert not directory.put(entry(started_at_ms=4), 0.0)
+    assert directory.find("t", 0.0).started_at_ms == 5
+
+
+def test_a_target_that_is_gone_is_not_used():
+    directory = TargetDirectory(lapse_grace=2.0)
+    directory.put(entry(), 0.0)
+    directory.drop("t", 1.0, after_outage=False)
+    assert directory.usable(1.0) == []
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_used_for_a_moment():
+    directory = TargetDirectory(lapse_grace=2.0)
+    directory.put(entry(), 0.0)
+    directory.put(entry("leaving", state=TargetState.LEAVING), 0.0)
+    directory.drop("t", 1.0, after_outage=True)
+    directory.drop("leaving", 1.0, after_outage=True)
+    assert [each.name for each in directory.usable(2.9)] == ["t"]
+    assert directory.usable(3.0) == []
+    directory.put(entry(), 3.5)
+    assert [each.name for each in directory.usable(9.0)] == ["t"]
--- /dev/null
+++ b/tests/transport/test_server.py
@@ -0,0 +1,204 @@
+"""Odd but proper callers are served, improper ones are told and cut off."""
+
+import asyncio
+
+import pytest
+
+from skylarkpost.outcomes import Relayed
+from skylarkpost.transport import BodyBrokenError, PlainAnswer
+from tests.transport.rig import BOUNDS, caller_server, talk
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+CLOSING_GET = b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+
+
+def recorder():
+    seen = []
+
+    async def handler(request):
+        seen.append(request)
+        return PlainAnswer(200, (), request.body or request.target.encode())
+
+    return seen, handler
+
+
+async def test_requests_on_one_connection_are_answered_in_order():
+    seen, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        payload = GET + GET.replace(b"/a", b"/b") + CLOSING_GET.replace(b"/a", b"/c")
+        got = await talk(port, payload)
+    assert [request.target for request in seen] == ["/a", "/b", "/c"]
+    assert got.index(b"/a") < got.index(b"/b") < got.index(b"/c")
+    assert got.count(b"connection: close") == 1
+
+
+async def test_a_chunked_body_is_received_whole():
+    seen, handler = recorder()
+    payload = (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+        b"Connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
+    async with caller_server(handler) as (port, _):
+        assert (await talk(port, payload)).endswith(b"abcde")
+    assert seen[0].body == b"abcde"
+
+
+async def test_a_body_that_comes_slowly_is_waited_for():
+    _, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n")
+        for byte in b"abcd":
+            await asyncio.sleep(BOUNDS.idle_timeout / 3)
+            writer.write(bytes([byte]))
+        assert b"abcd" in await reader.readuntil(b"abcd")
+        writer.close()
+
+
+async def test_a_caller_that_closes_its_sending_side_gets_its_answer():
+    _, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        assert (await talk(port, GET, half_close=True)).endswith(b"/a")
+
+
+async def test_a_body_is_asked_for_where_the_caller_waits():
+    _, handler = recorder()
+    head = (
+        b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+        b"Expect: 100-continue\r\nConnection: close\r\n\r\n"
+    )
+    async with caller_server(handler) as (port, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head)
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+        writer.write(b"ok")
+        assert (await reader.read()).endswith(b"ok")
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    ("payload", "status"),
+    [
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n"
+            b"Host: h\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+            b"Content-Length: 2\r\n\r\nab",
+            400,
+        ),
+        (b"GET /a HTTP/1.1\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n", 400),
+        (b"GET http://h/a HTTP/1.1\r\nHost: h\r\n\r\n", 400),
+        (b"nonsense\r\n\r\n", 400),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n", 400),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n",
+            400,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3000 + b"\r\n\r\n", 431),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 3000, 431),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n", 413),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1770\r\n" + b"x" * 6000 + b"\r\n0\r\n\r\n",
+            413,
+        ),
+        (b"GET /a HTTP/1.1\r\nHost: h\r\n", 408),
+        (b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc", 408),
+    ],
+)
+async def test_improper_requests_are_refused_and_run_nothing(payload, status):
+    seen, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        got = await talk(port, payload)
+    assert got.startswith(b"HTTP/1.1 %d " % status)
+    assert got.count(b"HTTP/1.1 ") == 1
+    assert b"connection: close" in got
+    assert seen == []
+
+
+async def test_requests_before_an_improper_one_are_answered():
+    seen, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        got = await talk(port, GET + b"nonsense\r\n\r\n")
+    assert [request.target for request in seen] == ["/a"]
+    assert got.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 400" in got
+
+
+async def test_an_idle_connection_is_kept_as_long_as_it_is_announced():
+    _, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for _ in range(2):
+            writer.write(GET)
+            await reader.readuntil(b"/a")
+            await asyncio.sleep(0.8 * BOUNDS.idle_timeout)
+        writer.write(GET)
+        await reader.readuntil(b"/a")
+        assert await asyncio.wait_for(reader.read(), 3 * BOUNDS.idle_timeout) == b""
+        writer.close()
+
+
+def streaming(pieces, *, headers=(), breaks=False):
+    async def body():
+        for piece in pieces:
+            yield piece
+        if breaks:
+            raise BodyBrokenError("the target broke off")
+
+    async def handler(request):
+        return Relayed(status=200, headers=list(headers), body=body())
+
+    return handler
+
+
+async def test_a_stream_is_passed_on_piece_by_piece():
+    async with caller_server(streaming([b"one", b"two"])) as (port, _):
+        got = await talk(port, CLOSING_GET)
+    assert got.endswith(b"3\r\none\r\n3\r\ntwo\r\n0\r\n\r\n")
+
+
+@pytest.mark.parametrize(
+    ("headers", "ending"),
+    [((), b"3\r\none\r\n"), ((("content-length", "9"),), b"one")],
+)
+async def test_an_answer_that_ends_early_does_not_look_complete(headers, ending):
+    handler = streaming([b"one"], headers=headers, breaks=True)
+    async with caller_server(handler) as (port, _):
+        got = await talk(port, GET)
+    assert got.endswith(ending)
+
+
+async def test_a_broken_answer_without_length_ends_with_a_reset():
+    handler = streaming([b"one"], breaks=True)
+    async with caller_server(handler) as (port, _):
+        with pytest.raises(ConnectionResetError):
+            await talk(port, b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+
+
+async def test_a_lost_caller_is_told_to_the_request_at_work():
+    told = asyncio.Event()
+
+    async def handler(request):
+        request.on_change = told.set
+        await asyncio.wait_for(told.wait(), 3)
+        return PlainAnswer(200)
+
+    async with caller_server(handler) as (port, _):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.wait_for(told.wait(), 3)
+
+
+async def test_connections_end_with_their_present_request_in_a_shutdown():
+    _, handler = recorder()
+    async with caller_server(handler, is_closing=lambda: True) as (port, _):
+        got = await talk(port, GET)
+    assert b"connection: close" in got
