Resume streams, bound the logs, refuse only what no engine could begin; a whole-path test

- A stream on a resumable route goes on at another target after its last whole event, within the route's attempts and the retry budget.
- Log lines go to standard output within a budget and never wait.
- The expected wait for a load counted loads one after the other and began at 0.5 s; three of six requests for two slots were refused at once although they could begin in time (found by tests/gateway/test_whole_path.py).

--- a/skylarkpost/eventlog/__init__.py
+++ b/skylarkpost/eventlog/__init__.py
@@ -1,5 +1,12 @@
-"""Structured logs: one line of key=value pairs for each event."""
+"""Structured log lines, one for each event."""
 
+from skylarkpost.eventlog.bounded import BoundedHandler, LineBudget
 from skylarkpost.eventlog.keyvalue import configure_logging, format_event, log_event
 
-__all__ = ["configure_logging", "format_event", "log_event"]
+__all__ = [
+    "BoundedHandler",
+    "LineBudget",
+    "configure_logging",
+    "format_event",
+    "log_event",
+]
--- a/skylarkpost/eventlog/keyvalue.py
+++ b/skylarkpost/eventlog/keyvalue.py
@@ -58,8 +58,8 @@
         logger.log(level, "%s", format_event(event, fields))
 
 
-def configure_logging(*, instance, level, stream=None):
-    """Send all log lines to standard error, each stamped with the instance.
+def configure_logging(*, instance, level, handler=None):
+    """Send all log lines to one handler, each stamped with the instance.
 
     Parameters
     ----------
@@ -67,8 +67,10 @@
         Id of this instance.
     level : str
         Name of the lowest level to write, e.g. ``"INFO"``.
+    handler : logging.Handler or None
+        Where to; standard error by default.
     """
-    handler = logging.StreamHandler(stream or sys.stderr)
+    handler = handler or logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter(instance=instance))
     root = logging.getLogger()
     root.handlers = [handler]
--- a/skylarkpost/gateway/app.py
+++ b/skylarkpost/gateway/app.py
@@ -89,6 +89,8 @@
         incoming.on_change = lambda: self._note_caller(exchange)
         self._note_caller(exchange)
         outcome = await self._run(exchange)
+        if isinstance(outcome, Refused) and outcome.run_state is RunState.NOT_RUN:
+            self._log_refusal(exchange, outcome)
         if not isinstance(outcome, Relayed):
             await self._finish(exchange, outcome)
         if isinstance(outcome, Relayed):
@@ -125,6 +127,7 @@
     async def _finish(self, exchange, outcome, *, is_whole=True):
         self.services.exchanges.pop(id(exchange), None)
         exchange.incoming.on_change = None
+        exchange.stop_timer()
         await exchange.finish()
         self._log_end(exchange, outcome, is_whole)
 
@@ -164,6 +167,22 @@
                 )
             )
 
+    def _log_refusal(self, exchange, refused):
+        asked = [
+            f"{each.detail}:{each.decision}"
+            for each in exchange.decisions
+            if each.filter in ("placement", "forward") and each.decision != "passed"
+        ]
+        log_event(
+            logger,
+            "request-refused",
+            request=exchange.request_id,
+            reason=refused.reason,
+            retry_after=refused.retry_after,
+            waited=self.services.clock() - exchange.received_at,
+            asked=",".join(asked) or None,
+        )
+
     def _log_end(self, exchange, outcome, is_whole):
         now = self.services.clock()
         status = reason = run_state = None
--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -1,5 +1,6 @@
 """One routed HTTP request on its way through the filter chain."""
 
+import asyncio
 from typing import NamedTuple
 
 from skylarkpost.filters import Exchange
@@ -60,6 +61,8 @@
         Ends the work at the deadline.
     timed_out : bool
         Whether it has.
+    last_event_id : str or None
+        Event after which the stream goes on at another target.
     """
 
     def __init__(self, *, incoming, metadata, **kwargs):
@@ -74,6 +77,7 @@
         self.connection = None
         self.timer = None
         self.timed_out = False
+        self.last_event_id = None
 
     @property
     def is_model_request(self):
@@ -91,6 +95,23 @@
         if self.connection is not None:
             self.connection.abort()
 
+    def start_timer(self, seconds):
+        """End the work at the target after some seconds, unless it ends before.
+
+        Parameters
+        ----------
+        seconds : float
+            Until the deadline. Later attempts end at the same time.
+        """
+        if self.timer is None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(seconds, self.time_out)
+
+    def stop_timer(self):
+        """Forget the deadline, since the request has ended."""
+        if self.timer is not None:
+            self.timer.cancel()
+
     def time_out(self):
         """End the work at the target, since the deadline has passed."""
         self.timed_out = True
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -1,12 +1,12 @@
 """Filter that sends a request to its target and passes the answer on."""
 
-import asyncio
 import logging
 from typing import NamedTuple
 
 from skylarkpost.controllers import GATEWAY
 from skylarkpost.eventlog import log_event
 from skylarkpost.filters import Filter, register_filter
+from skylarkpost.gateway.resume import EventCutter
 from skylarkpost.gateway.retries import (
     AttemptFailure,
     FailureKind,
@@ -33,9 +33,9 @@
 # Answers up to this size are read whole before the caller sees anything, so
 # that a target which breaks off can be replaced.
 MAX_WHOLE_BYTES = 262_144
-EVENT_END = b"\n\n"
 LEAST_RETRY_S = 0.2
 SERVER_ERROR = 500
+FIRST_NOT_SUCCESS = 300
 
 
 class Answer(NamedTuple):
@@ -63,10 +63,7 @@
     async def apply(self, exchange):
         """Relay the answer of a target. See `Filter.apply`."""
         services = self.services
-        route = exchange.route
-        rule = RetryRule(route.kind, route.is_resumable, route.max_targets)
-        budget = services.retry_budget(exchange.service.name)
-        budget.first_try()
+        services.retry_budget(exchange.service.name).first_try()
         avoid = set()
         while True:
             ticket = exchange.ticket
@@ -79,14 +76,7 @@
             now = services.clock()
             self._note_failure(exchange, ticket, result, now)
             avoid.add(ticket.target)
-            again = may_try_again(
-                rule,
-                result,
-                targets_tried=len(exchange.targets_tried),
-                time_left=exchange.deadline - now,
-                budget=budget,
-            )
-            if not again:
+            if not self._may_retry(exchange, result):
                 return self._final(exchange, result)
             outcome = await self._next_ticket(exchange, frozenset(avoid))
             if isinstance(outcome, Refused):
@@ -116,6 +106,20 @@
         )
 
     async def _attempt(self, exchange, ticket):
+        connection = await self._send(exchange, ticket)
+        if isinstance(connection, AttemptFailure):
+            return connection
+        result = None
+        try:
+            result = await self._read_answer(exchange, ticket, connection)
+            return result
+        finally:
+            is_relayed = isinstance(result, Relayed)
+            if not is_relayed or exchange.connection is not connection:
+                self._end_connection(exchange, ticket, connection)
+
+    async def _send(self, exchange, ticket):
+        """Send the request; return the connection on which its answer comes."""
         services = self.services
         connection = await services.connect(ticket, exchange.service)
         if isinstance(connection, ConnectFailed | NoConnection):
@@ -125,9 +129,8 @@
         if left <= 0 or exchange.cancelled is not None:
             services.pool.put_back(ticket.boot, connection)
             return AttemptFailure(FailureKind.TIMED_OUT, "no time left to send")
+        exchange.start_timer(left)
         exchange.connection = connection
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(left, exchange.time_out)
         exchange.targets_tried.add(ticket.boot)
         exchange.dispatched = True
         log_event(
@@ -141,23 +144,15 @@
             reused=connection.used > 0,
         )
         connection.send(self._payload(exchange, ticket, left))
-        keep_timer = False
-        try:
-            result = await self._read_answer(exchange, ticket, connection)
-            if isinstance(result, Relayed):
-                keep_timer = True
-                exchange.timer = timer
-            return result
-        finally:
-            if not keep_timer:
-                timer.cancel()
-                if exchange.connection is not None:
-                    self._end_connection(exchange, ticket, connection)
+        return connection
 
     def _payload(self, exchange, ticket, left):
         incoming = exchange.incoming
+        headers = forwardable(incoming.headers)
+        if exchange.last_event_id is not None:
+            headers = HeaderCodec.resumed(headers, exchange.last_event_id)
         headers = HeaderCodec.for_target(
-            forwardable(incoming.headers),
+            headers,
             target=ticket.target,
             team=exchange.team,
             patience=left,
@@ -170,7 +165,9 @@
         if isinstance(began, AttemptFailure):
             return began
         head, metadata = began
-        is_stream = exchange.route.kind is RouteKind.STREAM and head.status < 300
+        is_stream = (
+            exchange.route.kind is RouteKind.STREAM and head.status < FIRST_NOT_SUCCESS
+        )
         if is_stream:
             return self._relay(exchange, ticket, connection, head, [])
         pieces, size = [], 0
@@ -234,34 +231,90 @@
         )
 
     async def _pieces(self, exchange, ticket, connection, pieces):
+        cutter = EventCutter() if exchange.route.is_resumable else None
         try:
             for piece in pieces:
                 yield piece
             while True:
                 event = await connection.receive()
                 if isinstance(event, bytes):
-                    if exchange.first_byte_at is None:
+                    piece = event if cutter is None else cutter.feed(event)
+                    if piece and exchange.first_byte_at is None:
                         exchange.first_byte_at = self.services.clock()
-                    yield event
+                    yield piece
                 elif isinstance(event, AnswerBroken):
-                    log_event(
-                        logger,
-                        "stream-broken",
-                        request=exchange.request_id,
-                        target=ticket.target,
-                        detail=event.detail,
-                        timed_out=exchange.timed_out,
-                    )
-                    raise BodyBrokenError(event.detail)
+                    self._log_break(exchange, ticket, event)
+                    resumed = None
+                    if cutter is not None:
+                        self._end_connection(exchange, ticket, connection)
+                        resumed = await self._resume(exchange, cutter, event)
+                    if resumed is None:
+                        raise BodyBrokenError(event.detail)
+                    ticket, connection = resumed
                 else:
+                    if cutter is not None:
+                        yield cutter.take_rest()
                     return
         finally:
-            if exchange.timer is not None:
-                exchange.timer.cancel()
             self._end_connection(exchange, ticket, connection)
 
+    async def _resume(self, exchange, cutter, broken):
+        """Let a stream go on at another target after its last whole event."""
+        failure = AttemptFailure(FailureKind.UNKNOWN, broken.detail)
+        cutter.take_rest()
+        exchange.last_event_id = cutter.last_id or exchange.metadata.last_event_id
+        avoid = {exchange.ticket.target}
+        while self._may_retry(exchange, failure):
+            ticket = await self._next_ticket(exchange, frozenset(avoid))
+            if isinstance(ticket, Refused):
+                return None
+            exchange.ticket = ticket
+            connection = await self._send(exchange, ticket)
+            failure = connection
+            if not isinstance(connection, AttemptFailure):
+                began = await self._read_head(exchange, connection)
+                failure = began
+                if not isinstance(began, AttemptFailure):
+                    if began[0].status < FIRST_NOT_SUCCESS:
+                        log_event(
+                            logger,
+                            "stream-resumed",
+                            request=exchange.request_id,
+                            target=ticket.target,
+                            after=exchange.last_event_id,
+                        )
+                        return ticket, connection
+                    failure = AttemptFailure(
+                        FailureKind.NOT_EXECUTED, f"status {began[0].status}"
+                    )
+                self._end_connection(exchange, ticket, connection)
+            self._judge(exchange, ticket, failure)
+            avoid.add(ticket.target)
+        return None
+
+    def _may_retry(self, exchange, failure):
+        route = exchange.route
+        return exchange.cancelled is None and may_try_again(
+            RetryRule(route.kind, route.is_resumable, route.max_targets),
+            failure,
+            targets_tried=len(exchange.targets_tried),
+            time_left=exchange.deadline - self.services.clock(),
+            budget=self.services.retry_budget(exchange.service.name),
+        )
+
+    def _log_break(self, exchange, ticket, event):
+        log_event(
+            logger,
+            "stream-broken",
+            request=exchange.request_id,
+            target=ticket.target,
+            detail=event.detail,
+            timed_out=exchange.timed_out,
+        )
+
     def _end_connection(self, exchange, ticket, connection):
-        exchange.connection = None
+        if exchange.connection is connection:
+            exchange.connection = None
         if connection.at_work:
             connection.abort()
         else:
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -33,6 +33,11 @@
     ----------
     services : GatewayServices
         Clients are set already.
+
+    Attributes
+    ----------
+    notice : float
+        Seconds between not ready and no new requests, in a shutdown.
     """
 
     def __init__(self, *, services):
@@ -51,6 +56,7 @@
         self.is_listening = False
         self.is_ending = False
         self.is_ready_logged = False
+        self.notice = NOTICE_S
 
     async def run(self):
         """Serve until `stop_requested` is set, then leave in order."""
@@ -132,7 +138,7 @@
         services = self.services
         log_event(logger, "shutdown-started", open_requests=len(services.exchanges))
         services.draining = True
-        await asyncio.sleep(NOTICE_S)
+        await asyncio.sleep(self.notice)
         services.leaving = True
         while True:
             for connection in list(self.connections):
--- a/skylarkpost/gateway/main.py
+++ b/skylarkpost/gateway/main.py
@@ -12,14 +12,14 @@
 import cappa
 
 from skylarkpost.daemon.main import EXIT_BAD_SETTINGS, handle_loop_error
-from skylarkpost.eventlog import configure_logging, log_event
+from skylarkpost.eventlog import BoundedHandler, configure_logging, log_event
 from skylarkpost.gateway.instance import GatewayInstance
 from skylarkpost.gateway.services import GatewayServices
 from skylarkpost.platform import StoreClient
 from skylarkpost.settings import load_settings
 from skylarkpost.settings.gateway import GatewaySettings
 
-__all__ = ["GatewayCommand", "main"]
+__all__ = ["GatewayCommand", "import_parts", "main"]
 
 logger = logging.getLogger(__name__)
 
@@ -60,11 +60,19 @@
             print(fault, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
     configure_logging(
-        instance=settings.instance.id, level=settings.log.level, stream=sys.stdout
+        instance=settings.instance.id,
+        level=settings.log.level,
+        handler=BoundedHandler(),
     )
     asyncio.run(serve(settings, command.settings))
 
 
+def import_parts():
+    """Import all parts, so that their decorators fill the registries."""
+    for name in PARTS:
+        importlib.import_module(name)
+
+
 async def serve(settings, path):
     """Run one instance until the process is told to stop.
 
@@ -75,8 +83,7 @@
     path : pathlib.Path
         Where they were read from.
     """
-    for name in PARTS:
-        importlib.import_module(name)
+    import_parts()
     store = StoreClient(address=settings.store.address)
     services = GatewayServices(settings=settings, store=store, seed=None)
     instance = GatewayInstance(services=services)
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -79,6 +79,8 @@
     demand_half_life=10.0,
     engine_settles_orders=True,
     one_version=True,
+    first_load_cost=LOAD_WAIT_S,
+    loads_side_by_side=2,
 )
 
 
@@ -314,23 +316,26 @@
         exchange.profile = self.profile_of(exchange)
         request = _placement_request(exchange)
         give_up_at = exchange.received_at + self._longest_wait(exchange)
-        refusals = []
+        waits = {}
         tried = set()
         for asks_left in reversed(range(TARGETS_ASKED)):
             now = self.services.clock()
             if exchange.cancelled is not None:
                 return exchange.cancelled
             targets = self._engines(exchange.service, now)
-            avoided = avoid | self._avoided(targets, now) | tried
-            ranked = self.placer.rank(request, targets, now, avoid=avoided)
+            left_alone = avoid | self._avoided(targets, now) | tried
+            ranked = self.placer.rank(request, targets, now, avoid=left_alone)
             if not ranked:
                 return _no_target("No engine of this model is there.")
             name, view = ranked[0]
+            if name in tried:
+                break
             wait = expected_wait(view)
+            waits[name] = wait
             if now + wait > give_up_at:
-                return _too_busy(now + wait - give_up_at)
+                break
             tolerated = give_up_at - now
-            if asks_left and len(ranked) > len(avoided):
+            if asks_left and len(ranked) > len(left_alone):
                 tolerated = min(tolerated, wait + TOLERATED_DELAY_S)
             target = next(each for each in targets if each.name == name)
             outcome = await self._ask(
@@ -338,17 +343,21 @@
             )
             if not isinstance(outcome, Refused):
                 return outcome
-            if outcome.reason is Reason.QUEUE_FULL:
-                self.placer.note_wait(
-                    name,
-                    outcome.retry_after,
-                    self.services.clock(),
-                    urgency=exchange.urgency,
-                )
-            else:
+            now = self.services.clock()
+            if outcome.reason is not Reason.QUEUE_FULL:
+                waits[name] = math.inf
+                tried.add(name)
+                continue
+            waits[name] = outcome.retry_after
+            self.placer.note_wait(
+                name, outcome.retry_after, now, urgency=exchange.urgency
+            )
+            if now + outcome.retry_after > give_up_at:
                 tried.add(name)
-            refusals.append(outcome)
-        return refusals[-1]
+        least = min(waits.values(), default=math.inf)
+        if math.isinf(least):
+            return _no_target("No engine of this model takes requests at present.")
+        return _too_busy(self.services.clock() + least - give_up_at)
 
     async def _ask(self, exchange, request, target, *, tolerated, give_up_at):
         asked = []
--- a/skylarkpost/stewardship/policy.py
+++ b/skylarkpost/stewardship/policy.py
@@ -50,6 +50,10 @@
         then need no authority, only orders do.
     one_version : bool
         Whether the engine holds only one version of an adapter.
+    first_load_cost : float
+        Seconds that a load takes, before any was seen.
+    loads_side_by_side : int
+        Loads of one target that do not wait for each other.
     prefill_rate : float
         Tokens of prompts that the engine reads in a second.
     kept_tokens : float
@@ -75,5 +79,7 @@
     eviction: str = "worth"
     engine_settles_orders: bool = False
     one_version: bool = False
+    first_load_cost: float = 0.5
+    loads_side_by_side: int = 1
     prefill_rate: float = 40_000.0
     kept_tokens: float = 200_000.0
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -19,7 +19,6 @@
 
 __all__ = ["SlotPlanner"]
 
-FIRST_LOAD_COST_S = 0.5
 COST_SMOOTHING = 0.2
 PERMIT_PATIENCE_S = 2.0
 
@@ -65,7 +64,7 @@
         self.load_shares = FairShares()
         self.barred = {}
         self.wanted = []
-        self.load_cost = FIRST_LOAD_COST_S
+        self.load_cost = policy.first_load_cost
         self.evictions = 0
         self.victims = VictimChooser(
             residency=self.residency,
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -627,4 +627,5 @@
 
     def _expected_load_wait(self, now):
         waiting = len(self.queue.blocked_adapters(now))
-        return self.slots.load_cost * (1 + waiting)
+        rounds = 1 + waiting / self.policy.loads_side_by_side
+        return self.slots.load_cost * rounds
--- /dev/null
+++ b/standins/gateway_target.py
@@ -0,0 +1,241 @@
+"""Stand-in for a server behind the gateway: an engine, or a plain service.
+
+It speaks on plain sockets, so that it can break off, fall silent and add bytes
+wherever a test wants it to.
+"""
+
+import asyncio
+import contextlib
+import json
+from typing import NamedTuple
+
+__all__ = ["GatewayTargetStandIn", "ReceivedRequest"]
+
+LOAD_S = 0.05
+EVENT_PAUSE_S = 0.005
+
+
+class ReceivedRequest(NamedTuple):
+    """One request as it arrived.
+
+    Attributes
+    ----------
+    line : str
+        The request line.
+    headers : dict of str to str
+        By lower-case name.
+    body : bytes
+        The whole body.
+    """
+
+    line: str
+    headers: dict
+    body: bytes
+
+
+class GatewayTargetStandIn:
+    """Answers requests, reports and orders.
+
+    Parameters
+    ----------
+    name : str
+        Its id.
+    slots : int
+        Adapters that it holds; 0 for a plain service.
+    model : str or None
+        Base model that it holds.
+
+    Attributes
+    ----------
+    ran : list of ReceivedRequest
+        Requests that it began to run.
+    script : list of str
+        What happens to the next requests: ``"ok"``, ``"fail"``, ``"shed"``,
+        ``"break"`` (in the middle), ``"drop"`` (before any byte), ``"silent"``,
+        ``"late"`` (another's answer first).
+    events : int
+        Events of a stream.
+    """
+
+    def __init__(self, *, name, slots=0, model=None):
+        self.name = name
+        self.slots = slots
+        self.model = model
+        self.adapters = {}
+        self.loading = {}
+        self.accepted = 0
+        self.ran = []
+        self.cancelled = []
+        self.script = []
+        self.events = 4
+        self.overloads = 0
+        self.port = None
+
+    @contextlib.asynccontextmanager
+    async def serving(self):
+        """Serve on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+        try:
+            yield self
+        finally:
+            server.close()
+
+    def entry(self, service, zone, **changes):
+        """Return the server's announcement as it writes it to the store."""
+        models = []
+        if self.model is not None:
+            adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
+            models = [{"name": self.model, "version": 1, "adapters": adapters}]
+        values = {
+            "service": service,
+            "address": f"127.0.0.1:{self.port}",
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldLeftMs": 0,
+            "models": models,
+            "seq": self.accepted,
+            "born": 1_700_000_000_000,
+        }
+        return json.dumps(values | changes).encode()
+
+    async def _serve(self, reader, writer):
+        ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
+            while await self._serve_one(reader, writer):
+                pass
+        writer.close()
+
+    async def _serve_one(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        line, *lines = head.strip().split("\r\n")
+        headers = {}
+        for each in lines:
+            name, _, value = each.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        request = ReceivedRequest(line, headers, body)
+        if headers.get("x-expect-instance", self.name) != self.name:
+            return self._answer(writer, 421, b"", {})
+        path = line.split()[1]
+        if path == "/-/report":
+            return self._answer(writer, 200, self._report(), {})
+        if path == "/-/order":
+            status, answer = self._order(json.loads(body))
+            return self._answer(writer, status, answer, {})
+        return await self._run(request, writer)
+
+    async def _run(self, request, writer):
+        step = self.script.pop(0) if self.script else "ok"
+        attempt = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        if step == "shed" or self._lacks(request):
+            status = 503 if step == "shed" else 421
+            return self._answer(writer, status, b"", attempt | {"X-Not-Executed": "1"})
+        self.ran.append(request)
+        if step == "drop":
+            return False
+        if step == "silent":
+            await asyncio.sleep(30)
+            return False
+        if step == "fail":
+            return self._answer(
+                writer, 500, b"failed", attempt | {"X-Server-Stamp": "s"}
+            )
+        if step == "late":
+            self._answer(writer, 200, b"another's", {"X-Attempt-Id": "another"})
+        stamped = attempt | {"X-Server-Stamp": f"{self.name}.1"}
+        if self.model is None:
+            if step == "break":
+                writer.write(self._head(200, stamped | {"Content-Length": "9"}) + b"ab")
+                return False
+            return self._answer(
+                writer, 200, f"{self.name}:".encode() + request.body, stamped
+            )
+        return await self._stream(request, writer, stamped, step)
+
+    async def _stream(self, request, writer, headers, step):
+        chunked = {
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        writer.write(self._head(200, headers | chunked))
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self.events + 1):
+            event = b"id: %d\ndata: %d\n\n" % (number, number)
+            if step == "break" and number == first + 1:
+                event = event[:8]
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            try:
+                await writer.drain()
+            except ConnectionError:
+                self.cancelled.append(request)
+                raise
+            if step == "break" and number == first + 1:
+                return False
+            await asyncio.sleep(EVENT_PAUSE_S)
+            if writer.transport.is_closing():
+                self.cancelled.append(request)
+                return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def _lacks(self, request):
+        _, _, adapter = request.headers.get("x-model", "").partition("/")
+        self._settle()
+        return bool(adapter) and adapter not in self.adapters
+
+    def _settle(self):
+        now = asyncio.get_running_loop().time()
+        for name, (version, due) in list(self.loading.items()):
+            if due <= now:
+                del self.loading[name]
+                self.adapters[name] = version
+
+    def _report(self):
+        self._settle()
+        adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
+        pending = [f"{self.model}/{n}@{v}" for n, (v, _) in self.loading.items()]
+        return json.dumps(
+            {
+                "models": [{"name": self.model, "version": 1, "adapters": adapters}],
+                "busy": False,
+                "seq": self.accepted,
+                "waiting": 0,
+                "running": 0,
+                "pending": pending,
+            }
+        ).encode()
+
+    def _order(self, order):
+        self._settle()
+        name, version = order["adapter"], order.get("version", 1)
+        if order["op"] == "load" and name in self.loading:
+            return 202, b""
+        if order["precondition"] != self.accepted:
+            return 409, b""
+        if order["op"] == "unload":
+            if name not in self.adapters:
+                return 200, b""
+            self.accepted += 1
+            del self.adapters[name]
+            return 200, b""
+        if self.adapters.get(name) == version:
+            return 200, b""
+        self.accepted += 1
+        if len(self.adapters) + len(self.loading) >= self.slots:
+            self.overloads += 1
+        due = asyncio.get_running_loop().time() + LOAD_S
+        self.loading[name] = (version, due)
+        return 202, b""
+
+    def _answer(self, writer, status, body, headers):
+        headers = headers | {"Content-Length": str(len(body))}
+        writer.write(self._head(status, headers) + body)
+        return True
+
+    def _head(self, status, headers):
+        lines = [f"HTTP/1.1 {status} Status"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
--- /dev/null
+++ b/tests/eventlog/test_bounded.py
@@ -0,0 +1,69 @@
+import logging
+import os
+
+from skylarkpost.eventlog import BoundedHandler, LineBudget
+
+
+def record(number, level=logging.INFO, created=0.0):
+    values = {"msg": f"event=e n={number}", "levelno": level, "created": created}
+    return logging.makeLogRecord(values)
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    found = b""
+    while True:
+        try:
+            piece = os.read(descriptor, 65536)
+        except BlockingIOError:
+            return found.decode()
+        if not piece:
+            return found.decode()
+        found += piece
+
+
+def test_lines_beyond_the_budget_are_counted_and_said_so():
+    reader, writer = os.pipe()
+    handler = BoundedHandler(descriptor=writer, budget=LineBudget(rate=10.0, burst=5.0))
+    for number in range(100):
+        handler.emit(record(number))
+    handler.emit(record("warned", logging.WARNING))
+    handler.emit(record("later", created=1.0))
+    lines = read_all(reader).splitlines()
+    assert lines[:5] == [f"event=e n={number}" for number in range(5)]
+    assert lines[5:] == [
+        "event=lines-dropped count=95",
+        "event=e n=warned",
+        "event=e n=later",
+    ]
+
+
+def test_a_reader_that_does_not_read_blocks_nothing_and_tears_no_line():
+    reader, writer = os.pipe()
+    handler = BoundedHandler(descriptor=writer, budget=LineBudget(rate=1e6, burst=1e6))
+    for number in range(20_000):
+        handler.emit(record(number))
+    assert handler.dropped
+    first = read_all(reader)
+    handler.emit(record("last"))
+    lines = (first + read_all(reader)).splitlines()
+    assert lines[-1] == "event=e n=last"
+    assert all(line.startswith("event=") for line in lines)
+    told = [line for line in lines if "lines-dropped" in line]
+    written = len(lines) - len(told)
+    assert written + sum(int(line.rpartition("=")[2]) for line in told) == 20_001
+
+
+def test_a_reader_that_is_gone_is_no_fault():
+    reader, writer = os.pipe()
+    os.close(reader)
+    handler = BoundedHandler(descriptor=writer)
+    handler.emit(record(1))
+    assert handler.dropped == 1
+
+
+def test_a_clock_that_steps_back_gives_no_lines_away():
+    budget = LineBudget(rate=1.0, burst=1.0)
+    assert budget.take(now=10.0)
+    assert not budget.take(now=5.0)
+    assert budget.take(now=6.0)
--- /dev/null
+++ b/tests/gateway/rig.py
@@ -0,0 +1,211 @@
+"""One gateway instance inside the test's process, over stand-ins."""
+
+import asyncio
+import contextlib
+import json
+import socket
+
+import aiohttp
+import yarl
+
+from skylarkpost.gateway import main as gateway_main
+from skylarkpost.gateway.instance import GatewayInstance
+from skylarkpost.gateway.services import GatewayServices
+from skylarkpost.platform import OPERATOR_TOPIC, TARGETS_TOPIC, StoreClient
+from skylarkpost.settings.gateway import GatewaySettings
+from standins.common import serving
+from standins.gateway_target import GatewayTargetStandIn
+from standins.store import StoreStandIn
+
+MODEL = "base"
+KEY = "key-of-depot"
+HOST = "desk.example"
+
+
+def route(name, prefix, kind, **changes):
+    values = {
+        "name": name,
+        "host": HOST,
+        "pathPrefix": prefix,
+        "routeKind": kind,
+        "timeoutMs": 3000,
+        "latencyGoalMs": 300,
+        "priority": 1,
+        "service": "engines" if kind == "streaming" else "plain",
+        "attempts": 2,
+        "public": False,
+        "resumable": False,
+    }
+    return values | changes
+
+
+ROUTES = [
+    route("safe", "/safe/", "safe"),
+    route("unsafe", "/unsafe/", "unsafe", attempts=1),
+    route("stream", "/stream/", "streaming", attempts=1, gapTargetMs=300),
+    route("resumable", "/resumable/", "streaming", resumable=True, gapTargetMs=300),
+    route("short", "/short/", "safe", timeoutMs=200),
+    route("open", "/open/", "safe", public=True),
+]
+
+
+def configuration(version=1, routes=ROUTES, rate=0, slots=2):
+    engine = {
+        "slots": 8,
+        "kvCapacity": 100_000,
+        "models": [{"name": MODEL, "weightsMb": 1.0, "loadS": 1.0, "adapters": 9}],
+        "weightsMb": 100.0,
+        "adapterSlots": slots,
+    }
+    return json.dumps(
+        {
+            "version": version,
+            "routes": routes,
+            "services": [
+                {
+                    "name": "engines",
+                    "healthPath": "/healthz",
+                    "maxConns": 64,
+                    "engine": engine,
+                },
+                {"name": "plain", "healthPath": "/healthz", "maxConns": 64},
+            ],
+            "limits": {
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 65536,
+                "headerTimeoutMs": 1000,
+                "idleTimeoutMs": 2000,
+            },
+            "tenants": [
+                {
+                    "name": "depot",
+                    "apiKeys": [KEY],
+                    "unit": "tokens",
+                    "plainTokens": 200,
+                    "ratePerS": rate,
+                    "burst": rate,
+                }
+            ],
+        }
+    ).encode()
+
+
+def free_addresses(count):
+    with contextlib.ExitStack() as stack:
+        found = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            found.append(f"127.0.0.1:{sock.getsockname()[1]}")
+        return found
+
+
+class GatewayRig:
+    """A running gateway, its store and its targets."""
+
+    def __init__(self, *, store, targets, instance, session, front, ready):
+        self.store = store
+        self.targets = targets
+        self.instance = instance
+        self.session = session
+        self.front = front
+        self.ready = ready
+        self.number = 0
+
+    async def announce(self, target, **changes):
+        service = "engines" if target.model else "plain"
+        value = target.entry(service, "yaba", **changes)
+        await self.store.put(TARGETS_TOPIC, target.name, value)
+
+    async def configure(self, payload):
+        await self.store.put(OPERATOR_TOPIC, "config", payload)
+        version = json.loads(payload)["version"]
+        state = self.instance.services.controllers["config"].state
+        await until(lambda: state.version >= version)
+
+    def request(self, path, *, method="GET", key=KEY, headers=None, **kwargs):
+        self.number += 1
+        sent = {
+            "Host": HOST,
+            "X-Attempt-Id": f"attempt-{self.number}",
+            "X-Deadline-Ms": "2500",
+        }
+        if key is not None:
+            sent["Authorization"] = f"Bearer {key}"
+        return self.session.request(
+            method,
+            yarl.URL(f"http://{self.front}{path}", encoded=True),
+            headers=sent | (headers or {}),
+            **kwargs,
+        )
+
+    async def fetch(self, path, **kwargs):
+        async with self.request(path, **kwargs) as response:
+            return response.status, await response.read(), response.headers
+
+
+async def until(condition, seconds=5.0):
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def gateway(*, engines=2, plain=2, slots=2, payload=None):
+    """Run a gateway in front of some targets."""
+    stand_in = StoreStandIn()
+    async with contextlib.AsyncExitStack() as stack:
+        addresses = await stack.enter_async_context(serving(stand_in))
+        targets = [
+            GatewayTargetStandIn(name=f"e{n}", slots=slots, model=MODEL)
+            for n in range(engines)
+        ]
+        targets += [GatewayTargetStandIn(name=f"p{n}") for n in range(plain)]
+        for target in targets:
+            await stack.enter_async_context(target.serving())
+        front, ready, peers, metrics = free_addresses(4)
+        settings = GatewaySettings.model_validate(
+            {
+                "instance": {
+                    "id": "entry-1",
+                    "data_centre": "yaba",
+                    "front_address": front,
+                    "ready_address": ready,
+                    "peer_address": peers,
+                    "metrics_address": metrics,
+                },
+                "store": {"address": addresses[0].removeprefix("http://")},
+            }
+        )
+        gateway_main.import_parts()
+        store = StoreClient(address=settings.store.address)
+        services = GatewayServices(settings=settings, store=store, seed=1)
+        instance = GatewayInstance(services=services)
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        rig = GatewayRig(
+            store=stand_in,
+            targets={each.name: each for each in targets},
+            instance=instance,
+            session=session,
+            front=front,
+            ready=ready,
+        )
+        await stand_in.put(OPERATOR_TOPIC, "config", payload or configuration())
+        for target in targets:
+            await rig.announce(target)
+        running = asyncio.create_task(instance.run())
+        keeper = services.controllers["stewardship"].keeper
+        # There is no other instance to be heard first.
+        keeper.table.policy = keeper.table.policy._replace(settle=0.0)
+
+        def is_stewarded():
+            counts = [seat.engines.orders_accepted for seat in keeper.seats.values()]
+            return len(counts) == engines and None not in counts
+
+        try:
+            await until(lambda: instance.is_ready() and is_stewarded(), 8.0)
+            yield rig
+        finally:
+            instance.notice = 0.0
+            instance.stop_requested.set()
+            await asyncio.wait_for(running, 15)
--- /dev/null
+++ b/tests/gateway/test_whole_path.py
@@ -0,0 +1,232 @@
+"""Requests through a whole gateway instance, over sockets and stand-ins."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.gateway.rig import MODEL, ROUTES, configuration, gateway, route, until
+
+ADAPTER = {
+    "X-Model": f"{MODEL}/a1",
+    "X-Token-Count": "100,10",
+    "X-Prompt-Prefix": "aa:50,bb:40",
+}
+
+
+def ran(rig):
+    return [(t.name, r) for t in rig.targets.values() for r in t.ran]
+
+
+async def test_a_call_reaches_a_target_unchanged_and_its_answer_comes_back_whole():
+    async with gateway(engines=0) as rig:
+        status, body, headers = await rig.fetch(
+            "/unsafe/x?y=1%2F2", method="POST", data=b"work"
+        )
+        assert status == 200
+        assert body.endswith(b":work")
+        assert headers["X-Server-Stamp"]
+        [(name, request)] = ran(rig)
+        assert request.line == "POST /unsafe/x?y=1%2F2 HTTP/1.1"
+        assert request.headers["x-tenant"] == "depot"
+        assert request.headers["x-expect-instance"] == name
+        assert 0 < int(request.headers["x-deadline-ms"]) < 2500
+        assert "authorization" not in request.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/none/", "key-of-depot", 404),
+        ("/safe/", None, 401),
+        ("/safe/", "unknown", 401),
+        ("/open/", None, 200),
+    ],
+)
+async def test_routes_and_keys_decide_who_is_served(path, key, status):
+    async with gateway(engines=0, plain=1) as rig:
+        assert (await rig.fetch(path, key=key))[0] == status
+
+
+async def test_an_absent_adapter_is_loaded_and_its_stream_passed_on():
+    async with gateway(plain=0) as rig:
+        status, body, _ = await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert status == 200
+        assert body.count(b"data:") == 4
+        [(_, request)] = ran(rig)
+        assert request.headers["x-request-priority"] == "1"
+
+
+async def test_more_adapters_than_fit_take_turns_and_never_overload_an_engine():
+    async with gateway(engines=1, plain=0, slots=2) as rig:
+        calls = [
+            rig.fetch(
+                "/stream/",
+                method="POST",
+                headers=ADAPTER | {"X-Model": f"{MODEL}/a{n}"},
+            )
+            for n in range(6)
+        ]
+        results = await asyncio.gather(*calls)
+        assert [status for status, _, _ in results] == [200] * 6
+        assert rig.targets["e0"].overloads == 0
+
+
+async def test_a_new_version_of_an_adapter_takes_the_old_ones_place():
+    async with gateway(engines=1, plain=0) as rig:
+        await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert rig.targets["e0"].adapters == {"a1": 1}
+        value = b'{"model":"base","adapter":"a1","version":2}'
+        await rig.store.put("keyed.op", "version/base.a1", value)
+        config = rig.instance.services.controllers["config"]
+        await until(lambda: config.adapter_version(MODEL, "a1") == 2)
+        status, _, _ = await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert status == 200
+        assert rig.targets["e0"].adapters == {"a1": 2}
+
+
+@pytest.mark.parametrize("step", ["fail", "drop", "break", "shed"])
+async def test_a_safe_call_is_tried_again_elsewhere(step):
+    async with gateway(engines=0) as rig:
+        for target in rig.targets.values():
+            target.script = [step]
+        results = [await rig.fetch("/safe/") for _ in range(2)]
+        assert 200 in [status for status, _, _ in results]
+        assert len(ran(rig)) <= 4
+
+
+@pytest.mark.parametrize(("step", "status"), [("drop", 502), ("break", 502)])
+async def test_work_that_may_have_run_is_not_repeated(step, status):
+    async with gateway(engines=0) as rig:
+        for target in rig.targets.values():
+            target.script = [step] * 3
+        assert (await rig.fetch("/unsafe/", method="POST"))[0] == status
+        assert len(ran(rig)) == 1
+
+
+async def test_a_targets_own_failure_of_unsafe_work_comes_back_as_it_is():
+    async with gateway(engines=0, plain=1) as rig:
+        rig.targets["p0"].script = ["fail"]
+        status, body, headers = await rig.fetch("/unsafe/", method="POST")
+        assert (status, body) == (500, b"failed")
+        assert headers["X-Server-Stamp"] == "s"
+
+
+async def test_another_requests_answer_is_not_passed_on():
+    async with gateway(engines=0, plain=1) as rig:
+        rig.targets["p0"].script = ["late"]
+        status, body, _ = await rig.fetch("/unsafe/", method="POST", data=b"mine")
+        assert (status, body) == (200, b"p0:mine")
+
+
+async def test_a_silent_target_is_given_up_at_the_routes_timeout():
+    async with gateway(engines=0, plain=1) as rig:
+        rig.targets["p0"].script = ["silent"]
+        began = asyncio.get_running_loop().time()
+        status, _, _ = await rig.fetch("/short/")
+        assert status == 504
+        assert asyncio.get_running_loop().time() - began < 1.0
+
+
+async def test_a_resumable_stream_goes_on_at_another_target():
+    async with gateway(plain=0) as rig:
+        await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        [(name, _)] = ran(rig)
+        rig.targets[name].script = ["break"]
+        status, body, headers = await rig.fetch(
+            "/resumable/", method="POST", headers=ADAPTER
+        )
+        assert (status, headers["X-Server-Stamp"]) == (200, f"{name}.1")
+        ids = [line for line in body.splitlines() if line.startswith(b"id")]
+        assert ids == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+
+
+async def test_a_stream_that_breaks_does_not_look_complete():
+    async with gateway(engines=1, plain=0) as rig:
+        rig.targets["e0"].script = ["break"]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert len(ran(rig)) == 1
+
+
+async def test_a_caller_that_leaves_is_cancelled_at_the_target():
+    async with gateway(engines=1, plain=0) as rig:
+        engine = rig.targets["e0"]
+        engine.events = 2000
+        async with rig.request("/stream/", method="POST", headers=ADAPTER) as response:
+            await response.content.readany()
+            response.close()
+        await until(lambda: engine.cancelled, 1.0)
+        controller = rig.instance.services.controllers["stewardship"]
+        await until(lambda: not controller.desk.holder.tickets, 1.0)
+
+
+async def test_a_new_configuration_is_in_force_at_once():
+    async with gateway(engines=0, plain=1) as rig:
+        assert (await rig.fetch("/added/"))[0] == 404
+        added = [*ROUTES[1:], route("added", "/added/", "safe")]
+        await rig.configure(configuration(version=5, routes=added))
+        assert (await rig.fetch("/added/"))[0] == 200
+        assert (await rig.fetch("/safe/"))[0] == 404
+        await rig.store.put("keyed.op", "config", configuration(version=4))
+        await asyncio.sleep(0.1)
+        assert (await rig.fetch("/safe/"))[0] == 404
+
+
+async def test_malformed_entries_change_nothing():
+    async with gateway(engines=0, plain=1) as rig:
+        await rig.store.put("keyed.op", "config", b"{")
+        await rig.store.put("keyed.servers", "odd", b"\xff")
+        await rig.store.put("keyed.servers", "strange", b'{"state": "resting"}')
+        await asyncio.sleep(0.1)
+        assert (await rig.fetch("/safe/"))[0] == 200
+
+
+async def test_a_leaving_target_gets_nothing_new():
+    async with gateway(engines=0) as rig:
+        await rig.announce(rig.targets["p0"], state="draining")
+        directory = rig.instance.services.controllers["directory"].targets
+        await until(lambda: len(directory.usable(0.0)) == 1)
+        for _ in range(4):
+            assert (await rig.fetch("/safe/"))[0] == 200
+        assert not rig.targets["p0"].ran
+
+
+async def test_a_team_over_its_limit_is_told_when_to_come_back():
+    async with gateway(engines=0, payload=configuration(rate=100)) as rig:
+        results = [await rig.fetch("/safe/") for _ in range(20)]
+        refused = [headers for status, _, headers in results if status == 429]
+        assert refused
+        assert all(float(each["Retry-After"]) > 0 for each in refused)
+        assert len(ran(rig)) == 20 - len(refused)
+
+
+async def test_the_store_away_changes_nothing_for_callers():
+    async with gateway(engines=1, plain=1) as rig:
+        rig.store.switches.busy = True
+        await asyncio.sleep(0.3)
+        assert (await rig.fetch("/safe/"))[0] == 200
+        status, _, _ = await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert status == 200
+
+
+async def test_a_shutdown_says_not_ready_first_and_finishes_what_runs():
+    async with gateway(engines=1, plain=1) as rig:
+        rig.targets["e0"].events = 100
+        stream = asyncio.create_task(
+            rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        )
+        await until(lambda: rig.targets["e0"].ran)
+        rig.instance.notice = 0.2
+        rig.instance.stop_requested.set()
+        await until(lambda: rig.instance.services.draining)
+        async with rig.session.get(f"http://{rig.ready}/-/readyz") as response:
+            assert response.status == 503
+        status, _, headers = await rig.fetch("/safe/")
+        assert (status, headers["Connection"]) == (200, "close")
+        await until(lambda: rig.instance.services.leaving)
+        status, _, headers = await rig.fetch("/safe/")
+        assert status == 503
+        assert "Retry-After" in headers
+        status, body, _ = await stream
+        assert (status, body.count(b"data:")) == (200, 100)
