--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -61,6 +61,8 @@
         Ends the work at the deadline.
     timed_out : bool
         Whether it has.
+    unsent : int
+        Attempts that never left this instance.
     last_event_id : str or None
         Event after which the stream goes on at another target.
     """
@@ -77,6 +79,7 @@
         self.connection = None
         self.timer = None
         self.timed_out = False
+        self.unsent = 0
         self.last_event_id = None
 
     @property
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -1,5 +1,6 @@
 """Filter that sends a request to its target and passes the answer on."""
 
+import asyncio
 import logging
 from typing import NamedTuple
 
@@ -35,6 +36,8 @@
 MAX_WHOLE_BYTES = 262_144
 LEAST_RETRY_S = 0.2
 SERVER_ERROR = 500
+# Targets that refuse connections do so at once.
+UNSENT_PAUSE_S = 0.02
 FIRST_NOT_SUCCESS = 300
 
 
@@ -78,6 +81,8 @@
             avoid.add(ticket.target)
             if not self._may_retry(exchange, result):
                 return self._final(exchange, result)
+            if result.kind is FailureKind.NOT_SENT:
+                await asyncio.sleep(UNSENT_PAUSE_S)
             outcome = await self._next_ticket(exchange, frozenset(avoid))
             if isinstance(outcome, Refused):
                 return self._after(exchange, result, outcome)
@@ -182,6 +187,7 @@
                 return self._broken(exchange, event.detail)
             else:
                 break
+        self._end_connection(exchange, ticket, connection)
         answer = Answer(head, pieces, True)
         if metadata.not_executed:
             return AttemptFailure(
@@ -294,10 +300,12 @@
 
     def _may_retry(self, exchange, failure):
         route = exchange.route
+        exchange.unsent += failure.kind is FailureKind.NOT_SENT
         return exchange.cancelled is None and may_try_again(
             RetryRule(route.kind, route.is_resumable, route.max_targets),
             failure,
             targets_tried=len(exchange.targets_tried),
+            unsent=exchange.unsent,
             time_left=exchange.deadline - self.services.clock(),
             budget=self.services.retry_budget(exchange.service.name),
         )
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -90,6 +90,7 @@
         self.table = LeaseTable(own=services.instance, policy=lease_policy)
         self.seats = {}
         self.handing_over = {}
+        self.authorities = {}
         self.permits = OpenPermits()
         self.started_at = services.clock()
         self.follower = KeyedFollower(
@@ -136,6 +137,7 @@
         for name, seat in self.seats.items():
             seat.engines.entry = engines[name][0]
             seat.tick()
+            self._note_authority(name, now)
 
     def _engines(self, now):
         known = self.services.controllers["config"].state.configuration
@@ -201,8 +203,22 @@
         newest = self.services.controllers["config"].adapter_version(model, adapter)
         return f"{adapter}@{max(newest, int(version))}"
 
+    def _note_authority(self, name, now):
+        is_valid = self.table.may_order(name, self.follower.fresh_at, now)
+        if self.authorities.get(name) is is_valid:
+            return
+        self.authorities[name] = is_valid
+        log_event(
+            logger,
+            "orders-allowed" if is_valid else "orders-suspended",
+            target=name,
+            knowledge_age=now - self.follower.fresh_at,
+            orders_in=self.table.orders_from.get(name, now) - now,
+        )
+
     def _drop(self, name, reason):
         seat = self.seats.pop(name, None)
+        self.authorities.pop(name, None)
         if seat is not None:
             seat.close()
             log_event(logger, "stewardship-ended", target=name, reason=reason)
--- a/skylarkpost/gateway/retries.py
+++ b/skylarkpost/gateway/retries.py
@@ -8,6 +8,10 @@
 __all__ = ["AttemptFailure", "FailureKind", "RetryRule", "may_try_again"]
 
 
+# A pool of which so many targets take no connection has none to give soon.
+MAX_UNSENT = 4
+
+
 class FailureKind(enum.StrEnum):
     """What is known of a request after a failed attempt."""
 
@@ -57,7 +61,7 @@
     max_targets: int
 
 
-def may_try_again(rule, failure, *, targets_tried, time_left, budget):
+def may_try_again(rule, failure, *, targets_tried, time_left, budget, unsent=0):
     """Return whether a request may be tried once more.
 
     Parameters
@@ -73,6 +77,8 @@
     budget : skylarkpost.relay.retry_budget.RetryBudget
         Shared by all requests; charged where a target may receive the request
         once more.
+    unsent : int
+        Attempts that never left this instance, the last one included.
 
     Returns
     -------
@@ -87,7 +93,7 @@
     if time_left <= 0 or failure.kind is FailureKind.TIMED_OUT:
         return False
     if failure.kind is FailureKind.NOT_SENT:
-        return True
+        return unsent <= MAX_UNSENT
     repeatable = rule.kind is RouteKind.SAFE or rule.is_resumable
     if failure.kind is not FailureKind.NOT_EXECUTED and not repeatable:
         return False
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -62,6 +62,9 @@
 # A steward that expects this much more than was expected here is left for the
 # next best target.
 TOLERATED_DELAY_S = 0.15
+# A steward that has not granted so long after it was expected to cannot give
+# orders at present; another target may begin sooner.
+TOLERATED_SILENCE_S = 0.4
 # Part of the time after which callers give up that a request may wait for its
 # first token; a caller that is refused by then can come back and be served.
 WAIT_PART = 0.75
@@ -334,12 +337,13 @@
             waits[name] = wait
             if now + wait > give_up_at:
                 break
-            tolerated = give_up_at - now
+            tolerated, ask_until = give_up_at - now, give_up_at
             if asks_left and len(ranked) > len(left_alone):
                 tolerated = min(tolerated, wait + TOLERATED_DELAY_S)
+                ask_until = min(ask_until, now + wait + TOLERATED_SILENCE_S)
             target = next(each for each in targets if each.name == name)
             outcome = await self._ask(
-                exchange, request, target, tolerated=tolerated, give_up_at=give_up_at
+                exchange, request, target, tolerated=tolerated, ask_until=ask_until
             )
             if not isinstance(outcome, Refused):
                 return outcome
@@ -359,7 +363,7 @@
             return _no_target("No engine of this model takes requests at present.")
         return _too_busy(self.services.clock() + least - give_up_at)
 
-    async def _ask(self, exchange, request, target, *, tolerated, give_up_at):
+    async def _ask(self, exchange, request, target, *, tolerated, ask_until):
         asked = []
 
         def note_asked(name, ticket_id):
@@ -371,7 +375,7 @@
             prompt_tokens=request.prompt_tokens,
             preambles=request.preambles,
             patience=tolerated,
-            deadline=give_up_at,
+            deadline=ask_until,
         )
         outcome = await self.desk.acquire(
             exchange, [target], on_asked=note_asked, details=details
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/test_retries.py
@@ -48,6 +48,18 @@
     assert judge(SAFE, FailureKind.NOT_SENT, tried=2)
 
 
+def test_targets_that_take_no_connection_are_not_tried_for_ever():
+    """Load pattern: every connection to the last target of a pool is in use."""
+    failure = AttemptFailure(FailureKind.NOT_SENT, "")
+    budget = RetryBudget(ratio=0.2, reserve=5.0)
+    tries = 1
+    while may_try_again(
+        SAFE, failure, targets_tried=0, time_left=1.0, budget=budget, unsent=tries
+    ):
+        tries += 1
+    assert tries < 10
+
+
 def test_nothing_is_repeated_after_the_deadline():
     assert not judge(SAFE, FailureKind.NOT_SENT, left=0.0)
 
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -85,6 +85,14 @@
         assert rig.targets["e0"].adapters == {"a1": 2}
 
 
+async def test_a_connection_is_used_again_for_the_next_request():
+    async with gateway(engines=0, plain=1) as rig:
+        for _ in range(5):
+            assert (await rig.fetch("/safe/"))[0] == 200
+        [pooled] = rig.instance.services.pool.targets.values()
+        assert pooled.open == 1
+
+
 @pytest.mark.parametrize("step", ["fail", "drop", "break", "shed"])
 async def test_a_safe_call_is_tried_again_elsewhere(step):
     async with gateway(engines=0) as rig:
