--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -119,8 +119,7 @@
             result = await self._read_answer(exchange, ticket, connection)
             return result
         finally:
-            is_relayed = isinstance(result, Relayed)
-            if not is_relayed or exchange.connection is not connection:
+            if not isinstance(result, Relayed):
                 self._end_connection(exchange, ticket, connection)
 
     async def _send(self, exchange, ticket):
@@ -321,8 +320,10 @@
         )
 
     def _end_connection(self, exchange, ticket, connection):
-        if exchange.connection is connection:
-            exchange.connection = None
+        if exchange.connection is not connection:
+            # It has ended before, and may serve another request by now.
+            return
+        exchange.connection = None
         if connection.at_work:
             connection.abort()
         else:
--- a/skylarkpost/transport/pool.py
+++ b/skylarkpost/transport/pool.py
@@ -118,6 +118,7 @@
         if target is None or not connection.is_reusable:
             connection.close()
             return
+        assert connection not in target.idle, "a connection is given back twice"
         if connection.idle_timeout is not None:
             target.idle_timeout = connection.idle_timeout
         target.idle.append(connection)
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -90,7 +90,7 @@
         for _ in range(5):
             assert (await rig.fetch("/safe/"))[0] == 200
         [pooled] = rig.instance.services.pool.targets.values()
-        assert pooled.open == 1
+        assert (pooled.open, len(pooled.idle)) == (1, 1)
 
 
 @pytest.mark.parametrize("step", ["fail", "drop", "break", "shed"])
