--- a/skylarkpost/gateway/filters.py
+++ b/skylarkpost/gateway/filters.py
@@ -7,9 +7,19 @@
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.routing import key_digest
 
-__all__ = ["GatewayKeyFilter", "LeavingFilter", "RouteFilter", "choose_service"]
+__all__ = [
+    "GatewayKeyFilter",
+    "LeavingFilter",
+    "RouteFilter",
+    "choose_service",
+    "joint_rank",
+]
 
 NOT_READY_RETRY_S = 0.5
+# Ranks of routes that are told apart within one rank of teams.
+ROUTE_RANKS = 3
+USUAL_TEAM_RANK = 1
+LAST_RANK = 9
 # Another instance can serve at once.
 ELSEWHERE_RETRY_S = 0.02
 
@@ -39,6 +49,33 @@
     return route.services[-1].service
 
 
+def joint_rank(team_rank, route_rank):
+    """Return the rank of a request among all of an engine.
+
+    A team's rank takes precedence over the route's, which decides among equals.
+    Ranks beyond the engines' range count as the last one.
+
+    Parameters
+    ----------
+    team_rank : int or None
+        None for a team, or a caller, without a rank of its own.
+    route_rank : int
+        0 is the most urgent.
+
+    Returns
+    -------
+    int
+        From 0 to 9; 0 is the most urgent.
+
+    Examples
+    --------
+    >>> joint_rank(0, 2), joint_rank(1, 0), joint_rank(1, 1), joint_rank(9, 0)
+    (2, 3, 4, 9)
+    """
+    team = USUAL_TEAM_RANK if team_rank is None else team_rank
+    return min(LAST_RANK, team * ROUTE_RANKS + min(ROUTE_RANKS - 1, max(0, route_rank)))
+
+
 @register_filter("leaving", order=5, front_ends=(GATEWAY,))
 class LeavingFilter(Filter):
     """Sends callers to other instances once this one is about to end.
@@ -76,7 +113,7 @@
         if route is None:
             return Refused(reason=Reason.ROUTE_UNKNOWN, message="No route leads there.")
         exchange.route = route
-        exchange.rank = route.rank
+        exchange.rank = joint_rank(None, route.rank)
         exchange.deadline = min(exchange.deadline, exchange.received_at + route.timeout)
         name = choose_service(route, exchange.metadata.attempt_id)
         exchange.service = state.configuration.services.get(name)
@@ -102,8 +139,7 @@
             team = table.team(key_digest(key.encode("latin-1")))
         if team is not None:
             exchange.team = team.name
-            if team.rank is not None:
-                exchange.rank = team.rank
+            exchange.rank = joint_rank(team.rank, exchange.route.rank)
             return None
         if exchange.route.is_public or not table.configuration.teams:
             return None
