Behind a cut leave alone every target but those in reach

Load pattern: zone cut. At most half of a pool was left alone, so that two of three services behind a cut were tried again and again, 0.3 s each. Failures of answers stay bounded to half of the pool. Targets whose steward is silent are asked last.

--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -393,8 +393,15 @@
 
     def _avoided(self, targets, now):
         boots = self._boots(targets)
-        avoided = self.health.avoided(list(boots), now)
-        return frozenset(boots[boot] for boot in avoided)
+        avoided = {boots[boot] for boot in self.health.avoided(list(boots), now)}
+        if len(avoided) < len(targets):
+            # The silence of a steward is often that of its data centre.
+            avoided.update(
+                each.name
+                for each in targets
+                if each.kind == "engine" and self.find_steward(each.name) is None
+            )
+        return frozenset(avoided)
 
     def _boots(self, targets):
         entries = self.services.controllers["directory"].targets.entries
--- a/skylarkpost/placement/health.py
+++ b/skylarkpost/placement/health.py
@@ -27,7 +27,8 @@
         A target whose failed part is larger than that of its pool by this much
         is left alone.
     most_avoided : float
-        Largest part of a pool that is left alone.
+        Largest part of a pool that is left alone for failures; behind a cut
+        all but one may be out of reach.
     """
 
     memory: float = 4.0
@@ -111,21 +112,23 @@
         Returns
         -------
         frozenset of str
-            The worst ones, at most a part of the pool.
+            Never all of them.
         """
         records = {name: self._record(name, now) for name in targets}
         seen = sum(record.seen for record in records.values())
         usual = sum(r.bad for r in records.values()) / seen if seen else 0.0
-        bad = {}
+        paused, failing = {}, {}
         for name, record in records.items():
             if now < record.paused_until:
-                bad[name] = 1.0 + record.row
+                paused[name] = record.row
             elif record.seen >= self.policy.least_seen:
                 ratio = record.bad / record.seen
                 if ratio > usual + self.policy.worse_by:
-                    bad[name] = ratio
+                    failing[name] = ratio
         most = int(len(targets) * self.policy.most_avoided)
-        return frozenset(sorted(bad, key=lambda name: -bad[name])[:most])
+        avoided = sorted(failing, key=lambda name: -failing[name])[:most]
+        avoided = sorted(paused, key=lambda name: -paused[name]) + avoided
+        return frozenset(avoided[: max(0, len(targets) - 1)])
 
     def forget(self, targets):
         """Drop all but the given targets.
