Count team limits over a sliding window, with one figure for all instances

Shares reckoned with fresher figures of an instance's own demand than of the others' added up to more than one.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -1,13 +1,12 @@
 """Controller and filter for the teams' limits over all instances."""
 
 import asyncio
-import math
 
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.filters import Filter, register_filter
-from skylarkpost.limits.demand_share import DemandShares
+from skylarkpost.limits.demand_share import DemandShares, Told
 from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.runtime import BackgroundTask
@@ -18,7 +17,6 @@
 PUBLISH_S = 0.4
 # A cut lasts some seconds; an instance behind it goes on admitting its share.
 FORGET_AFTER_S = 15.0
-PRECISION = 1
 # Longest wait for room in a limit: a part of the shortest latency goals.
 PATIENCE_S = 0.2
 
@@ -37,6 +35,7 @@
         super().__init__(services=services)
         self.shares = DemandShares(
             own=services.instance,
+            random=services.random,
             slack=services.settings.bounds.quota_slack,
             window=services.settings.bounds.quota_window_s,
         )
@@ -53,8 +52,9 @@
         await self.background.stop()
 
     def status(self):
-        """Return the demand of each team here, in units a second."""
-        return self.shares.own_demands(self.services.clock())
+        """Return demand and admitted units of each team here."""
+        now = self.services.clock()
+        return {team: each._asdict() for team, each in self.shares.tell(now).items()}
 
     def admit(self, team, units, now):
         """Charge a request; see `DemandShares.admit`."""
@@ -63,18 +63,20 @@
 
     def _hear(self, member, payload, now):
         try:
-            demands = msgspec.msgpack.decode(payload, type=dict[str, float])
+            told = msgspec.msgpack.decode(payload, type=dict[str, Told])
         except msgspec.DecodeError:
             self.services.metrics.count_event("malformed-digest")
             return
-        self.shares.hear(member.instance, demands)
+        self.shares.hear(member.instance, told)
 
     async def _run(self):
         membership = self.services.controllers["membership"]
         while True:
             now = self.services.clock()
-            demands = self.shares.own_demands(now)
-            told = {team: round(rate, PRECISION) for team, rate in demands.items()}
+            told = {
+                team: Told(round(each.demand), round(each.admitted))
+                for team, each in self.shares.tell(now).items()
+            }
             membership.publish(TOPIC, msgspec.msgpack.encode(told))
             self._forget_gone(membership, now)
             await asyncio.sleep(PUBLISH_S)
@@ -85,6 +87,7 @@
             for member in membership.core.members()
             if member.state is not MemberState.SILENT
         }
+        self.shares.silent = set(self.shares.heard) - heard
         for instance in list(self.shares.heard):
             if instance in heard:
                 self.silent_since.pop(instance, None)
@@ -139,7 +142,7 @@
             return Refused(
                 reason=Reason.OVER_RATE,
                 message="The team has used up its rate and burst.",
-                retry_after=None if math.isinf(outcome) else outcome,
+                retry_after=outcome,
             )
         exchange.admitted = outcome
         exchange.on_finish(self._refund)
@@ -149,5 +152,4 @@
         if exchange.dispatched:
             return
         controller = self.services.controllers["quota"]
-        now = self.services.clock()
-        controller.shares.refund(exchange.team, exchange.admitted, now)
+        controller.shares.refund(exchange.team, exchange.admitted)
--- a/skylarkpost/limits/bucket.py
+++ b/skylarkpost/limits/bucket.py
@@ -7,8 +7,6 @@
 
 MAX_LOW_MARKS = 256
 TOLERANCE = 1e-6
-# From here on a bucket that charges in advance admits again.
-LEAST_LEVEL = 1e-3
 
 
 class Receipt(NamedTuple):
@@ -63,7 +61,6 @@
         self.sequence = 0
         self.received = self.level
         self.spent = 0.0
-        self.owed_at_most = 0.0
         self._mark_sequences = []
         self._mark_rooms = []
 
@@ -83,7 +80,7 @@
         self.level += added
         self.received += added
 
-    def charge(self, tokens, *, now, in_advance=False):
+    def charge(self, tokens, *, now):
         """Take tokens for one request, if there are enough.
 
         Parameters
@@ -92,9 +89,6 @@
             Tokens to take.
         now : float
             The present time, in seconds.
-        in_advance : bool
-            Whether a bucket that is not empty admits any charge, and owes
-            what it lacks. Large requests do not starve behind small ones.
 
         Returns
         -------
@@ -102,9 +96,8 @@
             None if there are too few.
         """
         self.advance(now)
-        if self.level < LEAST_LEVEL if in_advance else tokens > self.level:
+        if tokens > self.level:
             return None
-        self.owed_at_most = max(self.owed_at_most, tokens - self.level)
         self._mark_room()
         self.level -= tokens
         self.spent += tokens
@@ -140,7 +133,7 @@
         self._check()
         return credit
 
-    def seconds_until(self, tokens, *, now, in_advance=False):
+    def seconds_until(self, tokens, *, now):
         """Return how long it takes until a charge can succeed.
 
         Parameters
@@ -149,8 +142,6 @@
             Tokens of the charge.
         now : float
             The present time, in seconds.
-        in_advance : bool
-            As for `charge`.
 
         Returns
         -------
@@ -158,7 +149,6 @@
             Seconds; None if the bucket never holds that many.
         """
         self.advance(now)
-        tokens = min(tokens, LEAST_LEVEL) if in_advance else tokens
         if tokens <= self.level:
             return 0.0
         if tokens > self.burst or self.rate <= 0:
@@ -272,7 +262,6 @@
 
     def _check(self):
         slack = TOLERANCE * max(1.0, self.burst, self.received, self.spent)
-        owed = slack + self.owed_at_most
-        assert -owed <= self.level <= self.burst + slack, (self.level, self.burst)
+        assert -slack <= self.level <= self.burst + slack, (self.level, self.burst)
         balance = self.received - self.spent
         assert abs(balance - self.level) <= slack, "tokens were minted"
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -4,11 +4,12 @@
 its callers are connected to, while instances come, go and are cut off.
 """
 
+import bisect
+import itertools
 import math
+from typing import NamedTuple
 
-from skylarkpost.limits.bucket import TokenBucket
-
-__all__ = ["DemandShares", "TeamDemand"]
+__all__ = ["DemandShares", "SlidingWindow", "TeamDemand", "Told", "WindowReceipt"]
 
 # Part of a limit that is split evenly, so that a team whose requests turn up
 # at another instance gets some in at once.
@@ -16,14 +17,39 @@
 # Demand is told to the others every half second; its average spans a few of
 # these.
 DEMAND_TIME_S = 2.0
-# A team's bucket starts half full: a restarted instance must not bring all of
-# its headroom with it.
-FIRST_LEVEL = 0.5
-# Part of what the deployment tolerates beyond a limit that the buckets may
-# hold; the rest is for requests admitted in advance and for shares that do not
-# agree for a moment.
-HEADROOM_PART = 0.5
+# A restarted instance does not know what it has admitted. It begins as if it
+# had admitted this part of its share, evenly over the window.
+FIRST_FILL = 0.6
+FILL_STEPS = 8
+# Part of what the deployment tolerates beyond a limit that is given out; the
+# rest is for requests admitted in advance and for shares that do not agree for
+# a moment.
+HEADROOM_PART = 0.3
+# Until what one instance admits has reached the others.
+TELLING_LAG_S = 1.2
+ROOM_MARGIN = 2.0
 LEAST_DEMAND = 1e-6
+LEAST_ALLOWED = 1.0
+# Before a request that chance has refused has another.
+CHANCE_RETRY_S = 0.5
+
+
+class Told(NamedTuple):
+    """What an instance tells the others of one team.
+
+    Attributes
+    ----------
+    demand : float
+        Units a second that were asked for there.
+    admitted : float
+        Units that it has admitted within the window.
+    """
+
+    demand: float
+    admitted: float
+
+
+NOTHING = Told(0.0, 0.0)
 
 
 class TeamDemand:
@@ -74,11 +100,176 @@
         self.updated_at = max(now, self.updated_at)
 
 
+class WindowReceipt(NamedTuple):
+    """Proof of one charge, for a later refund.
+
+    Attributes
+    ----------
+    number : int
+        Of the charge.
+    units : float
+        What was charged.
+    """
+
+    number: int
+    units: float
+
+
+class _Charge(NamedTuple):
+    at: float
+    number: int
+    units: float
+
+
+class SlidingWindow:
+    """What was admitted within the last seconds.
+
+    Parameters
+    ----------
+    length : float
+        Of the window, in seconds.
+
+    Examples
+    --------
+    >>> window = SlidingWindow(length=8.0)
+    >>> window.admit(50.0, allowed=60.0, now=0.0)
+    WindowReceipt(number=1, units=50.0)
+    >>> window.admit(50.0, allowed=60.0, now=1.0)
+    WindowReceipt(number=2, units=50.0)
+    >>> window.admit(1.0, allowed=60.0, now=2.0)
+    6.0
+    """
+
+    def __init__(self, *, length):
+        self.length = length
+        self.charges = []
+        self.total = 0.0
+        self._numbers = itertools.count(1)
+
+    def fill(self, units, now):
+        """Count units as admitted evenly over the window so far.
+
+        Parameters
+        ----------
+        units : float
+            All of them.
+        now : float
+            The present time, in seconds.
+        """
+        step = self.length / FILL_STEPS
+        for number in range(1, FILL_STEPS + 1):
+            self._add(now - number * step, 0, units / FILL_STEPS)
+
+    def admit(self, units, *, allowed, now, chance=0.0):
+        """Charge a request, if there is room.
+
+        A request that is larger than the room is admitted by chance, in
+        proportion: large ones do not starve behind small ones, and many windows
+        together hold no more than they should. What is larger than a whole
+        window counts in those that follow.
+
+        Parameters
+        ----------
+        units : float
+            What the request counts.
+        allowed : float
+            Units in the window.
+        now : float
+            The present time, in seconds.
+        chance : float
+            A random number from 0 to 1.
+
+        Returns
+        -------
+        WindowReceipt or float
+            Proof of the charge; or the seconds until there is room.
+        """
+        self._expire(now)
+        room = allowed - self.total
+        if room > 0.0 and chance * units <= room:
+            return self._charge(units, allowed, now)
+        if room > 0.0:
+            return CHANCE_RETRY_S
+        left = self.total
+        for charge in self.charges:
+            left -= charge.units
+            if left < allowed:
+                return charge.at + self.length - now
+        return self.length
+
+    def admitted(self, now):
+        """Return what was admitted within the window.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Units.
+        """
+        self._expire(now)
+        return self.total
+
+    def admitted_since(self, since):
+        """Return what was admitted from a moment on.
+
+        Parameters
+        ----------
+        since : float
+            The moment, in seconds.
+
+        Returns
+        -------
+        float
+            Units.
+        """
+        first = bisect.bisect_left(self.charges, since, key=lambda each: each.at)
+        return sum(each.units for each in self.charges[first:])
+
+    def refund(self, receipt):
+        """Take back a charge.
+
+        Parameters
+        ----------
+        receipt : WindowReceipt
+            Of the charge.
+        """
+        kept = [each for each in self.charges if each.number != receipt.number]
+        self.total -= sum(c.units for c in self.charges) - sum(c.units for c in kept)
+        self.charges = kept
+
+    def _charge(self, units, allowed, now):
+        number = next(self._numbers)
+        at, left = now, units
+        while left > 0.0:
+            part = min(left, allowed)
+            self._add(at, number, part)
+            left -= part
+            at += self.length
+        return WindowReceipt(number, units)
+
+    def _add(self, at, number, units):
+        bisect.insort(self.charges, _Charge(at, number, units))
+        self.total += units
+
+    def _expire(self, now):
+        due = bisect.bisect_right(
+            self.charges, now - self.length, key=lambda each: each.at
+        )
+        self.total -= sum(each.units for each in self.charges[:due])
+        del self.charges[:due]
+        if not self.charges:
+            self.total = 0.0
+
+
 class DemandShares:
     """Parts of the teams' limits that one instance admits.
 
-    Each instance admits by a bucket of its own, whose rate and burst are a
-    share of the team's. The share follows the instance's part of the demand
+    Each instance admits a share of what the team may have in a window: its rate
+    for so long, and its burst. The share follows the instance's part of the demand
     that all instances tell each other. One that fell silent keeps its part
     until it is forgotten, since it may serve on behind a cut.
 
@@ -86,6 +277,8 @@
     ----------
     own : str
         This instance.
+    random : random.Random
+        Decides about requests that fit in part.
     slack : float
         Units that the deployment tolerates beyond a limit.
     window : float
@@ -96,29 +289,34 @@
     ----------
     demands : dict of str to TeamDemand
         Of this instance, by team.
-    heard : dict of str to dict of str to float
-        Units a second by team, by instance.
+    heard : dict of str to dict of str to Told
+        What the others have told, by instance and team.
+    silent : set of str
+        Instances that are not heard at present.
     """
 
-    def __init__(self, *, own, slack, window):
+    def __init__(self, *, own, random, slack, window):
         self.own = own
+        self.random = random
         self.slack = slack
         self.window = window
         self.demands = {}
+        self.told = {}
         self.heard = {}
-        self.buckets = {}
+        self.silent = set()
+        self.windows = {}
 
-    def hear(self, instance, demands):
-        """Take in the demand at another instance.
+    def hear(self, instance, told):
+        """Take in what another instance tells.
 
         Parameters
         ----------
         instance : str
             The instance.
-        demands : dict of str to float
-            Units a second by team.
+        told : dict of str to Told
+            By team.
         """
-        self.heard[instance] = demands
+        self.heard[instance] = told
 
     def forget(self, instance):
         """Drop an instance that can't serve any more.
@@ -130,7 +328,7 @@
         """
         self.heard.pop(instance, None)
 
-    def own_demands(self, now):
+    def tell(self, now):
         """Return what the other instances are told.
 
         Parameters
@@ -140,10 +338,14 @@
 
         Returns
         -------
-        dict of str to float
-            Units a second by team.
+        dict of str to Told
+            By team.
         """
-        return {team: demand.rate(now) for team, demand in self.demands.items()}
+        self.told = {
+            team: Told(demand.rate(now), self.windows[team].admitted(now))
+            for team, demand in self.demands.items()
+        }
+        return self.told
 
     def share(self, team, instances, now):
         """Return this instance's part of a team's limit.
@@ -163,10 +365,12 @@
             From 0 to 1. The shares of all instances add up to at most one, as
             far as they agree on the demand.
         """
-        own = self.demands.get(team)
-        mine = LEAST_DEMAND if own is None else own.rate(now) + LEAST_DEMAND
+        # The shares add up only if all reckon with the same figures: what this
+        # instance has told, not what it knows by now.
+        mine = self.told.get(team, NOTHING).demand + LEAST_DEMAND
         others = sum(
-            demands.get(team, 0.0) + LEAST_DEMAND for demands in self.heard.values()
+            told.get(team, NOTHING).demand + LEAST_DEMAND
+            for told in self.heard.values()
         )
         unheard = max(0, instances - 1 - len(self.heard))
         # Instances that have not told their demand count as this one does.
@@ -189,51 +393,56 @@
 
         Returns
         -------
-        Receipt or float
+        WindowReceipt or float
             Proof of the charge; or the seconds until it would have succeeded.
         """
         demand = self.demands.setdefault(team.name, TeamDemand(now=now))
         demand.add(units, now)
-        bucket = self._bucket(team, instances, now)
-        receipt = bucket.charge(units, now=now, in_advance=True)
-        if receipt is not None:
-            return receipt
-        wait = bucket.seconds_until(units, now=now, in_advance=True)
-        return math.inf if wait is None else wait
-
-    def refund(self, team, receipt, now):
+        whole = team.rate * self.window + team.burst + HEADROOM_PART * self.slack
+        allowed = max(LEAST_ALLOWED, whole * self.share(team.name, instances, now))
+        window = self.windows.get(team.name)
+        if window is None:
+            window = self.windows[team.name] = SlidingWindow(length=self.window)
+            window.fill(FIRST_FILL * allowed, now)
+        if self._has_room(team.name, units, whole, instances, now):
+            allowed = math.inf
+        chance = self.random.random()
+        return window.admit(units, allowed=allowed, now=now, chance=chance)
+
+    def _has_room(self, team, units, whole, instances, now):
+        """Return whether the team is far from its limit over all instances.
+
+        Shares of many instances are small against single requests. Where all of
+        them together are far from the limit, none has to keep to its share: what
+        they may admit before they hear of each other still fits.
+        """
+        demand = self.demands[team].rate(now)
+        room = whole - self.windows[team].admitted(now)
+        unheard = max(0, instances - 1 - len(self.heard))
+        room -= whole * unheard / max(1, instances)
+        for instance, told in self.heard.items():
+            known = told.get(team, NOTHING)
+            demand += known.demand
+            admitted = known.admitted
+            if instance in self.silent:
+                # Behind a cut it may have used all of its share since.
+                admitted = max(admitted, whole / max(1, instances))
+            room -= admitted
+        if room <= units + ROOM_MARGIN * demand * TELLING_LAG_S:
+            return False
+        recent = self.windows[team].admitted_since(now - TELLING_LAG_S)
+        return recent < room / max(1, instances)
+
+    def refund(self, team, receipt):
         """Take back the charge of a request that has not run.
 
         Parameters
         ----------
         team : str
             The team.
-        receipt : Receipt
+        receipt : WindowReceipt
             Of the charge.
-        now : float
-            The present time, in seconds.
         """
-        bucket = self.buckets.get(team)
-        if bucket is not None:
-            bucket.refund(receipt, receipt.tokens, now=now)
-
-    def _bucket(self, team, instances, now):
-        share = self.share(team.name, instances, now)
-        # Over any window, rate and burst of the buckets add up to what the
-        # limit allows in it and the headroom.
-        headroom = HEADROOM_PART * self.slack / max(1, instances)
-        rate = share * (team.rate + team.burst / self.window)
-        burst = max(1.0, headroom)
-        bucket = self.buckets.get(team.name)
-        if bucket is None:
-            bucket = TokenBucket(
-                bucket_id=f"{self.own}/{team.name}",
-                now=now,
-                rate=rate,
-                burst=burst,
-                level=FIRST_LEVEL * burst,
-            )
-            self.buckets[team.name] = bucket
-        elif (rate, burst) != (bucket.rate, bucket.burst):
-            bucket.set_limits(rate=rate, burst=burst, now=now)
-        return bucket
+        window = self.windows.get(team)
+        if window is not None:
+            window.refund(receipt)
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -145,7 +145,9 @@
     async def _watch_age(self):
         while True:
             await asyncio.sleep(AGE_CHECK_S)
-            if self.clock() - self.fresh_at > self.max_age:
+            if self.clock() - self.fresh_at > max(
+                self.max_age, self.wait() + AGE_CHECK_S
+            ):
                 await self._ask_peers()
 
     async def _step(self):
