--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -49,7 +49,7 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=READ_WAIT_S,
+            wait=lambda: READ_WAIT_S,
             peers=services.topic_readers,
         )
         services.followers[OPERATOR_TOPIC] = self.follower
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -16,6 +16,9 @@
 # Each target writes about once a second; a leaving one is left alone within two
 # seconds. A pause between reads takes several announcements with one call.
 READ_PAUSE_S = 0.5
+# Reads are dear; more instances than these read less often.
+READERS = 6
+LONGEST_PAUSE_S = 1.2
 # Entries that lapsed during an outage are back within two seconds.
 LAPSE_GRACE_S = 2.0
 
@@ -45,12 +48,16 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=READ_WAIT_S,
-            pause=READ_PAUSE_S,
+            wait=lambda: READ_WAIT_S,
+            pause=self._pause,
             peers=services.topic_readers,
         )
         services.followers[TARGETS_TOPIC] = self.follower
 
+    def _pause(self):
+        paused = READ_PAUSE_S * self.services.fleet_size() / READERS
+        return min(LONGEST_PAUSE_S, max(READ_PAUSE_S, paused))
+
     async def start(self):
         """Start following the topic."""
         self.follower.start()
--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -60,7 +60,7 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=READ_WAIT_S,
+            wait=lambda: READ_WAIT_S,
         )
         services.followers[INSTANCES_TOPIC] = self.follower
         services.instances = self
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -44,7 +44,8 @@
 
 TICK_S = 0.05
 PUBLISH_S = 0.25
-POLL_S = 1.0
+# Reports are dear; grants go on for three seconds after one.
+POLL_S = 1.4
 POLL_CHECK_S = 0.1
 RENEWAL_CHECK_S = 0.5
 TOPIC = "targets"
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -42,11 +42,12 @@
         For the jitter of retries.
     on_record : callable
         Takes a `KeyedRecord` and ``now``. An empty value drops the key.
-    wait : float
-        Longest wait of one read, in seconds: short enough that a silent
-        connection is noticed, long enough that an idle topic costs little.
-    pause : float
-        Seconds between two reads, so that a busy topic costs fewer calls.
+    wait : callable
+        Returns the longest wait of one read, in seconds: short enough that a
+        silent connection is noticed, long enough that an idle topic costs little.
+    pause : callable or None
+        Returns the seconds between two reads, so that a busy topic costs fewer
+        calls.
     peers : callable or None
         Async; takes the topic and an offset, and returns a `PeerRecords` of an
         instance that knows the topic further, or None. Asked while the store
@@ -78,7 +79,7 @@
         random,
         on_record,
         wait,
-        pause=0.0,
+        pause=None,
         peers=None,
         max_age=None,
     ):
@@ -135,8 +136,8 @@
             answered = await self._step()
             if answered:
                 backoff = FIRST_BACKOFF_S
-                if self.pause:
-                    await asyncio.sleep(self.pause)
+                if self.pause is not None:
+                    await asyncio.sleep(self.pause())
                 continue
             await self._ask_peers()
             await asyncio.sleep(backoff * self.random.uniform(0.5, 1.0))
@@ -157,7 +158,7 @@
             answer = await self.store.newest(self.topic)
         else:
             # After an outage the first answer should tell at once that it is over.
-            wait = self.wait if self.lost_at is None else 0.0
+            wait = self.wait() if self.lost_at is None else 0.0
             answer = await self.store.read(self.topic, self.next_offset, wait=wait)
         if isinstance(answer, StoreUnavailable):
             self._note_lost(answer.detail)
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -154,6 +154,9 @@
 async def gateway(*, engines=2, plain=2, slots=2, payload=None):
     """Run a gateway in front of some targets."""
     stand_in = StoreStandIn()
+    faults = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: faults.append(context))
     async with contextlib.AsyncExitStack() as stack:
         addresses = await stack.enter_async_context(serving(stand_in))
         targets = [
@@ -209,3 +212,5 @@
             instance.notice = 0.0
             instance.stop_requested.set()
             await asyncio.wait_for(running, 15)
+            broken = [each for each in faults if "failed" in each["message"]]
+            assert broken == []
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -49,7 +49,7 @@
         clock=time.monotonic,
         random=random.Random(1),
         on_record=note,
-        wait=options.pop("wait", 0.2),
+        wait=lambda: 0.2,
         **options,
     )
     follower.start()
