--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 STEPS ?= 20000
 
-.PHONY: setup test check demo prove measure slopes bench proto
+.PHONY: setup test check demo prove measure slopes bench proto requirements
 
 setup: $(VENV)/.installed
 
@@ -39,3 +39,6 @@
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
 		--grpc_python_out=. skylarkpost/rpc/*.proto
+
+requirements: setup
+	$(BIN)/python -m lab.requirements
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -25,9 +25,10 @@
 # rest is for requests admitted in advance and for shares that do not agree for
 # a moment.
 HEADROOM_PART = 0.3
-# Until what one instance admits has reached the others.
+# Until what one instance admits has reached the others: two heartbeats.
 TELLING_LAG_S = 1.2
-ROOM_MARGIN = 2.0
+# Demand may rise by so much meanwhile.
+ROOM_MARGIN = 1.5
 LEAST_DEMAND = 1e-6
 LEAST_ALLOWED = 1.0
 # Before a request that chance has refused has another.
--- a/skylarkpost/settings/reference.py
+++ b/skylarkpost/settings/reference.py
@@ -1,11 +1,14 @@
-"""Writes the operators' page of all settings from the schema.
+"""Writes the operators' pages of all settings from the schemas.
 
-Run ``python -m skylarkpost.settings.reference > docs/operators/settings.md``.
+Run ``python -m skylarkpost.settings.reference`` in the repository.
 """
 
+import pathlib
+
+from skylarkpost.settings.gateway import GatewaySettings
 from skylarkpost.settings.schema import Settings
 
-__all__ = ["settings_reference"]
+__all__ = ["PAGES", "settings_reference"]
 
 INTRODUCTION = """# Settings
 
@@ -17,19 +20,38 @@
 All faults are told at once, each with the file, the key, the value and the
 allowed range. Unknown keys are faults. A change needs a restart of the instance.
 """
+GATEWAY_INTRODUCTION = """# Settings of the gateway
+
+One TOML file an instance, given to `python -m skylarkpost.gateway.main --settings
+FILE`; `deploy/settings.toml` is the template that the users' platform fills in.
+Check a file without starting anything:
+
+    skylarkpost check-settings --front-end gateway FILE
+
+All faults are told at once. Unknown keys are left alone, since a deployment may
+add some before this version knows them. SIGHUP reads the file again: seeds, bounds
+and the log level change; addresses need a restart.
+"""
 BOUNDS = (("ge", "≥ "), ("gt", "> "), ("le", "≤ "), ("lt", "< "))
 
 
-def settings_reference():
+def settings_reference(*, schema=Settings, introduction=INTRODUCTION):
     """Return the page of all settings.
 
+    Parameters
+    ----------
+    schema : type
+        The settings' model.
+    introduction : str
+        Begins the page.
+
     Returns
     -------
     str
         Markdown: for each key its default, allowed values and meaning.
     """
-    lines = [INTRODUCTION]
-    for name, field in Settings.model_fields.items():
+    lines = [introduction]
+    for name, field in schema.model_fields.items():
         lines += _section(name, field.annotation)
     return "\n".join(lines)
 
@@ -57,5 +79,14 @@
                 yield f"{sign}{bound:g}"
 
 
+PAGES = {
+    "settings.md": settings_reference(),
+    "gateway-settings.md": settings_reference(
+        schema=GatewaySettings, introduction=GATEWAY_INTRODUCTION
+    ),
+}
+
+
 if __name__ == "__main__":
-    print(settings_reference(), end="")
+    for page, text in PAGES.items():
+        (pathlib.Path("docs") / "operators" / page).write_text(text)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 import pytest
 
 from skylarkpost.outcomes import Reason
-from skylarkpost.settings.reference import settings_reference
+from skylarkpost.settings.reference import PAGES
 
 ROOT = pathlib.Path(__file__).parent.parent
 OPERATORS = ROOT / "docs" / "operators"
@@ -22,8 +22,9 @@
     return found
 
 
-def test_the_page_of_settings_is_the_schema():
-    assert (OPERATORS / "settings.md").read_text() == settings_reference()
+@pytest.mark.parametrize("page", PAGES)
+def test_the_pages_of_settings_are_the_schemas(page):
+    assert (OPERATORS / page).read_text() == PAGES[page]
 
 
 def test_each_event_is_described():
