--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -23,7 +23,7 @@
     listed = ", ".join(f'"{seed}"' for seed in seeds)
     text = re.sub(r"\{\{#seeds\}\}.*?\{\{/seeds\}\}", listed, text)
     for name, value in VALUES.items():
-        text = text.replace("{{%s}}" % name, value)
+        text = text.replace("{{" + name + "}}", value)
     return re.sub(r"\{\{[^}]*\}\}", "2.5", text)
 
 
