One way from an announcement to a target; no success without a signature

A success that bears no signature of its target is not passed on. Settings that nothing used are gone from the schema and the template.

--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -41,7 +41,6 @@
     def __init__(self, *, services):
         super().__init__(services=services)
         self.targets = TargetDirectory(lapse_grace=LAPSE_GRACE_S)
-        self.watchers = []
         self.follower = KeyedFollower(
             store=services.store,
             topic=TARGETS_TOPIC,
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -210,6 +210,11 @@
             metadata = HeaderCodec.read_answer(event.status, event.headers)
             expected = exchange.metadata.attempt_id
             if metadata.attempt_id in (None, expected):
+                if event.status < FIRST_NOT_SUCCESS and not metadata.is_stamped:
+                    # Whatever sent this, it is no success of the target.
+                    return AttemptFailure(
+                        FailureKind.UNKNOWN, "a success without signature"
+                    )
                 return event, metadata
             # A late answer to an earlier request on this connection.
             self.services.metrics.count_event("late-answer-dropped")
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -54,7 +54,6 @@
         self.side_connections = set()
         self.listeners = []
         self.is_listening = False
-        self.is_ending = False
         self.is_ready_logged = False
         self.notice = NOTICE_S
 
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -4,6 +4,7 @@
 import logging
 
 from skylarkpost.eventlog import log_event
+from skylarkpost.gateway.targets import target_of
 from skylarkpost.log.keyed import KeyedRecord, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
 from skylarkpost.membership import MemberState
@@ -174,7 +175,7 @@
             may_order=lambda: authority.is_valid(self.services.clock()),
         )
         engine.fencing_number = lease.number
-        target = self.services.engine_target(entry, service)
+        target = target_of(entry, service)
         steward = TargetSteward(
             target=target,
             fencing_number=lease.number,
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -2,7 +2,6 @@
 
 import time
 
-from skylarkpost.config import Target
 from skylarkpost.daemon import Services
 from skylarkpost.platform import EngineCodec
 from skylarkpost.relay.retry_budget import RetryBudget
@@ -184,33 +183,6 @@
         service = None if known is None else known.services.get(entry.service)
         return LEAST_CONNECTIONS if service is None else self.connection_share(service)
 
-    @staticmethod
-    def engine_target(entry, service):
-        """Return an engine as stewards know it.
-
-        Parameters
-        ----------
-        entry : TargetEntry
-            The engine.
-        service : skylarkpost.routing.TargetService
-            Its service.
-
-        Returns
-        -------
-        skylarkpost.config.Target
-        """
-        engine = service.engine
-        return Target(
-            name=entry.name,
-            kind="engine",
-            pool=engine.models[0].name,
-            address=entry.address,
-            data_centre=entry.data_centre,
-            fencing=False,
-            slots=engine.adapter_slots,
-            batch_limit=min(entry.slots, engine.batch),
-        )
-
     async def close(self):
         """Close all clients."""
         await self.pool.close()
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -6,11 +6,11 @@
 import math
 import zlib
 
-from skylarkpost.config import Target
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.gateway.exchange import GatewayProfile
 from skylarkpost.gateway.lease_keeper import LeaseKeeper
+from skylarkpost.gateway.targets import target_of
 from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.placement.health import TargetHealth
@@ -50,7 +50,6 @@
 RENEWAL_CHECK_S = 0.5
 TOPIC = "targets"
 TICKET_LEASE_S = 10.0
-DISPATCH_MARGIN_S = 0.0
 # An ask waits for less than the shortest goal, so that a request whose steward
 # fell silent can still be served in time elsewhere.
 ASK_WAIT_S = 0.25
@@ -415,7 +414,7 @@
     def _acquire_service(self, exchange, avoid, now):
         directory = self.services.controllers["directory"]
         targets = [
-            _target(entry, kind="service", pool=entry.service, slots=0)
+            target_of(entry, exchange.service)
             for entry in directory.of_service(exchange.service.name, now)
         ]
         avoid = avoid | self._avoided(targets, now)
@@ -429,10 +428,9 @@
 
     def _engines(self, service, now):
         directory = self.services.controllers["directory"]
-        engine = service.engine
-        model = engine.models[0].name
+        model = service.engine.models[0].name
         return [
-            _target(entry, kind="engine", pool=model, slots=engine.adapter_slots)
+            target_of(entry, service)
             for entry in directory.of_service(service.name, now)
             if any(held.name == model for held in entry.models)
         ]
@@ -497,19 +495,6 @@
             await self.desk.courier.renew()
 
 
-def _target(entry, *, kind, pool, slots):
-    return Target(
-        name=entry.name,
-        kind=kind,
-        pool=pool,
-        address=entry.address,
-        data_centre=entry.data_centre,
-        fencing=False,
-        slots=slots,
-        batch_limit=entry.slots,
-    )
-
-
 def _placement_request(exchange):
     metadata = exchange.metadata
     lora_name = lora_name_of(exchange.profile)
--- /dev/null
+++ b/skylarkpost/gateway/targets.py
@@ -0,0 +1,32 @@
+"""Targets of the directory as stewards and placement know them."""
+
+from skylarkpost.config import Target
+
+__all__ = ["target_of"]
+
+
+def target_of(entry, service):
+    """Return a target as stewards and placement know it.
+
+    Parameters
+    ----------
+    entry : skylarkpost.discovery.TargetEntry
+        Its announcement.
+    service : skylarkpost.routing.TargetService
+        Its service.
+
+    Returns
+    -------
+    skylarkpost.config.Target
+    """
+    engine = service.engine
+    return Target(
+        name=entry.name,
+        kind="service" if engine is None else "engine",
+        pool=service.name if engine is None else engine.models[0].name,
+        address=entry.address,
+        data_centre=entry.data_centre,
+        fencing=False,
+        slots=0 if engine is None else engine.adapter_slots,
+        batch_limit=entry.slots if engine is None else min(entry.slots, engine.batch),
+    )
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -45,23 +45,14 @@
 class BoundSettings(Section):
     """``[bounds]``: what the deployment promises and asks for."""
 
-    drain_ms: Milliseconds = Field(
-        default=2000.0, description="Time in which a leaving target is left alone."
-    )
     lease_ms: Milliseconds = Field(
         default=3000.0,
         description="Pause between the orders of two stewards of one target.",
     )
     grace_s: Seconds = Field(default=8.0, description="From SIGTERM to SIGKILL.")
-    heartbeat_ms: Milliseconds = Field(
-        default=1200.0, description="Between two announcements of a target."
-    )
     retry_ratio: float = Field(
         default=0.2, ge=0.0, le=10.0, description="Retries for each request."
     )
-    retry_window_s: Seconds = Field(
-        default=10.0, description="Span over which retries are counted."
-    )
     retry_slack: float = Field(
         default=58.0, ge=0.0, description="Retries in a span beyond the ratio."
     )
@@ -71,9 +62,6 @@
     quota_slack: float = Field(
         default=0.0, ge=0.0, description="Units tolerated beyond a team's limit."
     )
-    adapter_version_ms: Milliseconds = Field(
-        default=5000.0, description="Time for a new version of an adapter."
-    )
 
 
 class GatewaySettings(Section):
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -52,7 +52,7 @@
     script : list of str
         What happens to the next requests: ``"ok"``, ``"fail"``, ``"shed"``,
         ``"break"`` (in the middle), ``"drop"`` (before any byte), ``"silent"``,
-        ``"late"`` (another's answer first).
+        ``"late"`` (another's answer first), ``"unsigned"`` (no signature).
     events : int
         Events of a stream.
     """
@@ -143,6 +143,8 @@
             return self._answer(
                 writer, 500, b"failed", attempt | {"X-Server-Stamp": "s"}
             )
+        if step == "unsigned":
+            return self._answer(writer, 200, b"unsigned", attempt)
         if step == "late":
             self._answer(writer, 200, b"another's", {"X-Attempt-Id": "another"})
         stamped = attempt | {"X-Server-Stamp": f"{self.name}.1"}
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -103,7 +103,9 @@
         assert len(ran(rig)) <= 4
 
 
-@pytest.mark.parametrize(("step", "status"), [("drop", 502), ("break", 502)])
+@pytest.mark.parametrize(
+    ("step", "status"), [("drop", 502), ("break", 502), ("unsigned", 502)]
+)
 async def test_work_that_may_have_run_is_not_repeated(step, status):
     async with gateway(engines=0) as rig:
         for target in rig.targets.values():
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -39,13 +39,13 @@
 def test_all_faults_are_told_at_once_and_unknown_keys_are_left_alone(tmp_path):
     path = tmp_path / "boot.conf"
     text = fill(()).replace('"10.200.1.7:8225"', '"nowhere"')
-    text = text.replace("drain_ms = 2.5", "drain_ms = -1").replace(
+    text = text.replace("lease_ms = 2.5", "lease_ms = -1").replace(
         'data_centre = "yaba"', 'colour = "red"'
     )
     path.write_text(text)
     faults = load_settings(path, schema=GatewaySettings)
     assert {fault.key for fault in faults} == {
         "store.address",
-        "bounds.drain_ms",
+        "bounds.lease_ms",
         "instance.data_centre",
     }
