--- a/skylarkpost/gateway/app.py
+++ b/skylarkpost/gateway/app.py
@@ -15,9 +15,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Where a caller does not say how long it waits.
+# Where a caller does not say how long it waits; longer than any route's timeout.
 DEFAULT_PATIENCE_S = 60.0
-# The answer still has to reach the caller.
+# The answer still has to reach the caller: some round trips.
 RETURN_MARGIN_S = 0.005
 
 # Statuses that tell a caller that the request has not run and never will.
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -12,11 +12,12 @@
 
 logger = logging.getLogger(__name__)
 
+# Targets write once a second or so; a longer silence is worth a new call.
 READ_WAIT_S = 5.0
 # Each target writes about once a second; a leaving one is left alone within two
 # seconds. A pause between reads takes several announcements with one call.
 READ_PAUSE_S = 0.5
-# Reads are dear; more instances than these read less often.
+# Store calls are charged for the whole fleet; larger fleets read less often each.
 READERS = 6
 LONGEST_PAUSE_S = 1.2
 # Entries that lapsed during an outage are back within two seconds.
--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -19,8 +19,10 @@
 logger = logging.getLogger(__name__)
 
 INSTANCES_TOPIC = "keyed.skylarkpost-instances"
+# The list changes rarely; a read that waits costs one call.
 READ_WAIT_S = 10.0
 REGISTER_RETRY_S = 0.5
+# Peers answer within milliseconds, or are cut off.
 PEER_TIMEOUT_S = 0.5
 # An instance that was not heard for so long does not count any more.
 FORGET_AFTER_S = 10.0
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -34,6 +34,7 @@
 # Answers up to this size are read whole before the caller sees anything, so
 # that a target which breaks off can be replaced.
 MAX_WHOLE_BYTES = 262_144
+# Shorter pauses would bring callers back before anything has changed.
 LEAST_RETRY_S = 0.2
 SERVER_ERROR = 500
 # Targets that refuse connections do so at once.
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -16,6 +16,7 @@
 
 logger = logging.getLogger(__name__)
 
+# All callers of a data centre may connect at once after an outage.
 LISTEN_BACKLOG = 2048
 # The balancer asks once a second and goes by two misses.
 NOTICE_S = 2.6
@@ -23,6 +24,7 @@
 CLOSING_S = 0.7
 DRAIN_POLL_S = 0.05
 PEER_SERVER_GRACE_S = 0.2
+# A part of the shortest time for which idle connections are kept.
 EXPIRE_CHECK_S = 0.25
 
 
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -34,7 +34,9 @@
 # A read that takes longer than its wait, and a little, is not going well; the
 # authority ends half a second later.
 MAX_AGE_S = 2.4
+# A small part of the silence after which a holder is replaced.
 CLAIM_CHECK_S = 0.1
+# Lets the record that a claim conflicted with arrive.
 CLAIM_RETRY_S = 0.3
 
 
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -42,22 +42,31 @@
 
 logger = logging.getLogger(__name__)
 
+# Seconds between two looks at the queues; a small part of a load.
 TICK_S = 0.05
+# Half of the heartbeats' interval, so that each one carries a fresh summary.
 PUBLISH_S = 0.25
-# Reports are dear; grants go on for three seconds after one.
+# Each report costs the engine a probe; a report permits grants for three seconds.
 POLL_S = 1.4
 POLL_CHECK_S = 0.1
+# A small part of a ticket's lease.
 RENEWAL_CHECK_S = 0.5
 TOPIC = "targets"
+# Longer than most streams, shorter than a team notices a lost slot.
 TICKET_LEASE_S = 10.0
 # An ask waits for less than the shortest goal, so that a request whose steward
 # fell silent can still be served in time elsewhere.
 ASK_WAIT_S = 0.25
 ASK_TIMEOUT_S = 0.5
+# Two heartbeats: by then membership knows whether it is silent.
 STEWARD_DISTRUST_S = 1.0
+# Between two looks for an engine when none takes requests.
 NO_TARGET_PAUSE_S = 0.1
+# About the time in which announcements of targets come.
 NO_TARGET_RETRY_S = 1.0
+# Shorter pauses would bring callers back before anything has changed.
 LEAST_RETRY_S = 0.2
+# Each ask costs a round trip and, at worst, `ASK_TIMEOUT_S`.
 TARGETS_ASKED = 3
 # A steward that expects this much more than was expected here is left for the
 # next best target.
@@ -72,6 +81,9 @@
 # of a prompt in a millisecond, and take a quarter of a second for an adapter.
 PREFILL_RATE = 40_000.0
 LOAD_WAIT_S = 0.27
+# What differs from the defaults: a report is some hundred milliseconds old; the
+# weight store takes eight loads at full speed over all engines; latency goals are
+# under a second, so adapters in use make way sooner; demand moves within seconds.
 POLICY = StewardPolicy(
     ticket_lease=TICKET_LEASE_S,
     report_lag=0.4,
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -21,9 +21,11 @@
 # Part of a wait that an answer without records proves: the store answered no
 # sooner, but its clock may run a little fast.
 PROVEN_WAIT = 0.9
+# Some times the store's usual answer time.
 FIRST_BACKOFF_S = 0.1
 # Entries are wanted back within two seconds of an outage's end.
 LARGEST_BACKOFF_S = 1.0
+# A small part of the shortest bound on age.
 AGE_CHECK_S = 0.2
 
 
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -24,11 +24,13 @@
 TARGETS_TOPIC = "keyed.servers"
 # Each keyed topic has this one partition.
 PARTITION = "0"
+# Several round trips; a cut shows no sooner.
 CONNECT_TIMEOUT_S = 1.0
 # The store answers within some milliseconds; slow days stretch that sixty-fold.
 ANSWER_TIMEOUT_S = 2.0
 # Bounds how long bytes may stay unacknowledged on a connection gone silent.
 USER_TIMEOUT_MS = 3000
+# The store's own default and largest answer.
 READ_SIZE_KB = 1024
 HEADER = struct.Struct(">QQ")
 LENGTH = struct.Struct(">I")
--- a/skylarkpost/targets/counted_engine.py
+++ b/skylarkpost/targets/counted_engine.py
@@ -29,12 +29,14 @@
 LOOK_AGAIN_S = 0.015
 # A copy that the engine has kept loads ten times as fast.
 WARM_LOOK_S = 0.025
+# A base model loads for a second or more, and shows as busy meanwhile.
 MODEL_LOAD_RETRY_S = 1.0
 # A report is some hundred milliseconds old; one that is asked for so long
 # after an order shows whether it was accepted.
 REPORT_SETTLE_S = 0.4
 # Before an order that was not carried out is tried again.
 NOT_GIVEN_PAUSE_S = 0.1
+# Copies of adapters that an engine keeps beside its slots.
 MAX_KEPT_COPIES = 48
 
 
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -8,6 +8,7 @@
 
 __all__ = ["CallAnswer", "CallLost", "call_target", "encode_request"]
 
+# Reports and answers to orders take some kilobytes.
 MAX_ANSWER_BYTES = 1_048_576
 
 
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -19,6 +19,7 @@
 
 # Unacknowledged bytes for so long mean that the target is out of reach.
 USER_TIMEOUT_S = 1.0
+# Bytes of an answer held here while its caller reads slowly.
 MAX_BUFFERED = 262_144
 CLOSE = "close"
 
--- a/skylarkpost/transport/headers.py
+++ b/skylarkpost/transport/headers.py
@@ -21,6 +21,7 @@
 )
 # On, and for no time: a close sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
+# Probes end a silent connection after some five seconds without traffic.
 KEEP_ALIVE_IDLE_S = 2
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 3
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -14,6 +14,7 @@
 
 # A caller that stops acknowledging is given up after this time.
 USER_TIMEOUT_S = 10.0
+# Requests that one connection may queue before it is read no further.
 MAX_PIPELINED = 8
 # The parser counts lines; a little more than the names and values themselves.
 HEADER_OVERHEAD = 4
