--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -220,6 +220,18 @@
         assert status == 200
 
 
+async def test_counters_and_histograms_are_served():
+    async with gateway(engines=1, plain=1) as rig:
+        await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        await rig.fetch("/safe/")
+        address = rig.instance.services.settings.instance.metrics_address
+        async with rig.session.get(f"http://{address}/metrics") as response:
+            text = await response.text()
+    assert 'skylarkpost_requests_total{outcome="200",team="depot"} 2' in text
+    assert "skylarkpost_first_token_seconds_bucket" in text
+    assert "skylarkpost_load_stall_seconds_count" in text
+
+
 async def test_a_shutdown_says_not_ready_first_and_finishes_what_runs():
     async with gateway(engines=1, plain=1) as rig:
         rig.targets["e0"].events = 100
