Refuse requests with two lengths on the API's port as well

uvicorn took h11 until httptools came among the dependencies; the daemon names the parser now. Found by trying the caller-facing port: with h11, what followed the chunked end ran as a second request.

--- a/skylarkpost/daemon/instance.py
+++ b/skylarkpost/daemon/instance.py
@@ -54,6 +54,8 @@
             uvicorn.Config(
                 self.app,
                 loop="asyncio",
+                # Refuses a request with two lengths; h11 serves it.
+                http="httptools",
                 lifespan="off",
                 log_config=None,
                 access_log=False,
