Drop fields that nothing reads; say what a reload changes

Found in a last read of the change: the mark of a misdirected answer, the last state of an engine and a mark that was always true were kept and never read. The settings' page claimed that a reload changes bounds and the log level; only the seeds and the time for a shutdown change. Behaviour is as before. Checks, and the tests of gateway, targets, adapter, settings and pages, passed.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -42,22 +42,19 @@
 FIRST_NOT_SUCCESS = 300
 
 
-class Answer(NamedTuple):
-    """An answer that has begun.
+class WholeAnswer(NamedTuple):
+    """An answer that was read to its end.
 
     Attributes
     ----------
     head : AnswerHead
         Status and headers.
     pieces : list of bytes
-        What was read of the body so far.
-    is_whole : bool
-        Whether that is all.
+        The body.
     """
 
     head: AnswerHead
     pieces: list
-    is_whole: bool
 
 
 @register_filter("forward", order=80, front_ends=(GATEWAY,))
@@ -188,13 +185,10 @@
             else:
                 break
         self._end_connection(exchange, ticket, connection)
-        answer = Answer(head, pieces, True)
+        answer = WholeAnswer(head, pieces)
         if metadata.not_executed:
             return AttemptFailure(
-                FailureKind.NOT_EXECUTED,
-                f"status {head.status}",
-                answer,
-                metadata.is_misdirected,
+                FailureKind.NOT_EXECUTED, f"status {head.status}", answer
             )
         is_failure = head.status >= SERVER_ERROR
         if is_failure and exchange.route.is_repeatable:
--- a/skylarkpost/gateway/metadata.py
+++ b/skylarkpost/gateway/metadata.py
@@ -61,13 +61,10 @@
         The attempt that it answers.
     not_executed : bool
         Whether the target states that it did not run the request.
-    is_misdirected : bool
-        Whether it is another target, model or version than was asked for.
     is_stamped : bool
         Whether it bears the target's signature.
     """
 
     attempt_id: str | None
     not_executed: bool
-    is_misdirected: bool
     is_stamped: bool
--- a/skylarkpost/gateway/retries.py
+++ b/skylarkpost/gateway/retries.py
@@ -33,14 +33,11 @@
         For the log.
     answer : object or None
         The target's own answer, where it gave one.
-    is_misdirected : bool
-        Whether the target was another one, or lacked model or version.
     """
 
     kind: FailureKind
     detail: str
     answer: object = None
-    is_misdirected: bool = False
 
 
 class RetryRule(NamedTuple):
--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -149,7 +149,6 @@
         return AnswerMetadata(
             attempt_id=attempt,
             not_executed=NOT_EXECUTED in values or misdirected or unread,
-            is_misdirected=misdirected,
             is_stamped=STAMP in values,
         )
 
--- a/skylarkpost/settings/reference.py
+++ b/skylarkpost/settings/reference.py
@@ -29,8 +29,8 @@
     skylarkpost check-settings --front-end gateway FILE
 
 All faults are told at once. Unknown keys are left alone, since a deployment may
-add some before this version knows them. SIGHUP reads the file again: seeds, bounds
-and the log level change; addresses need a restart.
+add some before this version knows them. SIGHUP reads the file again: the seeds and
+the time for a shutdown change at once, all else needs a restart.
 """
 BOUNDS = (("ge", "≥ "), ("gt", "> "), ("le", "≤ "), ("lt", "< "))
 
--- a/skylarkpost/targets/counted_engine.py
+++ b/skylarkpost/targets/counted_engine.py
@@ -88,7 +88,6 @@
         self.clock = clock
         self.may_order = may_order
         self.orders_accepted = None
-        self.state = None
         self.kept = {}
         self.fencing_number = 0
         self.model_ordered_at = None
@@ -347,10 +346,7 @@
         status = getattr(answer, "status", None)
         if status != 200:
             return f"no report: {answer}"
-        state = self.codec.decode_report(answer.body)
-        if isinstance(state, EngineState):
-            self.state = state
-        return state
+        return self.codec.decode_report(answer.body)
 
     async def _load_model(self, state):
         now = self.clock()
