Let no read of the store wait longer than a change may take

Cause: the read that waited for the next version had begun while the store was slow, or its history was being dropped, and was not woken by the new record; it ended after its whole wait of 10 s. Ruled out: a silent connection (the read was answered at the end of its wait, to the millisecond), a step back of the version.

Change: reads of operators' records wait at most the bound on changes, those of targets half of the bound on leaving targets; both bounds are settings now. The stand-in of the store learns not to wake reads; the test failed before.

--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -17,8 +17,9 @@
 
 logger = logging.getLogger(__name__)
 
-# A new version has to be in force within two seconds.
-READ_WAIT_S = 10.0
+# The store does not wake reads that wait while its history is being dropped, or
+# while it is slow. A read may therefore wait no longer than a change may take.
+READ_WAIT_RATIO = 1.0
 FIRST_VERSION = 1
 
 
@@ -49,7 +50,7 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=lambda: READ_WAIT_S,
+            wait=lambda: READ_WAIT_RATIO * services.settings.bounds.config_ms / 1000.0,
             peers=services.topic_readers,
         )
         services.followers[OPERATOR_TOPIC] = self.follower
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -12,8 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
-# Targets write once a second or so; a longer silence is worth a new call.
-READ_WAIT_S = 5.0
+# A read that the store fails to wake delays the news of a leaving target. Half of
+# the bound leaves time for the answer; on a calm day no read waits so long.
+READ_WAIT_RATIO = 0.5
 # Each target writes about once a second; a leaving one is left alone within two
 # seconds. A pause between reads takes several announcements with one call.
 READ_PAUSE_S = 0.5
@@ -48,7 +49,7 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=lambda: READ_WAIT_S,
+            wait=lambda: READ_WAIT_RATIO * services.settings.bounds.drain_ms / 1000.0,
             pause=self._pause,
             peers=services.topic_readers,
         )
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -50,6 +50,16 @@
         description="Pause between the orders of two stewards of one target.",
     )
     grace_s: Seconds = Field(default=8.0, description="From SIGTERM to SIGKILL.")
+    config_ms: Milliseconds = Field(
+        default=2000.0,
+        gt=0.0,
+        description="From the store's acknowledgement of a change until it is in force.",
+    )
+    drain_ms: Milliseconds = Field(
+        default=2000.0,
+        gt=0.0,
+        description="From the announcement that a target leaves to its last request.",
+    )
     retry_ratio: float = Field(
         default=0.2, ge=0.0, le=10.0, description="Retries for each request."
     )
--- a/standins/store.py
+++ b/standins/store.py
@@ -26,11 +26,14 @@
     ----------
     busy : bool
         Answer every call with 503; nothing is done.
+    deaf : bool
+        Records do not wake the reads that wait for them.
     lose_appends : int
         The next appends are done and not answered.
     """
 
     busy: bool = False
+    deaf: bool = False
     lose_appends: int = 0
 
 
@@ -134,7 +137,9 @@
             return JSONResponse({"first": topic.first}, status_code=410)
         try:
             async with asyncio.timeout(wait), topic.grown:
-                await topic.grown.wait_for(lambda: topic.end > start)
+                await topic.grown.wait_for(
+                    lambda: topic.end > start and not self.switches.deaf
+                )
         except TimeoutError:
             pass
         if start < topic.first:
--- a/tests/gateway/test_whole_path.py
+++ b/tests/gateway/test_whole_path.py
@@ -5,6 +5,7 @@
 import aiohttp
 import pytest
 
+from skylarkpost.discovery import TargetState
 from tests.gateway.rig import MODEL, ROUTES, configuration, gateway, route, until
 
 ADAPTER = {
@@ -183,6 +184,26 @@
         assert (await rig.fetch("/safe/"))[0] == 404
 
 
+async def test_changes_that_wake_no_read_of_the_store_are_found_all_the_same():
+    # Seeds 581704014237 and 632410481562 of store-out-in-takeover: the store was
+    # slow when a version came, and let the reads wait to their end.
+    async with gateway() as rig:
+        rig.store.switches.deaf = True
+        payload = configuration(version=5)
+        await rig.store.put("keyed.op", "config", payload)
+        leaving = rig.targets["p0"]
+        await rig.announce(leaving, state="draining")
+        directory = rig.instance.services.controllers["directory"]
+        state = rig.instance.services.controllers["config"].state
+        await until(
+            lambda: (
+                state.version == 5
+                and directory.targets.entries["p0"].state is not TargetState.READY
+            ),
+            seconds=4.0,
+        )
+
+
 async def test_malformed_entries_change_nothing():
     async with gateway(engines=0, plain=1) as rig:
         await rig.store.put("keyed.op", "config", b"{")
