Take a conflict after a lost order for an own success only where it must be one

Cause, by reasoning: an order without an answer is given again with the same count; a conflict was taken for a proof that the first copy had been accepted, and the order was given once more with the next count. After a takeover, or after an order was given up, another order with that count may still be on its way and be the one that was accepted; the next one then has no room.

Change: the conflict proves something only for counts above all that may still be on their way. Else a report has to tell. Ruled out: stale reports (contents and count are of one moment, and a stale count is refused).

--- a/skylarkpost/targets/counted_engine.py
+++ b/skylarkpost/targets/counted_engine.py
@@ -74,6 +74,11 @@
     orders_accepted : int or None
         As counted here; None when a report has to tell it. No order is given
         before, since the report also tells what the engine holds.
+    unsettled_count : int
+        An order that names at most this count may still be on its way without
+        this instance knowing it: of an earlier holder, or given up here.
+    last_count : int
+        Count that the last order named.
     """
 
     def __init__(
@@ -88,6 +93,8 @@
         self.clock = clock
         self.may_order = may_order
         self.orders_accepted = None
+        self.unsettled_count = -1
+        self.last_count = -1
         self.kept = {}
         self.fencing_number = 0
         self.model_ordered_at = None
@@ -115,7 +122,7 @@
         if was_quiet and asked_at >= last_order_at + REPORT_SETTLE_S:
             # Count and contents are of the same moment: an order carried out
             # late either shows in both, or changes the count hereafter.
-            self.orders_accepted = state.orders_accepted
+            self._learn_count(state.orders_accepted)
         held = next((m for m in state.models if m.name == self.model.name), None)
         if held is None:
             await self._load_model(state)
@@ -247,6 +254,11 @@
         is_settled = now >= self.last_order_at + REPORT_SETTLE_S
         return self.orders_accepted is None and is_settled
 
+    def _learn_count(self, count):
+        if self.orders_accepted is None:
+            self.unsettled_count = max(self.unsettled_count, self.last_count, count)
+        self.orders_accepted = count
+
     def _outcome(self, verdict):
         if verdict is OrderVerdict.HOLDS:
             return OrderDone(boot=self.entry.boot)
@@ -285,7 +297,8 @@
         was_lost = False
         for timeout in ORDER_TIMEOUTS_S:
             verdict = await self._send(order, timeout)
-            if verdict is OrderVerdict.CONFLICT and was_lost:
+            is_settled = order.orders_accepted > self.unsettled_count
+            if verdict is OrderVerdict.CONFLICT and was_lost and is_settled:
                 # The one that was thought lost has been accepted.
                 counted = order._replace(orders_accepted=order.orders_accepted + 1)
                 verdict = await self._send(counted, timeout)
@@ -302,6 +315,7 @@
 
     async def _send(self, order, timeout):
         self.last_order_at = self.clock()
+        self.last_count = order.orders_accepted
         method, path = self.codec.order_request
         body = self.codec.encode_order(order)
         answer = await self.call(self.entry, method, path, body, timeout)
