Let two instances of a data centre read a topic of the store for the others

Change: the instances of a data centre choose two readers a topic by rendezvous, and the others wait for news at one of them; a reader that does not answer, is stuck or has lost the store is passed over, and the store read instead. Data centres with one or two instances read as before. Views that differ lead to no circle: an instance asks one that outranks it. Questions while the store is away go to four instances instead of all. Reads of targets pause a quarter of the bound on leaving targets.

--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -51,7 +51,8 @@
             random=services.random,
             on_record=self._take_record,
             wait=lambda: READ_WAIT_RATIO * services.settings.bounds.config_ms / 1000.0,
-            peers=services.topic_readers,
+            peers=services.ask_peers,
+            relay=services.ask_reader,
         )
         services.followers[OPERATOR_TOPIC] = self.follower
 
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -15,12 +15,9 @@
 # A read that the store fails to wake delays the news of a leaving target. Half of
 # the bound leaves time for the answer; on a calm day no read waits so long.
 READ_WAIT_RATIO = 0.5
-# Each target writes about once a second; a leaving one is left alone within two
-# seconds. A pause between reads takes several announcements with one call.
-READ_PAUSE_S = 0.5
-# Store calls are charged for the whole fleet; larger fleets read less often each.
-READERS = 6
-LONGEST_PAUSE_S = 1.2
+# Each target writes about once a second. A pause between reads takes several
+# announcements with one call; a part of the bound leaves time for the others.
+READ_PAUSE_RATIO = 0.25
 # Entries that lapsed during an outage are back within two seconds.
 LAPSE_GRACE_S = 2.0
 
@@ -51,13 +48,13 @@
             on_record=self._take_record,
             wait=lambda: READ_WAIT_RATIO * services.settings.bounds.drain_ms / 1000.0,
             pause=self._pause,
-            peers=services.topic_readers,
+            peers=services.ask_peers,
+            relay=services.ask_reader,
         )
         services.followers[TARGETS_TOPIC] = self.follower
 
     def _pause(self):
-        paused = READ_PAUSE_S * self.services.fleet_size() / READERS
-        return min(LONGEST_PAUSE_S, max(READ_PAUSE_S, paused))
+        return READ_PAUSE_RATIO * self.services.settings.bounds.drain_ms / 1000.0
 
     async def start(self):
         """Start following the topic."""
--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -10,6 +10,7 @@
 from skylarkpost.listing import InstanceList, ListedInstance
 from skylarkpost.log.keyed import KeyedRecord, PeerRecords, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.readers import TopicReaders
 from skylarkpost.membership import MemberState
 from skylarkpost.rpc import CallFailed, call_peer, fleet_pb2, fleet_pb2_grpc
 from skylarkpost.runtime import BackgroundTask
@@ -26,6 +27,15 @@
 PEER_TIMEOUT_S = 0.5
 # An instance that was not heard for so long does not count any more.
 FORGET_AFTER_S = 10.0
+# A question to a frozen reader and one to the next must both end well before a
+# change has to be in force.
+RELAY_WAIT_S = 1.0
+# A reader whose knowledge is older than its longest read by so much is stuck: about
+# the longest time that the store takes for an answer on slow days.
+RELAY_SLACK_S = 1.0
+# Instances asked while the store cannot be read; asking all of a large fleet costs
+# more than another round of questions.
+PEERS_ASKED = 4
 ROLE = "entry"
 STATE = "live"
 
@@ -55,6 +65,9 @@
         self.instances = {}
         self.subscribers = []
         self.missing_since = {}
+        self.readers = TopicReaders(
+            instance=services.instance, data_centre=services.data_centre
+        )
         self.registration = BackgroundTask(name="register")
         self.follower = KeyedFollower(
             store=services.store,
@@ -63,6 +76,7 @@
             random=services.random,
             on_record=self._take_record,
             wait=lambda: READ_WAIT_S,
+            relay=self.ask_reader,
         )
         services.followers[INSTANCES_TOPIC] = self.follower
         services.instances = self
@@ -140,17 +154,62 @@
         Returns
         -------
         PeerRecords or None
-            Of the instance that knows the topic furthest.
+            Of the one, among those asked, that knows the topic furthest.
         """
         addresses = self._addresses()
+        if len(addresses) > PEERS_ASKED:
+            addresses = self.services.random.sample(addresses, PEERS_ASKED)
         ask = fleet_pb2.TopicAsk(topic=topic, start=start)
         answers = await asyncio.gather(*(self._ask(a, ask) for a in addresses))
         known = [answer for answer in answers if answer is not None]
         return max(known, key=lambda each: (each.end, -each.age), default=None)
 
+    async def ask_reader(self, topic, start, wait):
+        """Wait for news of a topic at an instance that reads it for others.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First offset wanted.
+        wait : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        PeerRecords or None
+            None if this instance has to read the store itself.
+        """
+        membership = self.services.controllers.get("membership")
+        if membership is None:
+            return None
+        heard = [
+            member
+            for member in membership.core.members()
+            if member.state is MemberState.LIVE
+        ]
+        reader = self.readers.find_reader(topic, heard, self.services.clock())
+        if reader is None:
+            return None
+        ask = fleet_pb2.TopicAsk(topic=topic, start=start, wait=min(wait, RELAY_WAIT_S))
+        answer = await self._ask(reader.address, ask)
+        if answer is None or answer.age > wait + RELAY_SLACK_S:
+            self.readers.note_failed(reader.instance, self.services.clock())
+            log_event(
+                logger,
+                "topic-reader-failed",
+                topic=topic,
+                reader=reader.instance,
+                age=None if answer is None else answer.age,
+            )
+            return None
+        return answer
+
     async def _ask(self, address, ask):
         stub = fleet_pb2_grpc.FleetStub(self.services.peers.get(address))
-        answer = await call_peer(stub.ReadTopic, ask, timeout=PEER_TIMEOUT_S)
+        timeout = PEER_TIMEOUT_S + ask.wait
+        answer = await call_peer(stub.ReadTopic, ask, timeout=timeout)
         if isinstance(answer, CallFailed) or not answer.known:
             return None
         records = tuple(KeyedRecord(r.key, r.value, r.offset) for r in answer.records)
@@ -221,11 +280,16 @@
         follower = self.services.followers.get(request.topic)
         if follower is None or follower.next_offset is None:
             return fleet_pb2.TopicAnswer(known=False)
-        now = self.services.clock()
+        asked_at = self.services.clock()
+        if request.wait > 0.0:
+            await follower.wait_for_news(request.start, request.wait)
+            if not follower.available:
+                # The store may be there for the one that asks.
+                return fleet_pb2.TopicAnswer(known=False)
         answer = fleet_pb2.TopicAnswer(
             known=True,
             end=follower.next_offset,
-            age=max(0.0, now - follower.fresh_at),
+            age=asked_at - follower.fresh_at,
         )
         for record in follower.records.values():
             if record.offset >= request.start:
--- a/skylarkpost/gateway/lease_keeper.py
+++ b/skylarkpost/gateway/lease_keeper.py
@@ -29,8 +29,6 @@
 LEASES_TOPIC = "keyed.skylarkpost-leases"
 # Shorter than the time for which a read proves an authority.
 READ_WAIT_S = 2.0
-# Without a lease there is no authority to prove.
-IDLE_READ_WAIT_S = 8.0
 # A read that takes longer than its wait, and a little, is not going well; the
 # authority ends half a second later.
 MAX_AGE_S = 2.4
@@ -104,16 +102,14 @@
             clock=services.clock,
             random=services.random,
             on_record=self._take_record,
-            wait=self._read_wait,
-            peers=services.topic_readers,
+            wait=lambda: READ_WAIT_S,
+            peers=services.ask_peers,
+            relay=services.ask_reader,
             max_age=MAX_AGE_S,
         )
         services.followers[LEASES_TOPIC] = self.follower
         self.claiming = BackgroundTask(name="lease-claims")
 
-    def _read_wait(self):
-        return READ_WAIT_S if self.table.held() else IDLE_READ_WAIT_S
-
     def start(self):
         """Start following the topic, and claiming."""
         self.follower.start()
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -45,8 +45,6 @@
         Connections to targets.
     followers : dict of str to KeyedFollower
         Topics that this instance follows.
-    topic_readers : callable
-        Asks other instances for a topic; see `KeyedFollower`.
     """
 
     def __init__(self, *, settings, store, clock=steady_clock, **kwargs):
@@ -56,7 +54,7 @@
         self.followers = {}
         self.retry_budgets = {}
 
-    async def topic_readers(self, topic, start):
+    async def ask_peers(self, topic, start):
         """Ask the other instances for a topic.
 
         Parameters
@@ -72,6 +70,25 @@
         """
         return await self.controllers["fleet"].read_topic(topic, start)
 
+    async def ask_reader(self, topic, start, wait):
+        """Ask the instance that reads a topic for others.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First offset wanted.
+        wait : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        PeerRecords or None
+            None if this instance has to read the store itself.
+        """
+        return await self.controllers["fleet"].ask_reader(topic, start, wait)
+
     def retry_budget(self, service):
         """Return the budget of retries of this instance for a service.
 
--- a/skylarkpost/log/keyed.py
+++ b/skylarkpost/log/keyed.py
@@ -73,7 +73,8 @@
     end : int
         The topic is known up to here.
     age : float
-        Seconds since the topic was known to hold nothing more.
+        Seconds from the moment for which the topic was known to hold nothing more
+        until the question arrived; negative if it was asked before.
     """
 
     records: tuple[KeyedRecord, ...]
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -1,6 +1,7 @@
 """Follows one keyed topic of a store."""
 
 import asyncio
+import contextlib
 import logging
 import math
 
@@ -54,6 +55,10 @@
         Async; takes the topic and an offset, and returns a `PeerRecords` of an
         instance that knows the topic further, or None. Asked while the store
         cannot be read.
+    relay : callable or None
+        Async; takes the topic, an offset and the longest wait, and returns what an
+        instance that reads the store for others knows, or None if this one has to
+        read the store itself. It saves calls of the store.
     max_age : float or None
         Peers are also asked when what is known is older, in seconds: a read on
         a connection that went silent takes longer to fail.
@@ -83,6 +88,7 @@
         wait,
         pause=None,
         peers=None,
+        relay=None,
         max_age=None,
     ):
         self.store = store
@@ -93,6 +99,7 @@
         self.wait = wait
         self.pause = pause
         self.peers = peers
+        self.relay = relay
         self.max_age = max_age
         self.next_offset = None
         self.fresh_at = -math.inf
@@ -101,6 +108,7 @@
         self.lost_at = None
         self.records = {}
         self.synced = asyncio.Event()
+        self.advanced = asyncio.Event()
         self.background = BackgroundTask(name=f"follow-{topic}")
         self.watch = BackgroundTask(name=f"watch-{topic}")
 
@@ -132,9 +140,27 @@
         self._take_records(answer, began)
         return self.fresh_at >= began
 
+    async def wait_for_news(self, start, wait):
+        """Wait until more is known of the topic than now.
+
+        Parameters
+        ----------
+        start : int
+            Records from this offset on are news already.
+        wait : float
+            Longest wait, in seconds.
+        """
+        if self.next_offset is not None and self.next_offset > start:
+            return
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.advanced.wait(), wait)
+
     async def _run(self):
         backoff = FIRST_BACKOFF_S
         while True:
+            if await self._step_by_relay():
+                backoff = FIRST_BACKOFF_S
+                continue
             answered = await self._step()
             if answered:
                 backoff = FIRST_BACKOFF_S
@@ -153,6 +179,18 @@
             ):
                 await self._ask_peers()
 
+    async def _step_by_relay(self):
+        if self.relay is None or self.next_offset is None:
+            return False
+        asked_at = self.clock()
+        answer = await self.relay(self.topic, self.next_offset, self.wait())
+        if answer is None or answer.end < self.next_offset:
+            return False
+        if self.lost_at is not None:
+            self._note_answered()
+        self._take_peer_records(answer, asked_at)
+        return True
+
     async def _step(self):
         began = self.clock()
         wait = 0.0
@@ -184,7 +222,7 @@
             self.next_offset = record.offset + 1
         if self.next_offset is not None and self.next_offset >= answer.end:
             self.fresh_at = max(self.fresh_at, min(now, fresh_at))
-            self.synced.set()
+            self._note_advanced()
 
     def _take_snapshot(self, answer, began):
         if any(answer.end <= known.offset for known in self.records.values()):
@@ -200,7 +238,7 @@
         self._take_newest(answer.records, now)
         self.next_offset = answer.end
         self.fresh_at = max(self.fresh_at, began)
-        self.synced.set()
+        self._note_advanced()
         return True
 
     def _take_newest(self, records, now):
@@ -221,10 +259,18 @@
         answer = await self.peers(self.topic, start)
         if answer is None or (self.next_offset or 0) > answer.end:
             return
+        self._take_peer_records(answer, asked_at)
+
+    def _take_peer_records(self, answer, asked_at):
         self._take_newest(answer.records, self.clock())
         self.next_offset = answer.end
         self.fresh_at = max(self.fresh_at, asked_at - answer.age)
+        self._note_advanced()
+
+    def _note_advanced(self):
         self.synced.set()
+        self.advanced.set()
+        self.advanced = asyncio.Event()
 
     def _note_lost(self, detail):
         if self.lost_at is None:
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -173,3 +173,51 @@
             await asyncio.sleep(0.1)
             assert seen == {"a": b"2"}
             assert follower.next_offset == 2
+
+
+async def test_a_reader_of_the_topic_spares_the_store():
+    news = asyncio.Queue()
+
+    async def relay(topic, start, wait):
+        return await news.get()
+
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        async with following(client, relay=relay) as (follower, seen):
+            await until(lambda: seen == {"a": b"1"})
+            calls = stand_in.calls
+            news.put_nowait(PeerRecords((KeyedRecord("a", b"2", 1),), 2, -0.1))
+            await until(lambda: seen == {"a": b"2"})
+            assert stand_in.calls == calls
+            assert follower.next_offset == 2
+            # The reader is gone: this instance reads the store itself.
+            await stand_in.put(TOPIC, "a", b"2")
+            await stand_in.put(TOPIC, "a", b"3")
+            news.put_nowait(None)
+            await until(lambda: seen == {"a": b"3"})
+
+
+async def test_a_reader_that_lags_behind_is_passed_over():
+    async def relay(topic, start, wait):
+        return PeerRecords((KeyedRecord("a", b"old", 0),), 1, 0.0)
+
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        await stand_in.put(TOPIC, "a", b"2")
+        async with following(client, relay=relay) as (follower, seen):
+            await until(lambda: seen == {"a": b"2"})
+            await stand_in.put(TOPIC, "a", b"3")
+            await until(lambda: seen == {"a": b"3"})
+            assert follower.next_offset == 3
+
+
+async def test_news_end_the_wait_of_those_who_ask():
+    async with store() as (stand_in, client), following(client) as (follower, seen):
+        await until(lambda: follower.next_offset == 0)
+        waiting = asyncio.create_task(follower.wait_for_news(0, 30.0))
+        await stand_in.put(TOPIC, "a", b"1")
+        async with asyncio.timeout(5):
+            await waiting
+        await until(lambda: seen == {"a": b"1"})
+        async with asyncio.timeout(5):
+            await follower.wait_for_news(0, 30.0)
