Pass digests that all instances need on within a data centre

Heartbeats go to two instances of each other data centre.

Larger fleets need aggregates; they keep what they have now.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -44,7 +44,8 @@
 
     async def start(self):
         """Start telling the demand."""
-        self.services.controllers["membership"].subscribe(TOPIC, self._hear)
+        membership = self.services.controllers["membership"]
+        membership.subscribe(TOPIC, self._hear, relayed=True)
         self.background.start(self._run())
 
     async def stop(self):
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -147,7 +147,7 @@
 
     async def start(self):
         """Start the background work."""
-        self.membership.subscribe(TOPIC, self._note_digest)
+        self.membership.subscribe(TOPIC, self._note_digest, relayed=True)
         self.keeper.start()
         loops = (
             self._run_ticks(),
--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -209,7 +209,7 @@
         """
         self.core.digests.publish(topic, payload)
 
-    def subscribe(self, topic, callback):
+    def subscribe(self, topic, callback, *, relayed=False):
         """Call back for each new payload of another instance.
 
         Parameters
@@ -219,7 +219,12 @@
         callback : callable
             ``callback(member, payload, now)``; called at once for payloads
             that are here already.
+        relayed : bool
+            Whether every instance needs the payloads of all others, also of those
+            that send it no heartbeats.
         """
+        if relayed:
+            self.core.digests.relayed_topics.add(topic)
         self.subscribers.setdefault(topic, []).append(callback)
         now = self.services.clock()
         for member in self.core.members():
@@ -253,11 +258,16 @@
         now = self.services.clock()
         reply, digests = self.core.take_heartbeat(heartbeat, now=now)
         for digest in digests:
-            member = self.core.member(heartbeat.sender.instance)
-            for callback in self.subscribers.get(digest.topic, ()):
-                callback(member, digest.payload, now)
+            self._tell_subscribers(heartbeat.sender.instance, digest, now)
+        for each in self.core.take_relayed():
+            self._tell_subscribers(each.instance, each.digest, now)
         return reply
 
+    def _tell_subscribers(self, instance, digest, now):
+        member = self.core.member(instance)
+        for callback in self.subscribers.get(digest.topic, ()):
+            callback(member, digest.payload, now)
+
     async def _run(self):
         while True:
             now = self.services.clock()
--- a/skylarkpost/membership/core.py
+++ b/skylarkpost/membership/core.py
@@ -66,6 +66,7 @@
         self.partners = Partners(instance=instance, data_centre=data_centre)
         self._listed = None
         self._changes = []
+        self._relayed = []
         self._judged_at = -JUDGE_INTERVAL_S
         self._judged_version = 0
 
@@ -173,11 +174,25 @@
             replaced = record is None and self.roster.is_dead(sender)
             if record is not None:
                 newer = self.digests.receive(record.key, heartbeat.digests)
+                if record.data_centre != self.data_centre:
+                    self.digests.relay(record.key, newer)
+                self._take_relayed(heartbeat.relayed)
         known = heartbeat.known_list == self.list_version
         members = () if known else self.list
         reply = HeartbeatReply(self.own_info(), self.list_version, members, replaced)
         return reply, newer
 
+    def take_relayed(self):
+        """Return the digests that neighbours passed on since the last call.
+
+        Returns
+        -------
+        list of RelayedDigest
+            Newer than what was there, in order.
+        """
+        relayed, self._relayed = self._relayed, []
+        return relayed
+
     def take_listed(self, entries, *, now):
         """Take the instances that the platform lists.
 
@@ -268,11 +283,13 @@
         record.next_beat_at = now + self.partners.interval(record) * jitter
         self.sequence += 1
         record.awaited = self.sequence
-        relayed = self.roster.list_of(record)
+        known = self.roster.list_of(record)
+        is_neighbour = record.data_centre == self.data_centre
         heartbeat = Heartbeat(
             self.own_info(),
             self.digests.pending(record.key),
-            0 if relayed is None else relayed.version,
+            0 if known is None else known.version,
+            self.digests.pending_relays(record.key) if is_neighbour else (),
         )
         return SendHeartbeat(
             instance=record.instance,
@@ -285,6 +302,16 @@
             on_new_connection=record.needs_probe,
         )
 
+    def _take_relayed(self, relayed):
+        for each in relayed:
+            origin = self.roster.records.get(each.instance)
+            # Of another boot it is news of a process that has ended, or of one
+            # whose own heartbeats will tell of it.
+            if origin is None or origin.boot != each.boot:
+                continue
+            if self.digests.receive(origin.key, [each.digest]):
+                self._relayed.append(each)
+
     def _settle(self, command):
         """Return the record that waits for a heartbeat's answer, if any."""
         record = self.roster.records.get(command.instance)
--- a/skylarkpost/membership/messages.py
+++ b/skylarkpost/membership/messages.py
@@ -9,6 +9,7 @@
     "Heartbeat",
     "HeartbeatReply",
     "MemberInfo",
+    "RelayedDigest",
     "decode_heartbeat",
     "decode_reply",
     "encode_heartbeat",
@@ -55,6 +56,22 @@
     payload: bytes
 
 
+class RelayedDigest(NamedTuple):
+    """A digest that a partner of its origin passes on within its data centre.
+
+    Attributes
+    ----------
+    instance, boot : str
+        The origin, in another data centre.
+    digest : Digest
+        As the origin sent it.
+    """
+
+    instance: str
+    boot: str
+    digest: Digest
+
+
 class Heartbeat(NamedTuple):
     """A heartbeat.
 
@@ -66,11 +83,14 @@
         Those that the receiver does not have yet.
     known_list : int
         Version of the receiver's list that the sender has; 0 for none.
+    relayed : tuple of RelayedDigest
+        Digests of other data centres that the receiver does not have yet.
     """
 
     sender: MemberInfo
     digests: tuple[Digest, ...] = ()
     known_list: int = 0
+    relayed: tuple[RelayedDigest, ...] = ()
 
 
 class HeartbeatReply(NamedTuple):
@@ -110,6 +130,14 @@
         sender=membership_pb2.MemberInfo(**heartbeat.sender._asdict()),
         digests=[membership_pb2.Digest(**d._asdict()) for d in heartbeat.digests],
         known_list=heartbeat.known_list,
+        relayed=[
+            membership_pb2.RelayedDigest(
+                instance=each.instance,
+                boot=each.boot,
+                digest=membership_pb2.Digest(**each.digest._asdict()),
+            )
+            for each in heartbeat.relayed
+        ],
     )
 
 
@@ -125,8 +153,15 @@
     -------
     Heartbeat
     """
-    digests = tuple(Digest(d.topic, d.version, d.payload) for d in message.digests)
-    return Heartbeat(_decode_info(message.sender), digests, message.known_list)
+    return Heartbeat(
+        _decode_info(message.sender),
+        tuple(_decode_digest(each) for each in message.digests),
+        message.known_list,
+        tuple(
+            RelayedDigest(each.instance, each.boot, _decode_digest(each.digest))
+            for each in message.relayed
+        ),
+    )
 
 
 def encode_reply(reply):
@@ -169,6 +204,10 @@
     )
 
 
+def _decode_digest(message):
+    return Digest(message.topic, message.version, message.payload)
+
+
 def _decode_info(message):
     return MemberInfo(
         message.instance,
--- a/tests/membership/simulation.py
+++ b/tests/membership/simulation.py
@@ -136,6 +136,8 @@
     def answer(self, node, receiver, command, settled):
         reply, digests = receiver.core.take_heartbeat(command.heartbeat, now=self.now)
         receiver.received += [(node.core.instance, d) for d in digests]
+        relayed = receiver.core.take_relayed()
+        receiver.received += [(each.instance, each.digest) for each in relayed]
         if self.is_lost(command.instance, node.core.instance):
             return
         self.at(
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -100,6 +100,51 @@
     assert [d.payload for _, d in restarted.received] == [b"2"]
 
 
+def wide_fleet():
+    places = {f"{place}-{i}": place for place in "abc" for i in range(6)}
+    simulation = Simulation(places)
+    for node in simulation.nodes.values():
+        node.core.digests.relayed_topics.add("demand")
+    simulation.run(4.0)
+    return simulation
+
+
+def test_a_relayed_topic_of_one_instance_reaches_all_others_once():
+    simulation = wide_fleet()
+    digests = simulation.nodes["a-0"].core.digests
+    for payload in (b"1", b"2"):
+        digests.publish("demand", payload)
+        digests.publish("other", payload)
+        simulation.run(2.0)
+    told = {}
+    for name, node in simulation.nodes.items():
+        for topic in ("demand", "other"):
+            payloads = [d.payload for _, d in node.received if d.topic == topic]
+            told[name, topic] = payloads
+    for name in simulation.nodes:
+        if name != "a-0":
+            assert told[name, "demand"] == [b"1", b"2"]
+    far = [name for name in simulation.nodes if name[0] != "a"]
+    assert len([name for name in far if told[name, "other"]]) == 4
+
+
+def test_what_is_passed_on_of_a_boot_that_ended_is_dropped():
+    simulation = wide_fleet()
+    simulation.nodes["a-0"].core.digests.publish("demand", b"old")
+    simulation.run(2.0)
+    restarted = simulation.restart("a-0")
+    restarted.core.digests.relayed_topics.add("demand")
+    restarted.core.digests.publish("demand", b"new")
+    simulation.run(6.0)
+    for name, node in simulation.nodes.items():
+        if name == "a-0":
+            continue
+        topics = node.core.digests.received["a-0", restarted.core.boot]
+        assert topics["demand"].payload == b"new"
+        late = [d.payload for _, d in node.received if d.topic == "demand"]
+        assert late[-1] == b"new"
+
+
 def test_leaving_is_told_at_once():
     simulation = settled()
     node = simulation.nodes["e-1"]
