Let the next report tell what became of a load that was refused after a lost answer

Trace: the load of a3 got no answer and was accepted; its repetition was refused for its count; the order counted as not given, which marked a3 as gone at that moment; the report that told the new count also showed a3, and was passed over for a3 as older than the mark; the slot counted as free, and a6 was one adapter too many.

Change: a withdrawn load leaves no such mark, and a load on its way that a report shows takes a slot, whoever ordered it; while there is one, reports are asked for sooner, for its waiters.

--- /dev/null
+++ b/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of real gateway processes under faults from outside."""
--- /dev/null
+++ b/lab/soak/faults.py
@@ -0,0 +1,149 @@
+"""The kinds of faults that the soak injects."""
+
+import asyncio
+import signal
+
+from lab.soak.plan import fault_kind
+
+DELAY_S = 0.15
+RESTART_PAUSE_S = 0.3
+LOST_APPENDS = 3
+# A few requests in a row go wrong, in each of the ways a target has.
+ODD_ANSWERS = ("drop", "fail", "shed", "break", "late", "unsigned")
+
+
+@fault_kind("instance-killed", subjects="instances")
+async def kill_instance(run, number, duration):
+    """Kill a gateway and start it again."""
+    await run.gateways[number].kill()
+    await asyncio.sleep(RESTART_PAUSE_S)
+    await run.start_gateway(number)
+
+
+@fault_kind("instance-paused", subjects="instances")
+async def pause_instance(run, number, duration):
+    """Stop a gateway's process for a while."""
+    process = run.gateways[number]
+    process.send(signal.SIGSTOP)
+    await asyncio.sleep(duration)
+    process.send(signal.SIGCONT)
+
+
+@fault_kind("instance-restarted", subjects="instances")
+async def restart_instance(run, number, duration):
+    """Ask a gateway to end, and start it again."""
+    await run.gateways[number].stop()
+    await run.start_gateway(number)
+
+
+@fault_kind("instance-reloaded", subjects="instances")
+async def reload_instance(run, number, duration):
+    """Tell a gateway that its settings have changed."""
+    run.gateways[number].send(signal.SIGHUP)
+
+
+@fault_kind("store-link-silent", subjects="instances")
+async def silence_store_link(run, number, duration):
+    """Cut a gateway from the store; open connections stay silent."""
+    link = run.store_links[number]
+    link.cut_forward = link.cut_back = True
+    await asyncio.sleep(duration)
+    link.cut_forward = link.cut_back = False
+
+
+@fault_kind("store-link-one-way", subjects="instances")
+async def cut_store_answers(run, number, duration):
+    """Let calls reach the store and lose the answers."""
+    run.store_links[number].cut_back = True
+    await asyncio.sleep(duration)
+    run.store_links[number].cut_back = False
+
+
+@fault_kind("store-link-reset", subjects="instances")
+async def reset_store_link(run, number, duration):
+    """Reset a gateway's connections to the store."""
+    run.store_links[number].reset()
+
+
+@fault_kind("store-busy", subjects="one")
+async def keep_store_busy(run, number, duration):
+    """Let the store refuse every call."""
+    run.store.switches.busy = True
+    await asyncio.sleep(duration)
+    run.store.switches.busy = False
+
+
+@fault_kind("store-silent", subjects="one")
+async def silence_store(run, number, duration):
+    """Let the store answer nothing."""
+    run.store.switches.silent = True
+    await asyncio.sleep(duration)
+    run.store.switches.silent = False
+
+
+@fault_kind("store-deaf", subjects="one")
+async def deafen_store(run, number, duration):
+    """Let the store wake no read, and forget its history."""
+    run.store.switches.deaf = True
+    await asyncio.sleep(duration)
+    for topic in run.store.topics.values():
+        topic.trim()
+    run.store.switches.deaf = False
+
+
+@fault_kind("store-loses-answers", subjects="one")
+async def lose_appends(run, number, duration):
+    """Let the store carry out appends without an answer."""
+    run.store.switches.lose_appends = LOST_APPENDS
+
+
+@fault_kind("target-link-slow", subjects="targets")
+async def slow_target_link(run, number, duration):
+    """Delay all that goes to and from a target."""
+    run.target_links[number].delay = DELAY_S
+    await asyncio.sleep(duration)
+    run.target_links[number].delay = 0.0
+
+
+@fault_kind("target-link-silent", subjects="targets")
+async def silence_target_link(run, number, duration):
+    """Cut a target off; open connections stay silent."""
+    link = run.target_links[number]
+    link.cut_forward = link.cut_back = True
+    await asyncio.sleep(duration)
+    link.cut_forward = link.cut_back = False
+
+
+@fault_kind("target-answers-lost", subjects="targets")
+async def cut_target_answers(run, number, duration):
+    """Let requests and orders reach a target and lose the answers."""
+    run.target_links[number].cut_back = True
+    await asyncio.sleep(duration)
+    run.target_links[number].cut_back = False
+
+
+@fault_kind("target-reborn", subjects="targets")
+async def restart_target(run, number, duration):
+    """Crash a target; it is back, empty, under the same id."""
+    await run.restart_target(number)
+
+
+@fault_kind("target-odd", subjects="targets")
+async def answer_oddly(run, number, duration):
+    """Let a target's next answers go wrong, each in another way."""
+    run.targets[number].script += run.random.sample(ODD_ANSWERS, 3)
+
+
+@fault_kind("callers-reset", subjects="instances")
+async def reset_callers(run, number, duration):
+    """Reset the callers' connections to a gateway."""
+    run.front_links[number].reset()
+
+
+@fault_kind("callers-silent", subjects="instances")
+async def silence_callers(run, number, duration):
+    """Lose what a gateway sends to its callers."""
+    run.front_links[number].cut_back = True
+    await asyncio.sleep(duration)
+    run.front_links[number].cut_back = False
+    run.front_links[number].reset()
--- /dev/null
+++ b/lab/soak/load.py
@@ -0,0 +1,265 @@
+"""Callers, the operator and probes of the configuration of a run."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+import yarl
+
+from lab.soak.promises import PROBE_PREFIX, Attempt, Violation
+
+__all__ = ["EVENTS", "Callers", "Operator", "VersionProbe"]
+
+HOST_NAME = "desk.example"
+KEY = "key-of-depot"
+TEAM = "depot"
+OPERATOR_TOPIC = "keyed.op"
+KINDS = ("safe", "unsafe", "stream", "resumable")
+ADAPTERS = 6
+EVENTS = 12
+DEADLINE_S = 2.5
+THINK_S = 0.05
+CHANGE_S = (0.3, 2.0)
+PROBE_S = 0.1
+# What a caller gets while nothing is broken but a shutdown is under way.
+ORDERLY = {200, 500, 503}
+
+
+class Operator:
+    """Publishes versions and withdraws keys while faults last.
+
+    Parameters
+    ----------
+    run : SoakRun
+        The run.
+
+    Attributes
+    ----------
+    version : int
+        The newest version; it alone has the route ``/genN/``.
+    withdrawn : list of str
+        Keys that hold no more.
+    """
+
+    def __init__(self, *, run):
+        self.shared = run
+        self.version = 0
+        self.withdrawn = []
+        self.is_over = False
+
+    async def run(self):
+        """Publish again and again."""
+        while not self.is_over:
+            await asyncio.sleep(self.shared.random.uniform(*CHANGE_S))
+            if not self.is_over:
+                await self.publish()
+
+    async def publish(self):
+        """Publish the next version; the key that it had alone is withdrawn."""
+        if self.version:
+            self.withdrawn.append(f"key-{self.version}")
+        self.version += 1
+        payload = _configuration(self.version, [KEY, f"key-{self.version}"])
+        await self.shared.store.put(OPERATOR_TOPIC, "config", payload)
+
+
+class VersionProbe:
+    """Asks one gateway for routes of all versions.
+
+    Parameters
+    ----------
+    run : SoakRun
+        The run.
+    number : int
+        The gateway.
+    """
+
+    def __init__(self, *, run, number):
+        self.shared = run
+        self.number = number
+        self.served = {}
+
+    async def run(self):
+        """Ask until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_S)
+            version = self.shared.random.randint(1, self.shared.operator.version)
+            before = self.shared.starts[self.number]
+            if not await self._serves(version):
+                continue
+            if self.shared.starts[self.number] != before:
+                continue
+            newest = self.served.get(before, 0)
+            self.served[before] = max(newest, version)
+            if version < newest:
+                detail = f"entry-{self.number}: {version} after {newest}"
+                found = Violation("a version never steps back", detail)
+                self.shared.violations.append(found)
+
+    async def _serves(self, version):
+        url = _url(self.shared, self.number, f"/gen{version}/")
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        headers = _headers(f"{PROBE_PREFIX}{self.number}-{version}", KEY)
+        with contextlib.suppress(TimeoutError, aiohttp.ClientError, ConnectionError):
+            async with self.shared.session.get(
+                url, headers=headers, timeout=timeout
+            ) as response:
+                return response.status == 200
+        return False
+
+
+class Callers:
+    """Sends requests of all kinds to all gateways that are ready.
+
+    Parameters
+    ----------
+    run : SoakRun
+        The run.
+
+    Attributes
+    ----------
+    attempts : list of Attempt
+        All that have ended.
+    kinds : tuple of str
+        Kinds of requests.
+    is_calm : bool
+        Whether only shutdowns are under way, which may cut nothing.
+    """
+
+    def __init__(self, *, run):
+        self.shared = run
+        self.attempts = []
+        self.kinds = KINDS
+        self.is_calm = False
+        self.is_over = False
+        self.count = 0
+
+    async def run(self):
+        """Send requests until the run is over."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(self.shared.shape.callers):
+                group.create_task(self._call_again_and_again())
+
+    async def is_served(self, kind, number, path=None):
+        """Return whether a gateway serves a request of a kind."""
+        attempt = await self._call(kind, number, path=path)
+        return attempt.status == 200 and attempt.is_whole
+
+    async def _call_again_and_again(self):
+        rng = self.shared.random
+        while not self.is_over:
+            await asyncio.sleep(rng.uniform(0.0, 2 * THINK_S))
+            number = rng.choice(list(self.shared.gateways))
+            if not await self.shared.is_ready(number):
+                continue
+            was_calm = self.is_calm
+            attempt = await self._call(rng.choice(KINDS), number)
+            is_orderly = attempt.is_whole and attempt.status in ORDERLY
+            if was_calm and not is_orderly:
+                detail = f"{attempt.kind} {attempt.attempt_id} {attempt.status}"
+                found = Violation("a shutdown cuts no request", detail)
+                self.shared.violations.append(found)
+
+    async def _call(self, kind, number, path=None):
+        self.count += 1
+        attempt_id = f"{self.shared.seed}-{self.count}"
+        headers = _headers(attempt_id, KEY)
+        # The callers' library repeats a GET by itself where a connection breaks.
+        method = "GET" if kind == "safe" else "POST"
+        body = b""
+        expected = b"".join(
+            b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, EVENTS + 1)
+        )
+        if kind == "unsafe":
+            body = f"booking {attempt_id}".encode()
+        if kind in ("safe", "unsafe"):
+            expected = body
+        else:
+            adapter = self.shared.random.randrange(1, ADAPTERS + 1)
+            headers["X-Model"] = f"base/a{adapter}"
+            headers["X-Token-Count"] = "100,10"
+            headers["X-Prompt-Prefix"] = f"aa:50,{self.count:x}:40"
+        status, is_whole, received = None, False, bytearray()
+        timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 1.0)
+        url = _url(self.shared, number, path or f"/{kind}/")
+        try:
+            async with self.shared.session.request(
+                method, url, headers=headers, data=body or None, timeout=timeout
+            ) as response:
+                status = response.status
+                async for chunk in response.content.iter_any():
+                    received += chunk
+                is_whole = True
+        except (TimeoutError, aiohttp.ClientError, ConnectionError):
+            # What came before it counts; no promise is made about the rest.
+            is_whole = False
+        attempt = Attempt(
+            attempt_id, kind, number, body, status, is_whole, bytes(received), expected
+        )
+        self.attempts.append(attempt)
+        return attempt
+
+
+def _url(run, number, path):
+    return yarl.URL(f"http://{run.front_links[number].own_address}{path}")
+
+
+def _headers(attempt_id, key):
+    return {
+        "Host": HOST_NAME,
+        "X-Attempt-Id": attempt_id,
+        "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
+        "Authorization": f"Bearer {key}",
+    }
+
+
+def _configuration(version, keys):
+    routes = [
+        _route("safe", "safe"),
+        _route("unsafe", "unsafe", attempts=1),
+        _route("stream", "streaming", attempts=1),
+        _route("resumable", "streaming", resumable=True),
+        _route(f"gen{version}", "safe"),
+    ]
+    engine = {
+        "slots": 8,
+        "kvCapacity": 100_000,
+        "models": [{"name": "base", "weightsMb": 1.0, "loadS": 1.0, "adapters": 9}],
+        "weightsMb": 100.0,
+        "adapterSlots": 2,
+    }
+    plain = {"name": "plain", "healthPath": "/healthz", "maxConns": 64}
+    return json.dumps(
+        {
+            "version": version,
+            "routes": routes,
+            "services": [plain, plain | {"name": "engines", "engine": engine}],
+            "limits": {
+                "maxHeaderBytes": 16_384,
+                "maxBodyBytes": 65_536,
+                "headerTimeoutMs": 1000,
+                "idleTimeoutMs": 2000,
+            },
+            "tenants": [{"name": TEAM, "apiKeys": keys, "ratePerS": 0, "burst": 0}],
+        }
+    ).encode()
+
+
+def _route(name, kind, **changes):
+    values = {
+        "name": name,
+        "host": HOST_NAME,
+        "pathPrefix": f"/{name}/",
+        "routeKind": kind,
+        "timeoutMs": 3000,
+        "latencyGoalMs": 300,
+        "priority": 1,
+        "service": "engines" if kind == "streaming" else "plain",
+        "attempts": 2,
+        "public": False,
+        "resumable": False,
+    }
+    if kind == "streaming":
+        values["gapTargetMs"] = 300
+    return values | changes
--- /dev/null
+++ b/lab/soak/proxy.py
@@ -0,0 +1,96 @@
+"""A loopback proxy that delays, resets, silences and cuts connections."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+__all__ = ["FaultyLink"]
+
+HOST = "127.0.0.1"
+CHUNK_BYTES = 65_536
+HOLD_STEP_S = 0.02
+# Sends a reset instead of an orderly end.
+RESET = struct.pack("ii", 1, 0)
+
+
+class FaultyLink:
+    """Connections from one side to one address.
+
+    Parameters
+    ----------
+    address : str or None
+        ``IP:PORT`` to connect to; may be set later.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds that each piece of data is held back.
+    cut_forward, cut_back : bool
+        Whether data to and from the address are held until healed. Connections
+        that carried data meanwhile stay silent for good.
+    """
+
+    def __init__(self, address=None):
+        self.address = address
+        self.delay = 0.0
+        self.cut_forward = False
+        self.cut_back = False
+        self.connections = set()
+        self.own_address = None
+
+    @contextlib.asynccontextmanager
+    async def serving(self):
+        """Listen on a free port; yields its ``IP:PORT``."""
+        server = await asyncio.start_server(self._connect, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        self.own_address = f"{HOST}:{port}"
+        try:
+            yield self.own_address
+        finally:
+            server.close()
+            self.reset()
+
+    def reset(self):
+        """Reset all open connections, on both sides."""
+        for writer in list(self.connections):
+            sock = writer.get_extra_info("socket")
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            writer.transport.abort()
+
+    async def _connect(self, reader, writer):
+        while self.cut_forward and self.cut_back:
+            await asyncio.sleep(HOLD_STEP_S)
+        host, _, port = self.address.rpartition(":")
+        try:
+            far_reader, far_writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.transport.abort()
+            return
+        self.connections.update((writer, far_writer))
+        pumps = (
+            self._pump(reader, far_writer, lambda: self.cut_forward),
+            self._pump(far_reader, writer, lambda: self.cut_back),
+        )
+        try:
+            # The streams' own callback reports a cancelled task as an error.
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*pumps)
+        finally:
+            for each in (writer, far_writer):
+                self.connections.discard(each)
+                each.transport.abort()
+
+    async def _pump(self, reader, writer, is_cut):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                if is_cut():
+                    # Something between both ends has lost track of it.
+                    await asyncio.Event().wait()
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
--- /dev/null
+++ b/lab/soak/run.py
@@ -0,0 +1,307 @@
+"""One run of the soak: real gateways, stand-ins around them, callers, faults."""
+
+import asyncio
+import collections
+import contextlib
+import itertools
+import json
+import pathlib
+import random
+import sys
+from typing import NamedTuple
+
+import aiohttp
+import yarl
+
+from lab.soak import faults  # noqa: F401  (fills the registry of kinds)
+from lab.soak.load import EVENTS, Callers, Operator, VersionProbe
+from lab.soak.plan import KINDS, SoakShape, draw_plan
+from lab.soak.promises import Violation, check_attempts, check_orders
+from lab.soak.proxy import FaultyLink
+from standins.common import serving
+from standins.fleet import HOST, Process, free_port
+from standins.gateway_target import GatewayTargetStandIn
+from standins.store import StoreStandIn
+
+__all__ = ["SoakResult", "SoakRun", "soak"]
+
+DATA_CENTRES = ("windhoek-a", "windhoek-b", "okahandja")
+MODEL = "base"
+TARGETS_TOPIC = "keyed.servers"
+# Twice what a takeover of all engines takes, on a busy machine.
+RECOVERY_S = 30.0
+RECOVERY_CHECK_S = 0.2
+START_S = 30.0
+SHUTDOWN_S = 2.0
+
+
+class SoakResult(NamedTuple):
+    """What a run has shown.
+
+    Attributes
+    ----------
+    seed : int
+        Of the run.
+    plan : list of Fault
+        The faults injected.
+    violations : list of Violation
+        Broken promises.
+    answers : collections.Counter
+        Attempts by kind and status.
+    """
+
+    seed: int
+    plan: list
+    violations: list
+    answers: collections.Counter
+
+
+class SoakRun:
+    """A running system and what was seen of it.
+
+    Parameters
+    ----------
+    seed : int
+        Draws the faults and the load.
+    shape : SoakShape
+        Sizes.
+    directory : pathlib.Path
+        For settings and logs.
+    """
+
+    def __init__(self, *, seed, shape, directory):
+        self.seed = seed
+        self.shape = shape
+        self.directory = pathlib.Path(directory)
+        self.random = random.Random(f"load {seed}")
+        self.store = StoreStandIn()
+        self.targets = [
+            GatewayTargetStandIn(name=f"e{n}", slots=2, model=MODEL)
+            for n in range(shape.engines)
+        ] + [GatewayTargetStandIn(name=f"p{n}") for n in range(shape.services)]
+        for target in self.targets:
+            target.events = EVENTS
+        self.target_links = []
+        self.store_links = []
+        self.front_links = []
+        self.gateways = {}
+        self.starts = collections.Counter()
+        self.violations = []
+        self.ready_addresses = []
+        self.session = None
+        self.operator = Operator(run=self)
+
+    async def run(self):
+        """Play the whole run.
+
+        Returns
+        -------
+        SoakResult
+        """
+        plan = draw_plan(self.seed, self.shape)
+        async with contextlib.AsyncExitStack() as stack:
+            await self._start(stack)
+            callers = Callers(run=self)
+            probes = [VersionProbe(run=self, number=n) for n in self.gateways]
+            work = [
+                asyncio.create_task(each.run())
+                for each in (callers, self.operator, *probes)
+            ]
+            try:
+                await self._play(plan)
+                await self._recover(callers)
+                await self._check_withdrawn_keys()
+                await self._stop_in_turn(callers)
+            finally:
+                callers.is_over = True
+                await asyncio.gather(work[0], return_exceptions=True)
+                for task in work[1:]:
+                    task.cancel()
+                await asyncio.gather(*work, return_exceptions=True)
+        for task in work:
+            if not task.cancelled() and task.exception() is not None:
+                raise task.exception()
+        self.violations += check_attempts(callers.attempts, self.targets)
+        self.violations += check_orders(self.targets)
+        answers = collections.Counter((a.kind, a.status) for a in callers.attempts)
+        return SoakResult(self.seed, plan, self.violations, answers)
+
+    async def start_gateway(self, number):
+        """Start a gateway's process."""
+        self.starts[number] += 1
+        name = f"entry-{number}"
+        log_path = self.directory / f"{name}.log"
+        with open(log_path, "ab") as log:
+            child = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "skylarkpost.gateway.main",
+                "--settings",
+                str(self.directory / f"{name}.toml"),
+                stdout=log,
+                stderr=log,
+                stdin=asyncio.subprocess.DEVNULL,
+            )
+        self.gateways[number] = Process(name=name, child=child, log_path=log_path)
+
+    async def restart_target(self, number):
+        """Let a target crash and come back."""
+        target = self.targets[number]
+        target.restart()
+        self.target_links[number].reset()
+        await self.announce(number)
+
+    async def announce(self, number):
+        """Write a target's entry to the store, as the target would."""
+        target = self.targets[number]
+        service = "engines" if target.model else "plain"
+        address = self.target_links[number].own_address
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        entry = target.entry(service, data_centre, address=address)
+        await self.store.put(TARGETS_TOPIC, target.name, entry)
+
+    async def is_ready(self, number):
+        """Return whether a gateway tells the balancer that it is ready."""
+        url = f"http://{self.ready_addresses[number]}/-/readyz"
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        try:
+            async with self.session.get(url, timeout=timeout) as response:
+                return response.status == 200
+        except (TimeoutError, aiohttp.ClientError):
+            return False
+
+    async def _start(self, stack):
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector)
+        )
+        urls = await stack.enter_async_context(serving(self.store))
+        store_address = urls[0].removeprefix("http://")
+        for number, target in enumerate(self.targets):
+            await stack.enter_async_context(target.serving())
+            link = FaultyLink(f"{HOST}:{target.port}")
+            await stack.enter_async_context(link.serving())
+            self.target_links.append(link)
+            await self.announce(number)
+        await self.operator.publish()
+        peers = [f"{HOST}:{free_port()}" for _ in range(self.shape.instances)]
+        stack.push_async_callback(self._kill_gateways)
+        for number in range(self.shape.instances):
+            front = f"{HOST}:{free_port()}"
+            for links, address in (
+                (self.store_links, store_address),
+                (self.front_links, front),
+            ):
+                link = FaultyLink(address)
+                await stack.enter_async_context(link.serving())
+                links.append(link)
+            self.ready_addresses.append(f"{HOST}:{free_port()}")
+            self._write_settings(number, front, peers)
+            await self.start_gateway(number)
+        async with asyncio.timeout(START_S):
+            for number in self.gateways:
+                while not await self.is_ready(number):
+                    await asyncio.sleep(RECOVERY_CHECK_S)
+
+    def _write_settings(self, number, front, peers):
+        values = {
+            "instance": {
+                "id": f"entry-{number}",
+                "data_centre": DATA_CENTRES[number % len(DATA_CENTRES)],
+                "front_address": front,
+                "ready_address": self.ready_addresses[number],
+                "peer_address": peers[number],
+                "metrics_address": f"{HOST}:{free_port()}",
+                "seeds": peers[:2],
+            },
+            "store": {"address": self.store_links[number].own_address},
+        }
+        lines = []
+        for section, fields in values.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {json.dumps(value)}" for key, value in fields.items()]
+        (self.directory / f"entry-{number}.toml").write_text("\n".join(lines))
+
+    async def _play(self, plan):
+        started = asyncio.get_running_loop().time()
+        busy = collections.defaultdict(asyncio.Lock)
+        async with asyncio.TaskGroup() as group:
+            for fault in plan:
+                now = asyncio.get_running_loop().time()
+                await asyncio.sleep(max(0.0, started + fault.at - now))
+                group.create_task(self._inject(fault, busy))
+
+    async def _inject(self, fault, busy):
+        subjects, inject = KINDS[fault.kind]
+        # Two faults of one process come one after the other; others overlap.
+        kind = subjects if fault.kind.startswith("instance") else fault.kind
+        async with busy[kind, fault.subject]:
+            await inject(self, fault.subject, fault.duration)
+
+    async def _recover(self, callers):
+        """All faults are healed: every gateway has to serve every kind."""
+        self.operator.is_over = True
+        try:
+            async with asyncio.timeout(RECOVERY_S):
+                for number in self.gateways:
+                    for kind in callers.kinds:
+                        while not await callers.is_served(kind, number):
+                            await asyncio.sleep(RECOVERY_CHECK_S)
+                    newest = f"/gen{self.operator.version}/"
+                    while not await callers.is_served("safe", number, path=newest):
+                        await asyncio.sleep(RECOVERY_CHECK_S)
+        except TimeoutError:
+            detail = f"entry-{number} does not serve every kind after {RECOVERY_S} s"
+            self.violations.append(Violation("the fleet recovers", detail))
+
+    async def _check_withdrawn_keys(self):
+        for number, key in itertools.product(self.gateways, self.operator.withdrawn):
+            url = yarl.URL(f"http://{self.front_links[number].own_address}/safe/")
+            headers = {"Host": "desk.example", "Authorization": f"Bearer {key}"}
+            headers["Connection"] = "close"
+            try:
+                async with self.session.get(url, headers=headers) as response:
+                    status = response.status
+            except aiohttp.ClientError as error:
+                status = repr(error)
+            if status != 401:
+                detail = f"entry-{number} answered {status}"
+                self.violations.append(Violation("withdrawn keys end", detail))
+
+    async def _stop_in_turn(self, callers):
+        """Nothing else goes wrong: no request may be cut by a shutdown."""
+        if self.violations:
+            return
+        callers.is_calm = True
+        await asyncio.sleep(SHUTDOWN_S)
+        for number in self.gateways:
+            await self.gateways[number].stop()
+            await self.start_gateway(number)
+            async with asyncio.timeout(START_S):
+                while not await self.is_ready(number):
+                    await asyncio.sleep(RECOVERY_CHECK_S)
+        callers.is_over = True
+
+    async def _kill_gateways(self):
+        for process in self.gateways.values():
+            await process.kill()
+
+
+async def soak(seed, directory, shape=None):
+    """Play one run.
+
+    Parameters
+    ----------
+    seed : int
+        Of the run.
+    directory : pathlib.Path
+        For settings and logs.
+    shape : SoakShape or None
+        Sizes; the usual ones if None.
+
+    Returns
+    -------
+    SoakResult
+    """
+    run = SoakRun(seed=seed, shape=shape or SoakShape(), directory=directory)
+    return await run.run()
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -49,6 +49,9 @@
 # Each report costs the engine a probe; a report permits grants for three seconds.
 POLL_S = 1.4
 POLL_CHECK_S = 0.1
+# While a load that an earlier steward ordered is on its way, requests may wait for
+# it: about the time of a load.
+POLL_FOUND_LOADS_S = 0.3
 # A small part of a ticket's lease.
 RENEWAL_CHECK_S = 0.5
 TOPIC = "targets"
@@ -245,11 +248,11 @@
         now = self.services.clock()
         if self.distrusted_until.get(holder, -math.inf) > now:
             return None
-        for member in self.membership.members(now):
-            if member.instance == holder and member.state is not MemberState.SILENT:
-                number = self.keeper.table.leases[target].number
-                return StewardAddress(holder, member.address, number)
-        return None
+        member = self.membership.find(holder, now)
+        if member is None or member.state is MemberState.SILENT:
+            return None
+        number = self.keeper.table.leases[target].number
+        return StewardAddress(holder, member.address, number)
 
     async def load_report(self, address):
         """Return what is known of an engine without its steward.
@@ -475,6 +478,12 @@
         summaries = [seat.summary(now) for seat in self.keeper.seats.values()]
         for summary in summaries:
             self.placer.note_summary(summary, now)
+        if now - self.published_at >= PUBLISH_S:
+            self.published_at = now
+            self._note_alive(now)
+            self.membership.publish(TOPIC, encode_summaries(summaries))
+
+    def _note_alive(self, now):
         members = {
             member.instance
             for member in self.membership.members(now)
@@ -483,9 +492,6 @@
         for target, summary in self.placer.summaries.items():
             if summary.steward in members:
                 self.placer.note_alive(target, now)
-        if now - self.published_at >= PUBLISH_S:
-            self.published_at = now
-            self.membership.publish(TOPIC, encode_summaries(summaries))
 
     async def _run_polls(self):
         while True:
@@ -493,14 +499,19 @@
             due = [
                 seat
                 for name, seat in self.keeper.seats.items()
-                if now - self.polled_at.get(name, -math.inf) >= POLL_S
-                or seat.engines.needs_report(now)
+                if self._is_poll_due(name, seat, now)
             ]
             for seat in due:
                 self.polled_at[seat.steward.target.name] = now
             await asyncio.gather(*(seat.poll() for seat in due))
             await asyncio.sleep(POLL_CHECK_S)
 
+    def _is_poll_due(self, name, seat, now):
+        has_found = seat.steward.slots.residency.has_found_loads()
+        interval = POLL_FOUND_LOADS_S if has_found else POLL_S
+        is_due = now - self.polled_at.get(name, -math.inf) >= interval
+        return is_due or seat.engines.needs_report(now)
+
     async def _run_renewals(self):
         while True:
             await asyncio.sleep(RENEWAL_CHECK_S)
--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -152,8 +152,31 @@
         list of Member
             This one first.
         """
+        return [self._own(now), *self.core.members()]
+
+    def find(self, instance, now):
+        """Return one instance; see `members`, which costs more.
+
+        Parameters
+        ----------
+        instance : str
+            Its id.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        Member or None
+        """
+        if instance == self.core.instance:
+            return self._own(now)
+        if instance not in self.core.roster.records:
+            return None
+        return self.core.member(instance)
+
+    def _own(self, now):
         state = MemberState.LEAVING if self.core.leaving else MemberState.LIVE
-        own = Member(
+        return Member(
             self.core.instance,
             self.core.boot,
             self.core.address,
@@ -161,7 +184,6 @@
             state,
             now,
         )
-        return [own, *self.core.members()]
 
     def reachable(self, now):
         """Return the live instances, with this one.
--- a/skylarkpost/stewardship/residency.py
+++ b/skylarkpost/stewardship/residency.py
@@ -1,6 +1,7 @@
 """Which adapters an engine holds, from orders and from its reports."""
 
 import enum
+import math
 from typing import NamedTuple
 
 from skylarkpost.stewardship.reports import ReportClock
@@ -178,6 +179,33 @@
         adapter.pending = pending
         adapter.changed_at = now
 
+    def withdraw_load(self, lora_name):
+        """Note that a load was refused or not sent.
+
+        Another order for the adapter may have been accepted instead, so that the
+        next report decides whether it is there.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        """
+        self.adapters.pop(lora_name, None)
+        self.gone_at.pop(lora_name, None)
+
+    def has_found_loads(self):
+        """Return whether a report showed a load that was not ordered here.
+
+        Returns
+        -------
+        bool
+            Until a report shows its end.
+        """
+        return any(
+            adapter.state is AdapterState.LOADING and not adapter.pending
+            for adapter in self.adapters.values()
+        )
+
     def used_at(self, lora_name):
         """Return a time at which an adapter was in use, by a report.
 
@@ -253,6 +281,10 @@
         self.total = report.running + report.waiting
         gained = self._adopt(report, taken, now)
         lost, failed, kept = self._settle(report, taken)
+        for name in report.loading:
+            # Ordered by an earlier steward, or thought lost: it takes a slot.
+            if name not in self.adapters and taken > self.gone_at.get(name, -math.inf):
+                self.set_state(name, AdapterState.LOADING, now=now)
         self.gone_at = {n: at for n, at in self.gone_at.items() if at >= taken}
         return ResidencyChange(restarted, gained, lost, failed, kept)
 
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -206,7 +206,7 @@
         return []
 
     def order_withdrawn(self, order, lora_name, *, now):
-        """Note that an order was not given; nothing has changed on the engine.
+        """Note that an order was not carried out, or never sent.
 
         Parameters
         ----------
@@ -221,7 +221,7 @@
             return
         del self._orders[lora_name]
         if self.residency.state(lora_name) is AdapterState.LOADING:
-            self.residency.set_state(lora_name, None, now=now)
+            self.residency.withdraw_load(lora_name)
         elif self.residency.state(lora_name) is AdapterState.UNLOADING:
             self.residency.set_state(lora_name, AdapterState.RESIDENT, now=now)
             self.queue.set_ready(lora_name, ready=True)
--- a/skylarkpost/targets/outcomes.py
+++ b/skylarkpost/targets/outcomes.py
@@ -155,7 +155,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class OrderNotGiven:
-    """The order was not carried out, for no fault of what it is about.
+    """The order was refused or not sent, for no fault of what it is about.
+
+    Where an answer to an earlier copy was lost, that copy may have been carried
+    out; the next report tells.
 
     Parameters
     ----------
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -9,7 +9,7 @@
 import json
 from typing import NamedTuple
 
-__all__ = ["GatewayTargetStandIn", "ReceivedRequest"]
+__all__ = ["GatewayTargetStandIn", "ReceivedOrder", "ReceivedRequest"]
 
 LOAD_S = 0.05
 EVENT_PAUSE_S = 0.005
@@ -33,6 +33,21 @@
     body: bytes
 
 
+class ReceivedOrder(NamedTuple):
+    """One order as it arrived.
+
+    Attributes
+    ----------
+    at : float
+        Seconds of the event loop's clock.
+    holder : str
+        Who gave it.
+    """
+
+    at: float
+    holder: str
+
+
 class GatewayTargetStandIn:
     """Answers requests, reports and orders.
 
@@ -55,6 +70,10 @@
         ``"late"`` (another's answer first), ``"unsigned"`` (no signature).
     events : int
         Events of a stream.
+    orders : list of ReceivedOrder
+        All orders, refused ones too.
+    born : int
+        Unix milliseconds of the last start.
     """
 
     def __init__(self, *, name, slots=0, model=None):
@@ -69,6 +88,8 @@
         self.script = []
         self.events = 4
         self.overloads = 0
+        self.orders = []
+        self.born = 1_700_000_000_000
         self.port = None
 
     @contextlib.asynccontextmanager
@@ -81,6 +102,11 @@
         finally:
             server.close()
 
+    def restart(self):
+        """Forget everything, as a process that starts again."""
+        self.adapters, self.loading, self.accepted = {}, {}, 0
+        self.born += 1000
+
     def entry(self, service, zone, **changes):
         """Return the server's announcement as it writes it to the store."""
         models = []
@@ -97,7 +123,7 @@
             "coldLeftMs": 0,
             "models": models,
             "seq": self.accepted,
-            "born": 1_700_000_000_000,
+            "born": self.born,
         }
         return json.dumps(values | changes).encode()
 
@@ -211,6 +237,8 @@
         ).encode()
 
     def _order(self, order):
+        now = asyncio.get_running_loop().time()
+        self.orders.append(ReceivedOrder(now, order["holder"]))
         self._settle()
         name, version = order["adapter"], order.get("version", 1)
         if order["op"] == "load" and name in self.loading:
