--- a/skylarkpost/gateway/main.py
+++ b/skylarkpost/gateway/main.py
@@ -9,6 +9,11 @@
 from dataclasses import dataclass
 from typing import Annotated
 
+if __name__ == "__main__":
+    # A reload that comes while the parts are imported must not end the process; the
+    # settings are read after that anyway.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import cappa
 
 from skylarkpost.daemon.main import EXIT_BAD_SETTINGS, handle_loop_error
--- /dev/null
+++ b/tests/lab/soak/test_promises.py
@@ -0,0 +1,71 @@
+"""What the soak counts as a broken promise."""
+
+import pytest
+
+from lab.soak.promises import TEAM, Attempt, check_attempts, check_orders
+from standins.gateway_target import (
+    GatewayTargetStandIn,
+    ReceivedOrder,
+    ReceivedRequest,
+)
+
+EVENTS = b"id: 1\n\nid: 2\n\n"
+
+
+def attempt(kind="unsafe", status=200, **changes):
+    body = b"booking" if kind == "unsafe" else b""
+    received = b"p0:booking" if kind == "unsafe" else EVENTS
+    expected = b"booking" if kind == "unsafe" else EVENTS
+    made = Attempt("a-1", kind, 0, body, status, True, received, expected)
+    return made._replace(**changes)
+
+
+def ran(*requests):
+    target = GatewayTargetStandIn(name="p0")
+    for changes in requests:
+        headers = {"x-attempt-id": "a-1", "x-tenant": TEAM} | changes
+        target.ran.append(ReceivedRequest("POST / HTTP/1.1", headers, b"booking"))
+    return [target]
+
+
+def promises(attempts, targets):
+    return [violation.promise for violation in check_attempts(attempts, targets)]
+
+
+def test_a_proper_run_breaks_nothing():
+    assert promises([attempt()], ran({})) == []
+    assert promises([attempt(status=503)], ran()) == []
+    cut = attempt("stream", received=EVENTS[:9], is_whole=False)
+    assert promises([cut], []) == []
+
+
+@pytest.mark.parametrize(
+    ("attempts", "targets", "promise"),
+    [
+        ([attempt()], ran({}, {}), "runs at most once"),
+        ([attempt(status=503)], ran({}), "a refusal has not run"),
+        ([attempt()], ran({"authorization": "Bearer x"}), "no target sees a key"),
+        ([attempt()], ran({"x-tenant": "other"}), "runs for the key's team"),
+        ([attempt(body=b"changed")], ran({}), "requests arrive unchanged"),
+        ([], ran({}), "only what callers sent runs"),
+        ([attempt(received=b"p0:other")], ran({}), "whole answers only"),
+        ([attempt("stream", received=EVENTS[:9])], [], "whole answers only"),
+    ],
+)
+def test_each_promise_is_checked(attempts, targets, promise):
+    assert promise in promises(attempts, targets)
+
+
+def test_an_event_that_comes_twice_is_found_in_a_stream_that_broke_too():
+    twice = attempt("stream", received=b"id: 1\n\nid: 1\n\n", is_whole=False)
+    assert promises([twice], []) == ["no event twice or missing"]
+
+
+def test_two_stewards_without_a_pause_and_overloads_are_found():
+    target = GatewayTargetStandIn(name="e0")
+    target.orders = [ReceivedOrder(1.0, "a"), ReceivedOrder(5.0, "b")]
+    assert check_orders([target]) == []
+    target.orders.append(ReceivedOrder(6.0, "a"))
+    target.overloads = 1
+    found = [violation.promise for violation in check_orders([target])]
+    assert found == ["no engine is overloaded", "one steward at a time"]
