Let an instance's part of the retries follow the number of instances

It shrinks at once now, and a larger one has to be earned. Two tests; the one through the services failed before.

--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -15,6 +15,9 @@
 
 # Connections for reports and orders beside those of requests.
 LEAST_CONNECTIONS = 4
+# Part of the retries that the deployment allows: what is saved up may be spent at the
+# end of one of its spans and again, once earned anew, in the same span.
+RETRY_PART = 0.5
 
 
 def steady_clock():
@@ -101,13 +104,17 @@
         -------
         RetryBudget
         """
-        if service not in self.retry_budgets:
-            bounds = self.settings.bounds
-            reserve = max(1.0, bounds.retry_slack / self.fleet_size() / 2.0)
-            self.retry_budgets[service] = RetryBudget(
-                ratio=bounds.retry_ratio / 2.0, reserve=reserve
-            )
-        return self.retry_budgets[service]
+        bounds = self.settings.bounds
+        part = RETRY_PART * bounds.retry_slack / self.fleet_size()
+        reserve = max(1.0, part)
+        budget = self.retry_budgets.get(service)
+        if budget is None:
+            ratio = RETRY_PART * bounds.retry_ratio
+            budget = RetryBudget(ratio=ratio, reserve=reserve)
+            self.retry_budgets[service] = budget
+        # Instances come and go; all of their parts together stay within the slack.
+        budget.resize(reserve)
+        return budget
 
     def fleet_size(self):
         """Return how many instances share what targets and teams allow.
--- a/skylarkpost/relay/retry_budget.py
+++ b/skylarkpost/relay/retry_budget.py
@@ -31,6 +31,17 @@
         """Count one first try."""
         self.balance = min(self.reserve, self.balance + self.ratio)
 
+    def resize(self, reserve):
+        """Change how many retries can be saved up.
+
+        Parameters
+        ----------
+        reserve : float
+            The new reserve. A larger one has to be earned.
+        """
+        self.reserve = reserve
+        self.balance = min(reserve, self.balance)
+
     def take(self):
         """Take one retry from the budget.
 
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/test_retries.py
@@ -6,8 +6,10 @@
     RetryRule,
     may_try_again,
 )
+from skylarkpost.gateway.services import GatewayServices
 from skylarkpost.relay.retry_budget import RetryBudget
 from skylarkpost.routing import RouteKind
+from skylarkpost.settings.gateway import GatewaySettings
 
 SAFE = RetryRule(RouteKind.SAFE, False, 2)
 UNSAFE = RetryRule(RouteKind.UNSAFE, False, 2)
@@ -78,3 +80,36 @@
             tried += 1
             arrivals += 1
     assert arrivals <= 1000 * 1.1 + 7
+
+
+class Fleet:
+    def __init__(self, size):
+        self.count = size
+
+    def size(self):
+        return self.count
+
+
+def test_an_instances_part_of_the_retries_follows_the_fleet():
+    settings = GatewaySettings.model_validate(
+        {
+            "instance": {
+                "id": "entry-1",
+                "data_centre": "yaba",
+                "front_address": "127.0.0.1:1",
+                "ready_address": "127.0.0.1:2",
+                "peer_address": "127.0.0.1:3",
+                "metrics_address": "127.0.0.1:4",
+            },
+            "store": {"address": "127.0.0.1:5"},
+            "bounds": {"retry_slack": 56.0},
+        }
+    )
+    services = GatewayServices(settings=settings, store=None, seed=1)
+    services.controllers["fleet"] = fleet = Fleet(1)
+    assert services.retry_budget("plain").balance == 28.0
+    fleet.count = 4
+    assert services.retry_budget("plain").balance == 7.0
+    fleet.count = 2
+    assert services.retry_budget("plain").balance == 7.0
+    assert services.retry_budget("plain").reserve == 14.0
--- a/tests/relay/test_retry_budget.py
+++ b/tests/relay/test_retry_budget.py
@@ -16,3 +16,18 @@
     for _ in range(1000):
         budget.first_try()
     assert sum(budget.take() for _ in range(100)) == 3
+
+
+def test_parts_of_one_slack_hold_together_however_many_instances_come():
+    # Instances that start one after the other each know of those before.
+    slack, budgets = 56.0, []
+    for count in range(1, 28):
+        budgets.append(RetryBudget(ratio=0.1, reserve=slack / count))
+        for budget in budgets:
+            budget.resize(slack / count)
+    assert sum(budget.balance for budget in budgets) <= slack + 1e-9
+    grown = budgets[0]
+    grown.resize(slack)
+    assert grown.balance < slack / 20
+    grown.first_try()
+    assert grown.balance > slack / 27
