Bound the head of a request on the API's port, in size and time

A half-closed caller stays one that has left: its work is cancelled at the engine, which matters more than the rare client that half-closes.

--- a/skylarkpost/daemon/instance.py
+++ b/skylarkpost/daemon/instance.py
@@ -12,6 +12,7 @@
 from skylarkpost.eventlog import log_event
 from skylarkpost.filters import FilterChain, build_filters
 from skylarkpost.frontend import build_app
+from skylarkpost.frontend.protocol import BoundedHttpProtocol
 
 __all__ = ["Instance"]
 
@@ -54,8 +55,8 @@
             uvicorn.Config(
                 self.app,
                 loop="asyncio",
-                # Refuses a request with two lengths; h11 serves it.
-                http="httptools",
+                # Refuses a request with two lengths, which h11 serves.
+                http=BoundedHttpProtocol,
                 lifespan="off",
                 log_config=None,
                 access_log=False,
--- /dev/null
+++ b/skylarkpost/frontend/protocol.py
@@ -0,0 +1,109 @@
+"""HTTP parsing for the API's port, with bounds on what a caller may send."""
+
+import logging
+
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from skylarkpost.eventlog import log_event
+
+__all__ = ["BoundedHttpProtocol"]
+
+logger = logging.getLogger(__name__)
+
+# Several times what clients of model APIs send; the default of common servers.
+MAX_HEAD_BYTES = 32_768
+# Longest time from the first byte of a request to the end of its head.
+HEAD_TIMEOUT_S = 10.0
+
+REFUSAL = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"connection: close\r\ncontent-length: 0\r\n\r\n"
+)
+
+
+class BoundedHttpProtocol(HttpToolsProtocol):
+    """Refuses heads that are too large, and closes on those that stall.
+
+    Parameters
+    ----------
+    args, kwargs : object
+        As for the protocol of uvicorn.
+    """
+
+    def __init__(self, *args, **kwargs):
+        super().__init__(*args, **kwargs)
+        self.head_bytes = 0
+        self.fields_bytes = 0
+        self.is_in_head = True
+        self.head_timer = None
+
+    def connection_lost(self, exc):
+        """Forget the timer. See `asyncio.Protocol`."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data):
+        """Take bytes of a caller. See `asyncio.Protocol`."""
+        if self.transport.is_closing():
+            return
+        if self.is_in_head:
+            if self.head_timer is None:
+                self.head_timer = self.loop.call_later(
+                    HEAD_TIMEOUT_S, self._close_stalled
+                )
+            self.head_bytes += len(data)
+        super().data_received(data)
+        # A head that is complete by now was counted field by field.
+        if self.is_in_head and self.head_bytes > MAX_HEAD_BYTES:
+            self.send_400_response("")
+
+    def on_message_begin(self):
+        """Begin to count a head."""
+        self.is_in_head, self.fields_bytes = True, 0
+        super().on_message_begin()
+
+    def on_url(self, url):
+        """Take a part of the request line."""
+        self._count(len(url))
+        super().on_url(url)
+
+    def on_header(self, name, value):
+        """Take one field."""
+        self._count(len(name) + len(value))
+        super().on_header(name, value)
+
+    def on_headers_complete(self):
+        """Begin to serve the request."""
+        self.is_in_head, self.head_bytes = False, 0
+        self._stop_head_timer()
+        super().on_headers_complete()
+
+    def on_message_complete(self):
+        """Wait for the next head."""
+        self.is_in_head = True
+        super().on_message_complete()
+
+    def send_400_response(self, msg):
+        """Refuse a head that can't be served, and close the connection."""
+        is_too_large = max(self.head_bytes, self.fields_bytes) > MAX_HEAD_BYTES
+        if self.is_in_head and is_too_large:
+            log_event(logger, "request-head-refused", limit=MAX_HEAD_BYTES)
+            self.transport.write(REFUSAL)
+            self.transport.close()
+            return
+        super().send_400_response(msg)
+
+    def _count(self, size):
+        self.fields_bytes += size
+        if self.fields_bytes > MAX_HEAD_BYTES:
+            # The parser reports it as a malformed request.
+            raise ValueError("the head is too large")
+
+    def _close_stalled(self):
+        log_event(logger, "request-head-stalled", seconds=HEAD_TIMEOUT_S)
+        self.transport.close()
+
+    def _stop_head_timer(self):
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
