--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -132,7 +132,7 @@
             return 1
         now = self.services.clock()
         count = 1
-        for member in membership.core.members():
+        for member in membership.others(now):
             if member.state is not MemberState.SILENT:
                 self.missing_since.pop(member.instance, None)
                 count += 1
@@ -184,12 +184,13 @@
         membership = self.services.controllers.get("membership")
         if membership is None:
             return None
+        now = self.services.clock()
         heard = [
             member
-            for member in membership.core.members()
+            for member in membership.others(now)
             if member.state is MemberState.LIVE
         ]
-        reader = self.readers.find_reader(topic, heard, self.services.clock())
+        reader = self.readers.find_reader(topic, heard, now)
         if reader is None:
             return None
         ask = fleet_pb2.TopicAsk(topic=topic, start=start, wait=min(wait, RELAY_WAIT_S))
--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -85,7 +85,7 @@
     def _forget_gone(self, membership, now):
         heard = {
             member.instance
-            for member in membership.core.members()
+            for member in membership.others(now)
             if member.state is not MemberState.SILENT
         }
         self.shares.silent = set(self.shares.heard) - heard
--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 
 from skylarkpost.controllers import API, GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
@@ -62,6 +63,8 @@
         )
         self.listing = TargetListing()
         self.pauses = PauseDetector(now=services.clock())
+        self.listed_members = []
+        self.listed_at = -math.inf
         self.subscribers = {}
         self.watchers = []
         self.beats = set()
@@ -152,7 +155,27 @@
         list of Member
             This one first.
         """
-        return [self._own(now), *self.core.members()]
+        return [self._own(now), *self.others(now)]
+
+    def others(self, now):
+        """Return the other instances that are not known to be dead.
+
+        States change with the controller's ticks; between two of them the same list
+        is returned, since each request asks several times.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        list of Member
+        """
+        if not self.listed_at <= now < self.listed_at + TICK_S:
+            self.listed_members = self.core.members()
+            self.listed_at = now
+        return self.listed_members
 
     def find(self, instance, now):
         """Return one instance; see `members`, which costs more.
