--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -125,11 +125,14 @@
         Kinds of requests.
     is_calm : bool
         Whether only shutdowns are under way, which may cut nothing.
+    cut : list of Attempt
+        Sent meanwhile, and without an orderly end.
     """
 
     def __init__(self, *, run):
         self.shared = run
         self.attempts = []
+        self.cut = []
         self.kinds = KINDS
         self.is_calm = False
         self.is_over = False
@@ -157,9 +160,7 @@
             attempt = await self._call(rng.choice(KINDS), number)
             is_orderly = attempt.is_whole and attempt.status in ORDERLY
             if was_calm and not is_orderly:
-                detail = f"{attempt.kind} {attempt.attempt_id} {attempt.status}"
-                found = Violation("a shutdown cuts no request", detail)
-                self.shared.violations.append(found)
+                self.cut.append(attempt)
 
     async def _call(self, kind, number, path=None):
         self.count += 1
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -3,7 +3,14 @@
 import collections
 from typing import NamedTuple
 
-__all__ = ["PROBE_PREFIX", "Attempt", "Violation", "check_attempts", "check_orders"]
+__all__ = [
+    "PROBE_PREFIX",
+    "Attempt",
+    "Violation",
+    "check_attempts",
+    "check_orders",
+    "check_shutdowns",
+]
 
 # They say that a request has not run, and never will.
 NOT_RUN_STATUSES = {408, 421, 429, 503}
@@ -116,6 +123,33 @@
         yield Violation("no event twice or missing", f"{name} got {received[-80:]!r}")
 
 
+def check_shutdowns(cut, logs):
+    """Find requests that a gateway had read when its shutdown cut them.
+
+    A request that crosses the close of an idle connection is none: nobody read it,
+    and its caller may repeat it.
+
+    Parameters
+    ----------
+    cut : list of Attempt
+        Without an orderly end, while only shutdowns were under way.
+    logs : list of str
+        What all gateways have logged.
+
+    Returns
+    -------
+    list of Violation
+    """
+    return [
+        Violation(
+            "a shutdown cuts no request",
+            f"{each.kind} {each.attempt_id} {each.status}",
+        )
+        for each in cut
+        if any(f"request={each.attempt_id} " in log for log in logs)
+    ]
+
+
 def check_orders(targets):
     """Check that a target had one steward at a time, and room for what it loads.
 
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -16,7 +16,12 @@
 from lab.soak import faults  # noqa: F401  (fills the registry of kinds)
 from lab.soak.load import EVENTS, Callers, Operator, VersionProbe
 from lab.soak.plan import KINDS, SoakShape, draw_plan
-from lab.soak.promises import Violation, check_attempts, check_orders
+from lab.soak.promises import (
+    Violation,
+    check_attempts,
+    check_orders,
+    check_shutdowns,
+)
 from lab.soak.proxy import FaultyLink
 from standins.common import serving
 from standins.fleet import HOST, Process, free_port
@@ -125,6 +130,8 @@
                 raise task.exception()
         self.violations += check_attempts(callers.attempts, self.targets)
         self.violations += check_orders(self.targets)
+        logs = [path.read_text() for path in self.directory.glob("entry-*.log")]
+        self.violations += check_shutdowns(callers.cut, logs)
         answers = collections.Counter((a.kind, a.status) for a in callers.attempts)
         return SoakResult(self.seed, self.plan, self.violations, answers)
 
--- a/tests/lab/soak/test_promises.py
+++ b/tests/lab/soak/test_promises.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from lab.soak.promises import TEAM, Attempt, check_attempts, check_orders
+from lab.soak.promises import (
+    TEAM,
+    Attempt,
+    check_attempts,
+    check_orders,
+    check_shutdowns,
+)
 from standins.gateway_target import (
     GatewayTargetStandIn,
     ReceivedOrder,
@@ -69,3 +75,11 @@
     target.overloads = 1
     found = [violation.promise for violation in check_orders([target])]
     assert found == ["no engine is overloaded", "one steward at a time"]
+
+
+def test_a_request_that_was_read_may_not_be_cut_by_a_shutdown():
+    # Seed 30: four requests crossed the close of idle connections, unread.
+    cut = [attempt("safe", status=None, is_whole=False)]
+    assert check_shutdowns(cut, ["event=attempt-sent request=a-2 target=p0"]) == []
+    found = check_shutdowns(cut, ["event=attempt-sent request=a-1 target=p0"])
+    assert [each.promise for each in found] == ["a shutdown cuts no request"]
