Keep one copy of the socket options and of resets (skylarkpost.transport.sockets)

The client of the store set its own, the soak's proxy its own reset; times are as they were, but that the store's client gives up after one probe more.

--- a/lab/soak/proxy.py
+++ b/lab/soak/proxy.py
@@ -2,16 +2,14 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
+
+from skylarkpost.transport.sockets import reset
 
 __all__ = ["FaultyLink"]
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65_536
 HOLD_STEP_S = 0.02
-# Sends a reset instead of an orderly end.
-RESET = struct.pack("ii", 1, 0)
 
 
 class FaultyLink:
@@ -54,10 +52,8 @@
     def reset(self):
         """Reset all open connections, on both sides."""
         for writer in list(self.connections):
-            sock = writer.get_extra_info("socket")
             with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            writer.transport.abort()
+                reset(writer.transport)
 
     async def _connect(self, reader, writer):
         while self.cut_forward and self.cut_back:
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -17,6 +17,7 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from skylarkpost.transport.sockets import socket_options
 
 __all__ = ["OPERATOR_TOPIC", "TARGETS_TOPIC", "StoreClient"]
 
@@ -29,7 +30,9 @@
 # The store answers within some milliseconds; slow days stretch that sixty-fold.
 ANSWER_TIMEOUT_S = 2.0
 # Bounds how long bytes may stay unacknowledged on a connection gone silent.
-USER_TIMEOUT_MS = 3000
+USER_TIMEOUT_S = 3.0
+# Silence before the first probe: a long read has to notice a dead connection soon.
+KEEP_ALIVE_IDLE_S = 1
 # The store's own default and largest answer.
 READ_SIZE_KB = 1024
 HEADER = struct.Struct(">QQ")
@@ -210,11 +213,7 @@
 def _make_socket(address):
     family, kind, protocol = address[0], address[1], address[2]
     sock = socket.socket(family=family, type=kind, proto=protocol)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
+    socket_options(sock, user_timeout=USER_TIMEOUT_S, idle=KEEP_ALIVE_IDLE_S)
     return sock
 
 
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from skylarkpost.transport.headers import socket_options
+from skylarkpost.transport.sockets import socket_options
 
 __all__ = [
     "AnswerBroken",
--- a/skylarkpost/transport/headers.py
+++ b/skylarkpost/transport/headers.py
@@ -1,9 +1,6 @@
 """Headers that concern one connection only."""
 
-import socket
-import struct
-
-__all__ = ["forwardable", "reset", "socket_options"]
+__all__ = ["forwardable"]
 
 HOP_BY_HOP = frozenset(
     {
@@ -19,12 +16,6 @@
         "expect",
     }
 )
-# On, and for no time: a close sends a reset.
-NO_LINGER = struct.pack("ii", 1, 0)
-# Probes end a silent connection after some five seconds without traffic.
-KEEP_ALIVE_IDLE_S = 2
-KEEP_ALIVE_INTERVAL_S = 1
-KEEP_ALIVE_PROBES = 3
 
 
 def forwardable(headers):
@@ -46,36 +37,3 @@
         if name == "connection":
             dropped.update(each.strip().lower() for each in value.split(","))
     return [(name, value) for name, value in headers if name not in dropped]
-
-
-def reset(transport):
-    """Close a connection so that the other side sees it broken off.
-
-    Parameters
-    ----------
-    transport : asyncio.Transport
-        A TCP connection.
-    """
-    sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
-
-
-def socket_options(sock, *, user_timeout):
-    """Have the kernel notice a peer that went silent.
-
-    Parameters
-    ----------
-    sock : socket.socket
-        A TCP socket.
-    user_timeout : float
-        Longest time that sent bytes may stay unacknowledged, in seconds.
-    """
-    milliseconds = int(user_timeout * 1000)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from skylarkpost.transport.headers import reset, socket_options
+from skylarkpost.transport.sockets import reset, socket_options
 
 __all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainAnswer"]
 
--- a/tests/transport/rig.py
+++ b/tests/transport/rig.py
@@ -6,7 +6,7 @@
 
 from skylarkpost.routing import CallerBounds
 from skylarkpost.transport import CallerConnection
-from skylarkpost.transport.headers import reset as reset_transport
+from skylarkpost.transport.sockets import reset as reset_transport
 
 BOUNDS = CallerBounds(
     header_bytes=2000, body_bytes=5000, header_timeout=0.3, idle_timeout=0.6
