--- a/tests/lab/soak/test_promises.py
+++ b/tests/lab/soak/test_promises.py
@@ -83,3 +83,6 @@
     assert check_shutdowns(cut, ["event=attempt-sent request=a-2 target=p0"]) == []
     found = check_shutdowns(cut, ["event=attempt-sent request=a-1 target=p0"])
     assert [each.promise for each in found] == ["a shutdown cuts no request"]
+    # Seed 32: its deadline passed while it waited for an engine.
+    ended = "event=stream-broken request=a-1 target=e0 timed_out=true"
+    assert check_shutdowns(cut, [ended]) == []
