--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -48,10 +48,7 @@
 @fault_kind("store-link-silent", subjects="instances")
 async def silence_store_link(run, number, duration):
     """Cut a gateway from the store; open connections stay silent."""
-    link = run.store_links[number]
-    link.cut_forward = link.cut_back = True
-    await asyncio.sleep(duration)
-    link.cut_forward = link.cut_back = False
+    await _silence(run.store_links[number], duration)
 
 
 @fault_kind("store-link-one-way", subjects="instances")
@@ -111,10 +108,7 @@
 @fault_kind("target-link-silent", subjects="targets")
 async def silence_target_link(run, number, duration):
     """Cut a target off; open connections stay silent."""
-    link = run.target_links[number]
-    link.cut_forward = link.cut_back = True
-    await asyncio.sleep(duration)
-    link.cut_forward = link.cut_back = False
+    await _silence(run.target_links[number], duration)
 
 
 @fault_kind("target-answers-lost", subjects="targets")
@@ -150,3 +144,9 @@
     await asyncio.sleep(duration)
     run.front_links[number].cut_back = False
     run.front_links[number].reset()
+
+
+async def _silence(link, duration):
+    link.cut_forward = link.cut_back = True
+    await asyncio.sleep(duration)
+    link.cut_forward = link.cut_back = False
--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -2,18 +2,22 @@
 
 import asyncio
 import contextlib
-import json
 
 import aiohttp
 import yarl
 
 from lab.soak.promises import PROBE_PREFIX, Attempt, Violation
+from standins.gateway_configuration import (
+    HOST,
+    KEY,
+    MODEL,
+    ROUTES,
+    configuration,
+    route,
+)
 
 __all__ = ["EVENTS", "Callers", "Operator", "VersionProbe"]
 
-HOST_NAME = "desk.example"
-KEY = "key-of-depot"
-TEAM = "depot"
 OPERATOR_TOPIC = "keyed.op"
 KINDS = ("safe", "unsafe", "stream", "resumable")
 ADAPTERS = 6
@@ -60,7 +64,12 @@
         if self.version:
             self.withdrawn.append(f"key-{self.version}")
         self.version += 1
-        payload = _configuration(self.version, [KEY, f"key-{self.version}"])
+        newest = route(f"gen{self.version}", f"/gen{self.version}/", "safe")
+        payload = configuration(
+            version=self.version,
+            routes=[*ROUTES, newest],
+            keys=[KEY, f"key-{self.version}"],
+        )
         await self.shared.store.put(OPERATOR_TOPIC, "config", payload)
 
 
@@ -178,7 +187,7 @@
             expected = body
         else:
             adapter = self.shared.random.randrange(1, ADAPTERS + 1)
-            headers["X-Model"] = f"base/a{adapter}"
+            headers["X-Model"] = f"{MODEL}/a{adapter}"
             headers["X-Token-Count"] = "100,10"
             headers["X-Prompt-Prefix"] = f"aa:50,{self.count:x}:40"
         status, is_whole, received = None, False, bytearray()
@@ -208,59 +217,8 @@
 
 def _headers(attempt_id, key):
     return {
-        "Host": HOST_NAME,
+        "Host": HOST,
         "X-Attempt-Id": attempt_id,
         "X-Deadline-Ms": str(int(DEADLINE_S * 1000)),
         "Authorization": f"Bearer {key}",
     }
-
-
-def _configuration(version, keys):
-    routes = [
-        _route("safe", "safe"),
-        _route("unsafe", "unsafe", attempts=1),
-        _route("stream", "streaming", attempts=1),
-        _route("resumable", "streaming", resumable=True),
-        _route(f"gen{version}", "safe"),
-    ]
-    engine = {
-        "slots": 8,
-        "kvCapacity": 100_000,
-        "models": [{"name": "base", "weightsMb": 1.0, "loadS": 1.0, "adapters": 9}],
-        "weightsMb": 100.0,
-        "adapterSlots": 2,
-    }
-    plain = {"name": "plain", "healthPath": "/healthz", "maxConns": 64}
-    return json.dumps(
-        {
-            "version": version,
-            "routes": routes,
-            "services": [plain, plain | {"name": "engines", "engine": engine}],
-            "limits": {
-                "maxHeaderBytes": 16_384,
-                "maxBodyBytes": 65_536,
-                "headerTimeoutMs": 1000,
-                "idleTimeoutMs": 2000,
-            },
-            "tenants": [{"name": TEAM, "apiKeys": keys, "ratePerS": 0, "burst": 0}],
-        }
-    ).encode()
-
-
-def _route(name, kind, **changes):
-    values = {
-        "name": name,
-        "host": HOST_NAME,
-        "pathPrefix": f"/{name}/",
-        "routeKind": kind,
-        "timeoutMs": 3000,
-        "latencyGoalMs": 300,
-        "priority": 1,
-        "service": "engines" if kind == "streaming" else "plain",
-        "attempts": 2,
-        "public": False,
-        "resumable": False,
-    }
-    if kind == "streaming":
-        values["gapTargetMs"] = 300
-    return values | changes
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -25,13 +25,14 @@
 from lab.soak.proxy import FaultyLink
 from standins.common import serving
 from standins.fleet import HOST, Process, free_port
+from standins.gateway_configuration import HOST as GATEWAY_HOST
+from standins.gateway_configuration import MODEL
 from standins.gateway_target import GatewayTargetStandIn
 from standins.store import StoreStandIn
 
 __all__ = ["SoakResult", "SoakRun", "soak"]
 
 DATA_CENTRES = ("windhoek-a", "windhoek-b", "okahandja")
-MODEL = "base"
 TARGETS_TOPIC = "keyed.servers"
 # Twice what a takeover of all engines takes, on a busy machine.
 RECOVERY_S = 30.0
@@ -273,7 +274,7 @@
             return
         for number, key in itertools.product(self.gateways, self.operator.withdrawn):
             url = yarl.URL(f"http://{self.front_links[number].own_address}/safe/")
-            headers = {"Host": "desk.example", "Authorization": f"Bearer {key}"}
+            headers = {"Host": GATEWAY_HOST, "Authorization": f"Bearer {key}"}
             headers["Connection"] = "close"
             try:
                 async with self.session.get(url, headers=headers) as response:
