--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -1,14 +1,14 @@
 """The kinds of faults that the soak injects."""
 
 import asyncio
+import pathlib
 import signal
 
 from lab.soak.plan import fault_kind
 
 DELAY_S = 0.15
 RESTART_PAUSE_S = 0.3
-# No program can handle a signal before its interpreter runs.
-INTERPRETER_START_S = 0.5
+SIGNAL_CHECK_S = 0.02
 LOST_APPENDS = 3
 # A few requests in a row go wrong, in each of the ways a target has.
 ODD_ANSWERS = ("drop", "fail", "shed", "break", "late", "unsigned")
@@ -41,8 +41,11 @@
 @fault_kind("instance-reloaded", subjects="instances")
 async def reload_instance(run, number, duration):
     """Tell a gateway that its settings have changed, also while it starts."""
-    await asyncio.sleep(INTERPRETER_START_S)
-    run.gateways[number].send(signal.SIGHUP)
+    process = run.gateways[number]
+    # Before its interpreter runs, no program can handle a signal.
+    while process.is_running() and not _takes_reload(process.child.pid):
+        await asyncio.sleep(SIGNAL_CHECK_S)
+    process.send(signal.SIGHUP)
 
 
 @fault_kind("store-link-silent", subjects="instances")
@@ -146,6 +149,17 @@
     run.front_links[number].reset()
 
 
+def _takes_reload(pid):
+    """Return whether a process catches or ignores SIGHUP."""
+    try:
+        status = pathlib.Path(f"/proc/{pid}/status").read_text()
+    except FileNotFoundError:
+        return False
+    masks = dict(line.split(":\t", 1) for line in status.splitlines() if ":\t" in line)
+    taken = int(masks["SigCgt"], 16) | int(masks["SigIgn"], 16)
+    return bool(taken & 1 << (signal.SIGHUP - 1))
+
+
 async def _silence(link, duration):
     link.cut_forward = link.cut_back = True
     await asyncio.sleep(duration)
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -251,6 +251,8 @@
     async def _recover(self, callers):
         """All faults are healed: every gateway has to serve every kind."""
         self.operator.is_over = True
+        for target in self.targets:
+            target.script.clear()
         for process in self.gateways.values():
             if not process.is_running():
                 detail = f"{process.name} ended with {process.child.returncode}"
