--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -7,6 +7,7 @@
 import yarl
 
 from lab.soak.promises import PROBE_PREFIX, Attempt, Violation
+from skylarkpost.platform import OPERATOR_TOPIC
 from standins.gateway_configuration import (
     HOST,
     KEY,
@@ -18,7 +19,6 @@
 
 __all__ = ["EVENTS", "Callers", "Operator", "VersionProbe"]
 
-OPERATOR_TOPIC = "keyed.op"
 KINDS = ("safe", "unsafe", "stream", "resumable")
 ADAPTERS = 6
 EVENTS = 12
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -23,6 +23,7 @@
     check_shutdowns,
 )
 from lab.soak.proxy import FaultyLink
+from skylarkpost.platform import TARGETS_TOPIC
 from standins.common import serving
 from standins.fleet import HOST, Process, free_port
 from standins.gateway_configuration import HOST as GATEWAY_HOST
@@ -33,7 +34,6 @@
 __all__ = ["SoakResult", "SoakRun", "soak"]
 
 DATA_CENTRES = ("windhoek-a", "windhoek-b", "okahandja")
-TARGETS_TOPIC = "keyed.servers"
 # Twice what a takeover of all engines takes, on a busy machine.
 RECOVERY_S = 30.0
 RECOVERY_CHECK_S = 0.2
