Let the crash of a stand-in engine come before the head of its answer too

Trace: the stand-in crashes in the step that starts the request, and the head of the answer is sent by another task; which comes first is a matter of scheduling. MayHaveRun is what the test is named for; that nothing can be resumed is checked in both cases as before.

--- a/tests/targets/test_engine_client.py
+++ b/tests/targets/test_engine_client.py
@@ -116,8 +116,10 @@
         await load(client, address, boot=stand_in.model.boot)
         stand_in.switches.crash_marker = "KILL"
         outcome = await open_stream(client, address, body(prompt="KILL"))
-        items = [item async for item in outcome.stream]
-        assert isinstance(items[-1], StreamBroken)
+        # The engine crashes with its first step, before the answer's head or after it.
+        if not isinstance(outcome, MayHaveRun):
+            items = [item async for item in outcome.stream]
+            assert isinstance(items[-1], StreamBroken)
         assert isinstance(
             await client.resume(address, request_id="r.1", after=0), StreamUnknown
         )
