Derive targets and reachable stewards once a change, not once a request

Cause: each request converted every announced engine, looked up its steward and decayed its health record; each tick built the table of engines again. Ruled out: a shorter list of candidates alone, since the lists are needed to choose it. Placement finds the holders of an adapter in an index.

--- a/skylarkpost/discovery/directory.py
+++ b/skylarkpost/discovery/directory.py
@@ -34,6 +34,8 @@
         self.entries = {}
         self.expired = {}
         self.version = 0
+        self.grouped = {}
+        self.grouped_version = None
 
     def put(self, entry, now):
         """Add or update an announcement.
@@ -119,3 +121,28 @@
         names = [*self.entries, *self.expired]
         found = (self.find(name, now) for name in names)
         return [entry for entry in found if entry is not None]
+
+    def of_service(self, service, now):
+        """Return the usable targets of a service.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        tuple of TargetEntry
+            The same object until an announcement changes, so that callers can
+            keep what they derive from it.
+        """
+        if self.expired or self.grouped_version != self.version:
+            grouped = {}
+            for entry in self.usable(now):
+                grouped.setdefault(entry.service, []).append(entry)
+            self.grouped = {name: tuple(each) for name, each in grouped.items()}
+            # Expired entries end without a change of the version.
+            self.grouped_version = None if self.expired else self.version
+        return self.grouped.get(service, ())
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -80,9 +80,10 @@
 
         Returns
         -------
-        list of TargetEntry
+        tuple of TargetEntry
+            See `TargetDirectory.of_service`.
         """
-        return [each for each in self.targets.usable(now) if each.service == service]
+        return self.targets.of_service(service, now)
 
     def status(self):
         """Return the names of the announced targets."""
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -92,6 +92,8 @@
         lease_policy = LeasePolicy(order_gap=services.settings.bounds.lease_ms / 1000.0)
         self.table = LeaseTable(own=services.instance, policy=lease_policy)
         self.executors = {}
+        self.engine_pools = []
+        self.engines = {}
         self.handing_over = {}
         self.orders_allowed = {}
         self.permits = UnlimitedPermits()
@@ -146,16 +148,24 @@
             self._note_authority(name, now)
 
     def _engines(self, now):
+        """Return the entry and service of each usable engine, by name."""
         known = self.services.controllers["config"].state.configuration
         if known is None:
             return {}
         directory = self.services.controllers["directory"]
-        return {
-            entry.name: (entry, service)
+        pools = [
+            (service, directory.of_service(service.name, now))
             for service in known.services.values()
             if service.engine is not None
-            for entry in directory.of_service(service.name, now)
-        }
+        ]
+        if not _are_identical(pools, self.engine_pools):
+            self.engine_pools = pools
+            self.engines = {
+                entry.name: (entry, service)
+                for service, entries in pools
+                for entry in entries
+            }
+        return self.engines
 
     def _start_steward(self, lease, entry, service, now):
         limits = service.engine
@@ -302,3 +312,14 @@
         if isinstance(answer, StoreAppended):
             await self.follower.catch_up()
         return isinstance(answer, StoreAppended)
+
+
+def _are_identical(pools, known):
+    if len(pools) != len(known):
+        return False
+    return all(
+        service is before and entries is entries_before
+        for (service, entries), (before, entries_before) in zip(
+            pools, known, strict=True
+        )
+    )
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -10,7 +10,8 @@
 from skylarkpost.eventlog import log_event
 from skylarkpost.gateway.exchange import GatewayProfile
 from skylarkpost.gateway.lease_manager import LeaseManager
-from skylarkpost.gateway.targets import target_from_entry
+from skylarkpost.gateway.steward_locator import StewardLocator
+from skylarkpost.gateway.targets import TargetCatalogue
 from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.placement.health import TargetHealthTracker
@@ -23,7 +24,6 @@
 from skylarkpost.placement.scores import expected_wait
 from skylarkpost.rpc import stewardship_pb2_grpc
 from skylarkpost.runtime import BackgroundTask
-from skylarkpost.stewardship.directory import StewardAddress
 from skylarkpost.stewardship.held_tickets import HeldTickets
 from skylarkpost.stewardship.policy import StewardPolicy
 from skylarkpost.stewardship.prefill import Preamble
@@ -62,9 +62,6 @@
 # answering can still be served in time by another target.
 MAX_TICKET_WAIT_S = 0.25
 TICKET_REQUEST_TIMEOUT_S = 0.5
-# Time for which an unresponsive steward is avoided. After two heartbeats, membership
-# knows whether it is silent.
-STEWARD_AVOID_S = 1.0
 # Poll interval while no engine accepts requests.
 NO_TARGET_POLL_S = 0.1
 # About the interval of the targets' announcements.
@@ -123,7 +120,10 @@
         self.lease_manager = LeaseManager(
             services=services, policy=POLICY, max_ticket_wait=MAX_TICKET_WAIT_S
         )
-        self.avoid_until = {}
+        self.locator = StewardLocator(
+            table=self.lease_manager.table, find_member=self._find_member
+        )
+        self.catalogue = TargetCatalogue(directory=services.controllers["directory"])
         self.ticket_client = TicketClient(
             services=services,
             held_tickets=HeldTickets(lease=TICKET_LEASE_S, dispatch_margin=0.0),
@@ -134,7 +134,7 @@
             retry_limits=RetryLimits(
                 answer_timeout=TICKET_REQUEST_TIMEOUT_S, max_failures=0
             ),
-            on_unanswered=self._note_silent,
+            on_unanswered=self._note_unresponsive,
         )
         self.placer = Placer(
             data_centre=services.data_centre,
@@ -253,17 +253,7 @@
         StewardAddress or None
             None if the steward is unknown, silent or recently unresponsive.
         """
-        holder = self.lease_manager.table.holder(target)
-        if holder is None:
-            return None
-        now = self.services.clock()
-        if self.avoid_until.get(holder, -math.inf) > now:
-            return None
-        member = self.membership.find(holder, now)
-        if member is None or member.state is MemberState.SILENT:
-            return None
-        number = self.lease_manager.table.leases[target].number
-        return StewardAddress(holder, member.address, number)
+        return self.locator.find(target, self.services.clock())
 
     async def load_report(self, address):
         """Return a load report for an engine that has no reachable steward.
@@ -355,9 +345,9 @@
             now = self.services.clock()
             if exchange.cancelled is not None:
                 return exchange.cancelled
-            targets = self._engines_of(exchange.service, now)
-            avoided = avoid | self._targets_to_avoid(targets, now) | tried
-            ranked = self.placer.rank(request, targets, now, avoid=avoided)
+            known = self.catalogue.of_service(exchange.service, now)
+            avoided = avoid | self._targets_to_avoid(known, now) | tried
+            ranked = self.placer.rank(request, known.targets, now, avoid=avoided)
             if not ranked:
                 return _no_target("No engine of this model is there.")
             name, view = ranked[0]
@@ -371,7 +361,7 @@
             if attempts_left and len(ranked) > len(avoided):
                 max_wait = min(max_wait, wait + TOLERATED_DELAY_S)
                 wait_until = min(wait_until, now + wait + TOLERATED_GRANT_DELAY_S)
-            target = next(each for each in targets if each.name == name)
+            target = known.by_name[name]
             outcome = await self._request_ticket(
                 exchange, request, target, max_wait=max_wait, wait_until=wait_until
             )
@@ -421,61 +411,39 @@
         left = exchange.deadline - exchange.received_at
         return min(left, MAX_WAIT_FRACTION * exchange.route.abandon_timeout)
 
-    def _targets_to_avoid(self, targets, now):
-        names_by_boot = self._names_by_boot(targets)
+    def _targets_to_avoid(self, known, now):
+        names_by_boot = known.names_by_boot
         avoided = {
             names_by_boot[boot]
             for boot in self.health.avoided(list(names_by_boot), now)
         }
-        if len(avoided) < len(targets):
+        is_engine = known.service.engine is not None
+        if is_engine and len(avoided) < len(known.targets):
             # A steward is often silent because its whole data centre is cut off.
-            avoided.update(
-                each.name
-                for each in targets
-                if each.kind == "engine" and self.find_steward(each.name) is None
-            )
+            avoided.update(self.locator.without_steward(known.by_name, now))
         return frozenset(avoided)
 
-    def _names_by_boot(self, targets):
-        entries = self.services.controllers["directory"].targets.entries
-        return {
-            entries[each.name].boot: each.name
-            for each in targets
-            if each.name in entries
-        }
-
     def _acquire_service(self, exchange, avoid, now):
-        directory = self.services.controllers["directory"]
-        targets = [
-            target_from_entry(entry, exchange.service)
-            for entry in directory.of_service(exchange.service.name, now)
-        ]
-        avoid = avoid | self._targets_to_avoid(targets, now)
+        known = self.catalogue.of_service(exchange.service, now)
+        avoid = avoid | self._targets_to_avoid(known, now)
         ticket = self.service_placer.choose(
-            targets, request_id=exchange.request_id, avoid=avoid, now=now
+            known.targets, request_id=exchange.request_id, avoid=avoid, now=now
         )
         if ticket is not None:
+            directory = self.services.controllers["directory"]
             boot = directory.targets.find(ticket.target, now).boot
             return ticket._replace(boot=boot)
         return _no_target("No target of this route takes requests at present.")
 
-    def _engines_of(self, service, now):
-        directory = self.services.controllers["directory"]
-        model = service.engine.models[0].name
-        return [
-            target_from_entry(entry, service)
-            for entry in directory.of_service(service.name, now)
-            if any(held.name == model for held in entry.models)
-        ]
+    def _find_member(self, instance, now):
+        return self.membership.find(instance, now)
 
     def _number_without_steward(self, target):
         lease = self.lease_manager.table.leases.get(target.name)
         return 0 if lease is None else lease.number
 
-    def _note_silent(self, steward):
-        now = self.services.clock()
-        self.avoid_until[steward.instance] = now + STEWARD_AVOID_S
-        log_event(logger, "steward-silent", steward=steward.instance)
+    def _note_unresponsive(self, steward):
+        self.locator.note_unresponsive(steward, self.services.clock())
 
     def _note_digest(self, member, payload, now):
         summaries = decode_summaries(payload)
--- a/skylarkpost/placement/health.py
+++ b/skylarkpost/placement/health.py
@@ -11,6 +11,10 @@
 __all__ = ["HealthPolicy", "TargetHealthTracker"]
 
 
+# A failure counts less than one in a hundred after this many decay times.
+FORGET_AFTER_DECAYS = 5.0
+
+
 class HealthPolicy(NamedTuple):
     """Parameters of the failure detection.
 
@@ -66,11 +70,20 @@
     ----------
     policy : HealthPolicy
         Parameters of the failure detection.
+
+    Attributes
+    ----------
+    failed_at : dict of str to float
+        Latest failure of each target that failed within `memory` seconds.
     """
 
     def __init__(self, *, policy=None):
         self.policy = policy or HealthPolicy()
         self.records = {}
+        self.failed_at = {}
+        self.memory = max(
+            self.policy.max_backoff, FORGET_AFTER_DECAYS * self.policy.decay_time
+        )
 
     def note_answer(self, target, now, *, failed):
         """Record an answer.
@@ -87,6 +100,8 @@
         record = self._record(target, now)
         record.samples += 1.0
         record.failures += failed
+        if failed:
+            self.failed_at[target] = now
         if not failed:
             record.consecutive_failures = 0
             record.paused_until = now
@@ -104,6 +119,7 @@
         record = self._record(target, now)
         record.samples += 1.0
         record.failures += 1.0
+        self.failed_at[target] = now
         backoff = self.policy.backoff * 2.0**record.consecutive_failures
         record.consecutive_failures = min(record.consecutive_failures + 1, 8)
         record.paused_until = now + min(self.policy.max_backoff, backoff)
@@ -123,6 +139,8 @@
         frozenset of str
             Targets to avoid; never the whole pool.
         """
+        if not any(self._has_failed(name, now) for name in targets):
+            return frozenset()
         records = {name: self._record(name, now) for name in targets}
         samples = sum(record.samples for record in records.values())
         pool_ratio = (
@@ -151,6 +169,16 @@
         """
         for name in [name for name in self.records if name not in targets]:
             del self.records[name]
+            self.failed_at.pop(name, None)
+
+    def _has_failed(self, target, now):
+        failed_at = self.failed_at.get(target)
+        if failed_at is None:
+            return False
+        if now - failed_at < self.memory:
+            return True
+        del self.failed_at[target]
+        return False
 
     def _record(self, target, now):
         record = self.records.setdefault(target, _Record(now))
--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -93,6 +93,13 @@
         Data centre of this instance.
     policy : PlacementPolicy
         Parameters and the name of the score.
+
+    Attributes
+    ----------
+    summaries : dict of str to TargetSummary
+        Newest summary, by target.
+    holders : dict of int to set of str
+        Targets that hold an adapter according to their summaries, by its hash.
     """
 
     def __init__(self, *, data_centre, policy=None):
@@ -100,6 +107,7 @@
         self.policy = policy or PlacementPolicy()
         self.score = placement_score(self.policy.score)
         self.summaries = {}
+        self.holders = {}
         self.confirmed_at = {}
         self.sent = {}
         self.preambles = {}
@@ -121,6 +129,8 @@
         known = self.summaries.get(summary.target)
         if known is not None and self._is_older(summary, known, now):
             return
+        if known is None or summary.resident != known.resident:
+            self._index_residents(summary, known)
         self.summaries[summary.target] = summary
         self.confirmed_at[summary.target] = now
         sent = self.sent.get(summary.target, {})
@@ -307,11 +317,9 @@
         """Return the adapter's preferred targets and those that may hold it."""
         if not request.needs_adapter or len(ranks) == len(targets):
             return targets
-        return [
-            target
-            for target in targets
-            if target.name in ranks or self._may_hold(request, target.name)
-        ]
+        names = ranks.keys() | self._requested_at(request.lora_name)
+        names |= self.holders.get(adapter_hash(request.lora_name), set())
+        return [target for target in targets if target.name in names]
 
     def _preferred_ranks(self, request, targets):
         names = tuple(target.name for target in targets)
@@ -327,14 +335,22 @@
                 del self.preferred[next(iter(self.preferred))]
         return ranks
 
-    def _may_hold(self, request, name):
-        summary = self.summaries.get(name)
-        if summary is not None and adapter_hash(request.lora_name) in summary.resident:
-            return True
-        sent = self.sent.get(name)
-        if not sent:
-            return False
-        return any(each.lora_name == request.lora_name for each in sent.values())
+    def _requested_at(self, lora_name):
+        return {
+            target
+            for target, sent in self.sent.items()
+            if any(each.lora_name == lora_name for each in sent.values())
+        }
+
+    def _index_residents(self, summary, known):
+        before = frozenset() if known is None else known.resident
+        for key in before - summary.resident:
+            holders = self.holders[key]
+            holders.discard(summary.target)
+            if not holders:
+                del self.holders[key]
+        for key in summary.resident - before:
+            self.holders.setdefault(key, set()).add(summary.target)
 
     def _is_older(self, summary, known, now):
         if now - self.confirmed_at[known.target] > self.policy.summary_timeout:
--- a/tests/discovery/test_directory.py
+++ b/tests/discovery/test_directory.py
@@ -47,3 +47,25 @@
     assert directory.usable(3.0) == []
     directory.put(entry(), 3.5)
     assert [each.name for each in directory.usable(9.0)] == ["t"]
+
+
+def test_the_targets_of_a_service_are_the_same_object_until_one_changes():
+    directory = TargetDirectory(expiry_grace=2.0)
+    directory.put(entry(), 0.0)
+    directory.put(entry("other", service="engines"), 0.0)
+    before = directory.of_service("desk", 0.0)
+    directory.put(entry(), 1.0)
+    assert directory.of_service("desk", 1.0) is before
+    directory.put(entry(state=TargetState.LEAVING), 2.0)
+    assert directory.of_service("desk", 2.0) == ()
+    assert [each.name for each in directory.of_service("engines", 2.0)] == ["other"]
+
+
+def test_a_target_whose_grace_period_ends_leaves_its_service():
+    directory = TargetDirectory(expiry_grace=2.0)
+    directory.put(entry(), 0.0)
+    directory.drop("t", 1.0, after_outage=True)
+    assert [each.name for each in directory.of_service("desk", 2.9)] == ["t"]
+    assert directory.of_service("desk", 3.0) == ()
+    directory.put(entry(), 4.0)
+    assert [each.name for each in directory.of_service("desk", 4.0)] == ["t"]
