Bound heads of answers, and skip late answers on connections of control calls

A target that sent headers or interim responses without end filled the memory of the instance until the deadline. A late second answer to a request was taken for the answer to an order or report that reused the connection.

--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -1,9 +1,11 @@
 """Clients, clocks and state shared by the controllers of a gateway instance."""
 
+import logging
 import time
 
 from skylarkpost.daemon import Services
-from skylarkpost.platform import EngineCodec
+from skylarkpost.eventlog import log_event
+from skylarkpost.platform import EngineCodec, HeaderCodec
 from skylarkpost.relay.retry_budget import RetryBudget
 from skylarkpost.transport import (
     ConnectionPool,
@@ -13,6 +15,8 @@
 
 __all__ = ["GatewayServices", "boottime_clock"]
 
+logger = logging.getLogger(__name__)
+
 # Leaves connections for reports and orders besides those for requests.
 MIN_CONNECTIONS = 4
 # Fraction of the retries that the deployment allows: within one of its accounting
@@ -189,6 +193,7 @@
             limit=self.connection_share_of(entry),
             payload=encode_request(method, path, headers, body),
             timeout=timeout,
+            is_foreign=self._is_request_answer,
         )
 
     def connection_share_of(self, entry):
@@ -213,5 +218,15 @@
         await self.store.close()
         await super().close()
 
+    def _is_request_answer(self, head):
+        # Reports and orders carry no attempt id, so an answer with one is a late
+        # copy of the answer to a request that used the connection before.
+        answered = HeaderCodec.read_answer(head.status, head.headers).attempt_id
+        if not answered:
+            return False
+        self.metrics.count_event("late-answer-dropped")
+        log_event(logger, "late-answer-dropped", request=None, answers=answered)
+        return True
+
     def _note_opened(self, name):
         self.metrics.count_event("target-connection-opened")
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -65,7 +65,7 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-async def call_target(pool, *, name, address, limit, payload, timeout):
+async def call_target(pool, *, name, address, limit, payload, timeout, is_foreign=None):
     """Send a request and read the complete response.
 
     Parameters
@@ -80,6 +80,9 @@
         Serialised request, see `encode_request`.
     timeout : float
         Timeout of the whole call, in seconds.
+    is_foreign : callable or None
+        Takes a `ResponseHead` and returns whether it answers an earlier request on
+        the same connection; such a response is skipped.
 
     Returns
     -------
@@ -94,7 +97,7 @@
                 return CallIncomplete(connection.detail, was_sent=False)
             connection.send(payload)
             was_sent = True
-            response = await _read_response(connection)
+            response = await _read_response(connection, is_foreign)
     except TimeoutError:
         if was_sent:
             connection.abort()
@@ -110,13 +113,16 @@
     return response
 
 
-async def _read_response(connection):
+async def _read_response(connection, is_foreign):
     status, body = None, bytearray()
     while True:
         event = await connection.receive()
         if isinstance(event, ResponseBroken):
             return CallIncomplete(event.detail, was_sent=True)
         if isinstance(event, ResponseHead):
+            if is_foreign is not None and is_foreign(event):
+                await connection.skip_response()
+                continue
             status = event.status
         elif isinstance(event, bytes):
             body += event
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -21,6 +21,8 @@
 USER_TIMEOUT_S = 1.0
 # Reading from the target pauses above this many bytes that the caller has not read.
 MAX_BUFFERED_BYTES = 262_144
+# A target may send without end what is neither a complete head nor part of a body.
+MAX_HEAD_BYTES = 65_536
 CLOSE = "close"
 
 
@@ -145,11 +147,16 @@
             self.abort()
             return
         self.has_received_bytes = True
+        self._head_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._push(ResponseBroken(f"no answer in HTTP: {error}", True))
             self.abort()
+            return
+        if self._head_bytes > MAX_HEAD_BYTES and self.is_open:
+            self._push(ResponseBroken("the head is too long", True))
+            self.abort()
 
     def on_message_begin(self):
         """See `httptools.HttpResponseParser`."""
@@ -173,11 +180,13 @@
         framed = "content-length" in names or "transfer-encoding" in names
         self._body_ends_at_close = not framed and status not in (204, 304)
         self._in_body = True
+        self._head_bytes = 0
         self._note_persistence(self._headers)
         self._push(ResponseHead(status, self._headers))
 
     def on_body(self, body):
         """Queue a piece of the body. See `httptools.HttpResponseParser`."""
+        self._head_bytes = 0
         self._buffered += len(body)
         if self._buffered > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
@@ -293,6 +302,7 @@
         self._in_body = False
         self._is_complete = False
         self._informational = False
+        self._head_bytes = 0
 
     def _note_persistence(self, headers):
         for name, value in headers:
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -175,3 +175,61 @@
     gone = await call_target(pool, timeout=1.0, **options)
     assert isinstance(gone, CallIncomplete)
     assert not gone.was_sent
+
+
+async def test_a_call_skips_a_late_answer_to_an_earlier_request():
+    late = OK.replace(b"\r\n\r\n", b"\r\nX-Of: earlier\r\n\r\n").replace(b"ok", b"no")
+    pool = ConnectionPool(clock=time.monotonic)
+    options = {"name": "t", "limit": 1, "payload": REQUEST, "timeout": 1.0}
+    async with target(respond_with(late + OK)) as (address, _):
+        answer = await call_target(
+            pool,
+            address=address,
+            is_foreign=lambda head: ("x-of", "earlier") in head.headers,
+            **options,
+        )
+    assert answer == CallResponse(200, b"ok")
+
+
+@pytest.mark.parametrize(
+    "piece",
+    [b"x" * 4096, b"X-Pad: " + b"y" * 4000 + b"\r\n", b"Z: 1\r\n" * 700],
+    ids=["one-header-name", "long-headers", "many-headers"],
+)
+async def test_a_head_without_end_breaks_the_response(piece):
+    ended = asyncio.Event()
+
+    async def script(reader, writer, seen):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n")
+        try:
+            while True:
+                writer.write(piece)
+                await writer.drain()
+                await asyncio.sleep(0)
+        finally:
+            ended.set()
+
+    async with target(script) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST)
+        events = await asyncio.wait_for(collect(connection), 3)
+        assert isinstance(events[-1], ResponseBroken)
+        assert "head" in events[-1].detail
+        await asyncio.wait_for(ended.wait(), 3)
+
+
+async def test_interim_responses_without_end_break_the_response():
+    async def script(reader, writer, seen):
+        await reader.readuntil(b"\r\n\r\n")
+        while True:
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" * 100)
+            await writer.drain()
+            await asyncio.sleep(0)
+
+    async with target(script) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST)
+        events = await asyncio.wait_for(collect(connection), 3)
+        assert isinstance(events[-1], ResponseBroken)
+        assert not connection.is_open
