Answer handovers at the gateway, and name the owner of a yielded slot in the lab

LeaseManager lacked receive_handover, which the stewardship service calls: any handover ended in an unhandled error. The replayed limits left out the owner.

--- a/lab/limiting.py
+++ b/lab/limiting.py
@@ -280,7 +280,7 @@
         other = self.running.get(owner.instance) if owner else None
         if other is not None and other.owner == owner:
             other.slot_manager.yield_slot(command.slot, command.claim)
-            cores.slot_manager.note_yielded(command.slot, self.replay.now)
+            cores.slot_manager.note_yielded(command.slot, owner, self.replay.now)
 
     def _request_shares(self, cores):
         if not self.is_running(cores):
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -124,6 +124,25 @@
         for executor in self.executors.values():
             executor.close()
 
+    def receive_handover(self, handover):
+        """Decline the tickets of a predecessor.
+
+        A lease passes to another instance only after its holder has gone, so no
+        handover is expected; the holders renew their tickets here.
+
+        Parameters
+        ----------
+        handover : skylarkpost.rpc.stewardship_pb2.TicketBook
+            The offered tickets.
+
+        Returns
+        -------
+        bool
+            Always False.
+        """
+        log_event(logger, "handover-declined", target=handover.target)
+        return False
+
     def tick(self, now):
         """Run an executor for each held lease whose target is announced.
 
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -7,7 +7,6 @@
 import zlib
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
-from skylarkpost.eventlog import log_event
 from skylarkpost.gateway.exchange import GatewayProfile
 from skylarkpost.gateway.lease_manager import LeaseManager
 from skylarkpost.gateway.steward_locator import StewardLocator
--- a/tests/gateway/test_end_to_end.py
+++ b/tests/gateway/test_end_to_end.py
@@ -6,6 +6,8 @@
 import pytest
 
 from skylarkpost.discovery import TargetState
+from skylarkpost.rpc.stewardship_pb2 import TicketBook
+from skylarkpost.stewardship.service import StewardshipServicer
 from tests.gateway.rig import MODEL, ROUTES, configuration, gateway, route, wait_until
 
 ADAPTER = {
@@ -273,3 +275,13 @@
         assert "Retry-After" in headers
         status, body, _ = await stream
         assert (status, body.count(b"data:")) == (200, 100)
+
+
+async def test_a_handover_to_an_instance_that_expects_none_is_declined():
+    async with gateway(plain=0) as rig:
+        controller = rig.instance.services.controllers["stewardship"]
+        servicer = StewardshipServicer(
+            manager=controller.lease_manager, clock=rig.instance.services.clock
+        )
+        answer = await servicer.HandOver(TicketBook(target="e0"), None)
+        assert not answer.taken
