Start a gateway without the modules of the other front end

Cause: the gateway's command imported the daemon's, and with it the API front end, its models and a second HTTP server. The platform's role starts the package, which takes the settings file from the environment.

--- a/skylarkpost/daemon/main.py
+++ b/skylarkpost/daemon/main.py
@@ -1,12 +1,9 @@
 """Entry point of the daemon ``skylarkpostd``."""
 
 import asyncio
-import logging
-import os
 import pathlib
 import signal
 import sys
-import traceback
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -15,16 +12,12 @@
 from skylarkpost.daemon.components import import_components
 from skylarkpost.daemon.instance import Instance
 from skylarkpost.daemon.services import Services
-from skylarkpost.eventlog import configure_logging, log_event
+from skylarkpost.eventlog import configure_logging
 from skylarkpost.log import LogClient
+from skylarkpost.runtime import EXIT_BAD_SETTINGS, handle_loop_error
 from skylarkpost.settings import load_settings
 
-__all__ = ["DaemonCommand", "handle_loop_error", "main"]
-
-EXIT_BAD_SETTINGS = 2
-EXIT_BROKEN_INVARIANT = 70
-
-logger = logging.getLogger(__name__)
+__all__ = ["DaemonCommand", "main"]
 
 
 @dataclass(kw_only=True)
@@ -76,21 +69,5 @@
     await instance.run()
 
 
-def handle_loop_error(loop, context):
-    """Log an event loop error; exit at once if an invariant is broken."""
-    error = context.get("exception")
-    broken = isinstance(error, AssertionError)
-    log_event(
-        logger,
-        "invariant-broken" if broken else "loop-error",
-        level=logging.CRITICAL if broken else logging.ERROR,
-        message=context.get("message"),
-        error=repr(error),
-    )
-    if broken:
-        traceback.print_exception(error)
-        os._exit(EXIT_BROKEN_INVARIANT)
-
-
 if __name__ == "__main__":
     main()
--- a/skylarkpost/gateway/main.py
+++ b/skylarkpost/gateway/main.py
@@ -1,11 +1,7 @@
 """Command that runs one gateway instance."""
 
-import asyncio
-import importlib
-import logging
 import pathlib
 import signal
-import sys
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -16,29 +12,9 @@
 
 import cappa
 
-from skylarkpost.daemon.main import EXIT_BAD_SETTINGS, handle_loop_error
-from skylarkpost.eventlog import BoundedHandler, configure_logging, log_event
-from skylarkpost.gateway.instance import GatewayInstance
-from skylarkpost.gateway.services import GatewayServices
-from skylarkpost.platform import StoreClient
-from skylarkpost.settings import load_settings
-from skylarkpost.settings.gateway import GatewaySettings
+from skylarkpost.gateway.run import run_gateway
 
-__all__ = ["GatewayCommand", "import_parts", "main"]
-
-logger = logging.getLogger(__name__)
-
-PARTS = (
-    "skylarkpost.gateway.configuration",
-    "skylarkpost.gateway.directory",
-    "skylarkpost.gateway.filters",
-    "skylarkpost.gateway.fleet",
-    "skylarkpost.gateway.forward",
-    "skylarkpost.gateway.quota",
-    "skylarkpost.gateway.stewardship",
-    "skylarkpost.membership.controller",
-    "skylarkpost.placement.filter",
-)
+__all__ = ["GatewayCommand", "main"]
 
 
 @dataclass(kw_only=True)
@@ -58,57 +34,7 @@
 
 def main():
     """Run the instance until it has stopped."""
-    command = cappa.parse(GatewayCommand)
-    settings = load_settings(command.settings, schema=GatewaySettings)
-    if isinstance(settings, list):
-        for fault in settings:
-            print(fault, file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    configure_logging(
-        instance=settings.instance.id,
-        level=settings.log.level,
-        handler=BoundedHandler(),
-    )
-    asyncio.run(serve(settings, command.settings))
-
-
-def import_parts():
-    """Import the modules whose decorators register controllers and filters."""
-    for name in PARTS:
-        importlib.import_module(name)
-
-
-async def serve(settings, path):
-    """Run one instance until the process receives a signal to stop.
-
-    Parameters
-    ----------
-    settings : GatewaySettings
-        The checked settings.
-    path : pathlib.Path
-        File that the settings were read from.
-    """
-    import_parts()
-    store = StoreClient(address=settings.store.address)
-    services = GatewayServices(settings=settings, store=store, seed=None)
-    instance = GatewayInstance(services=services)
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(handle_loop_error)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stop_requested.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, services, path)
-    await instance.run()
-
-
-def _reload(services, path):
-    """Reload the settings; if they are invalid, keep the present ones."""
-    settings = load_settings(path, schema=GatewaySettings)
-    if isinstance(settings, list):
-        for fault in settings:
-            log_event(logger, "settings-fault", level=logging.ERROR, detail=str(fault))
-        return
-    services.settings = settings
-    log_event(logger, "settings-reloaded", seeds=len(settings.instance.seeds))
+    run_gateway(cappa.parse(GatewayCommand).settings)
 
 
 if __name__ == "__main__":
--- a/skylarkpost/settings/reference.py
+++ b/skylarkpost/settings/reference.py
@@ -23,7 +23,9 @@
 GATEWAY_INTRODUCTION = """# Settings of the gateway
 
 One TOML file an instance, given to `python -m skylarkpost.gateway.main --settings
-FILE`; `deploy/settings.toml` is the template that the users' platform fills in.
+FILE` or, with `python -m skylarkpost.gateway`, by the variable
+`SKYLARKPOST_SETTINGS`; `deploy/settings.toml` is the template that the users'
+platform fills in.
 Check a file without starting anything:
 
     skylarkpost check-settings --front-end gateway FILE
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -8,7 +8,7 @@
 import aiohttp
 import yarl
 
-from skylarkpost.gateway import main as gateway_main
+from skylarkpost.gateway import run as gateway_run
 from skylarkpost.gateway.instance import GatewayInstance
 from skylarkpost.gateway.services import GatewayServices
 from skylarkpost.platform import OPERATOR_TOPIC, TARGETS_TOPIC, StoreClient
@@ -126,7 +126,7 @@
                 "store": {"address": addresses[0].removeprefix("http://")},
             }
         )
-        gateway_main.import_parts()
+        gateway_run.import_parts()
         store = StoreClient(address=settings.store.address)
         services = GatewayServices(settings=settings, store=store, seed=1)
         instance = GatewayInstance(services=services)
