Learn the prefill rate of engines; read prompt caches and ticket waits from the configuration

Cause: 40,000 tokens a second, 200,000 cached tokens and 0.25 s stood in the code; engines differ by a factor of two to four between deployments, so waits were predicted too short on slow ones. A quantile of the rates that first tokens show replaces the first (test over a factor of ten); the others come from the engines' limits and the routes' latency goals.

--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -63,6 +63,10 @@
         Whether the timer has fired.
     unsent_attempts : int
         Attempts that never left this instance.
+    sent_at : float or None
+        When the current attempt was sent, in seconds.
+    prefill_tokens : float
+        Tokens that its engine has to prefill before the first token.
     last_event_id : str or None
         Event after which the stream is resumed at another target.
     """
@@ -80,6 +84,8 @@
         self.timer = None
         self.timed_out = False
         self.unsent_attempts = 0
+        self.sent_at = None
+        self.prefill_tokens = 0.0
         self.last_event_id = None
 
     @property
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -132,6 +132,7 @@
             services.pool.release_connection(ticket.boot, connection)
             return AttemptFailure(FailureKind.TIMED_OUT, "no time left to send")
         exchange.start_timer(left)
+        exchange.sent_at = now
         exchange.connection = connection
         exchange.targets_tried.add(ticket.boot)
         exchange.dispatched = True
@@ -248,7 +249,7 @@
                 if isinstance(event, bytes):
                     chunk = event if event_buffer is None else event_buffer.add(event)
                     if chunk and exchange.first_byte_at is None:
-                        exchange.first_byte_at = self.services.clock()
+                        self._note_first_event(exchange)
                     yield chunk
                 elif isinstance(event, ResponseBroken):
                     self._log_stream_break(exchange, ticket, event)
@@ -266,6 +267,12 @@
         finally:
             self._end_connection(exchange, ticket, connection)
 
+    def _note_first_event(self, exchange):
+        now = exchange.first_byte_at = self.services.clock()
+        if exchange.is_model_request and len(exchange.targets_tried) == 1:
+            controller = self.services.controllers["stewardship"]
+            controller.note_first_token(exchange, now)
+
     async def _resume(self, exchange, event_buffer, stream_break):
         """Resume a stream at another target after its last complete event."""
         failure = AttemptFailure(FailureKind.UNKNOWN, stream_break.detail)
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -18,6 +18,7 @@
     decode_lease,
     encode_lease,
 )
+from skylarkpost.stewardship.prefill import PROMPT_CACHE_FRACTION
 from skylarkpost.stewardship.steward import TargetSteward
 from skylarkpost.stewardship.steward_executor import StewardExecutor
 from skylarkpost.targets.sequenced_engine_client import SequencedEngineClient
@@ -74,8 +75,8 @@
         Services shared by the instance's controllers.
     policy : StewardPolicy
         Policy of the stewards.
-    max_ticket_wait : float
-        Longest time that a ticket request waits at a steward, in seconds.
+    max_ticket_wait : callable
+        Returns the longest time that a ticket request waits at a steward, in seconds.
 
     Attributes
     ----------
@@ -210,7 +211,9 @@
             fencing_number=lease.number,
             instance=self.services.instance,
             now=now,
-            policy=self.policy,
+            policy=self.policy._replace(
+                preamble_cache_tokens=PROMPT_CACHE_FRACTION * limits.cache_tokens
+            ),
             authority=authority,
         )
         self.executors[lease.target] = StewardExecutor(
@@ -220,7 +223,7 @@
             clock=self.services.clock,
             claim=lease,
             on_stale=lambda name: self._end_stewardship(name, "stale-fencing-number"),
-            answer_timeout=self.max_ticket_wait,
+            answer_timeout=self.max_ticket_wait(),
             current_lora_name=lambda name: self._current_lora_name(
                 limits.models[0].name, name
             ),
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -20,12 +20,13 @@
     PlacementRequest,
     Placer,
 )
+from skylarkpost.placement.prefill_rate import PrefillRate
 from skylarkpost.placement.scores import expected_wait
 from skylarkpost.rpc import stewardship_pb2_grpc
 from skylarkpost.runtime import BackgroundTask
 from skylarkpost.stewardship.held_tickets import HeldTickets
 from skylarkpost.stewardship.policy import StewardPolicy
-from skylarkpost.stewardship.prefill import Preamble
+from skylarkpost.stewardship.prefill import PROMPT_CACHE_FRACTION, Preamble
 from skylarkpost.stewardship.service import StewardshipServicer
 from skylarkpost.stewardship.summary import decode_summaries, encode_summaries
 from skylarkpost.stewardship.ticket_client import (
@@ -57,9 +58,12 @@
 # Longer than most streams; short enough that a slot whose ticket was lost is free
 # again before its team notices.
 TICKET_LEASE_S = 10.0
-# Shorter than the shortest latency goal, so that a request whose steward stopped
-# answering can still be served in time by another target.
-MAX_TICKET_WAIT_S = 0.25
+# Fraction of the shortest latency goal of the engines' routes for which a steward
+# holds a request for a ticket; if it stops answering, another target can still
+# serve the request in time.
+TICKET_WAIT_FRACTION = 0.35
+MIN_TICKET_WAIT_S = 0.05
+MAX_TICKET_WAIT_S = 0.4
 TICKET_REQUEST_TIMEOUT_S = 0.5
 # Poll interval while no engine accepts requests.
 NO_TARGET_POLL_S = 0.1
@@ -78,10 +82,8 @@
 # Longest wait for the first token, as a fraction of the time after which callers
 # give up; a caller refused by then can still retry and be served.
 MAX_WAIT_FRACTION = 0.75
-# Engines prefill about 40 prompt tokens a millisecond and load an adapter in a
-# quarter of a second.
-PREFILL_RATE = 40_000.0
-LOAD_WAIT_S = 0.27
+# Expected load of an adapter until the first ones have ended.
+INITIAL_LOAD_WAIT_S = 0.3
 # Differences from the defaults: reports are some hundred milliseconds old; the
 # weight store sustains eight loads at full speed over all engines; latency goals are
 # under a second, so adapters in use are evicted sooner; demand changes within seconds.
@@ -95,7 +97,7 @@
     demand_half_life=10.0,
     engine_drains_on_unload=True,
     one_version=True,
-    initial_load_cost=LOAD_WAIT_S,
+    initial_load_cost=INITIAL_LOAD_WAIT_S,
     parallel_loads=2,
 )
 
@@ -117,7 +119,7 @@
     def __init__(self, *, services):
         super().__init__(services=services)
         self.lease_manager = LeaseManager(
-            services=services, policy=POLICY, max_ticket_wait=MAX_TICKET_WAIT_S
+            services=services, policy=POLICY, max_ticket_wait=self._ticket_wait
         )
         self.locator = StewardLocator(
             table=self.lease_manager.table, find_member=self._find_member
@@ -137,8 +139,9 @@
         )
         self.placer = Placer(
             data_centre=services.data_centre,
-            policy=PlacementPolicy(prefill_rate=PREFILL_RATE, load_wait=LOAD_WAIT_S),
+            policy=PlacementPolicy(load_wait=INITIAL_LOAD_WAIT_S),
         )
+        self.prefill_rate = PrefillRate()
         self.health = TargetHealthTracker()
         self.service_placer = ServicePlacer(data_centre=services.data_centre)
         self.published_at = -math.inf
@@ -312,6 +315,20 @@
         model = metadata.model or exchange.service.engine.models[0].name
         return GatewayProfile(model, metadata.adapter, version, exchange.urgency)
 
+    def note_first_token(self, exchange, now):
+        """Learn from the time to the first token of a request.
+
+        Parameters
+        ----------
+        exchange : GatewayExchange
+            The request.
+        now : float
+            When its first event arrived, in seconds.
+        """
+        self.prefill_rate.note_first_token(
+            exchange.prefill_tokens, now - exchange.sent_at
+        )
+
     def note_result(self, ticket, *, reached, failed):
         """Record how a target handled a request.
 
@@ -345,6 +362,9 @@
             if exchange.cancelled is not None:
                 return exchange.cancelled
             known = self.catalogue.of_service(exchange.service, now)
+            self.placer.prompt_cache_capacity = (
+                PROMPT_CACHE_FRACTION * exchange.service.engine.cache_tokens
+            )
             avoided = avoid | self._targets_to_avoid(known, now) | tried
             ranked = self.placer.rank(request, known.targets, now, avoid=avoided)
             if not ranked:
@@ -403,9 +423,26 @@
             for ticket_id in requested:
                 self.placer.note_ended(target.name, ticket_id)
         else:
-            self.placer.note_started(target.name, request, self.services.clock())
+            now = self.services.clock()
+            exchange.prefill_tokens = self.placer.prefill_tokens(
+                target.name, request, now
+            )
+            self.placer.note_started(target.name, request, now)
         return outcome
 
+    def _ticket_wait(self):
+        configuration = self.config.state.configuration
+        goals = [
+            route.latency_goal
+            for route in configuration.routes
+            if any(
+                configuration.services[each.service].engine is not None
+                for each in route.services
+            )
+        ]
+        wait = TICKET_WAIT_FRACTION * min(goals, default=math.inf)
+        return min(MAX_TICKET_WAIT_S, max(MIN_TICKET_WAIT_S, wait))
+
     def _max_wait(self, exchange):
         left = exchange.deadline - exchange.received_at
         return min(left, MAX_WAIT_FRACTION * exchange.route.abandon_timeout)
@@ -459,6 +496,9 @@
 
     def _tick(self):
         now = self.services.clock()
+        self.placer.prefill_rate = self.prefill_rate.tokens_per_s
+        for executor in self.lease_manager.executors.values():
+            executor.steward.prefill_rate = self.prefill_rate.tokens_per_s
         self.lease_manager.tick(now)
         summaries = [
             executor.summary(now) for executor in self.lease_manager.executors.values()
--- a/skylarkpost/placement/placer.py
+++ b/skylarkpost/placement/placer.py
@@ -100,12 +100,18 @@
         Newest summary, by target.
     holders : dict of int to set of str
         Targets that hold an adapter according to their summaries, by its hash.
+    prefill_rate : float
+        Prompt tokens that an engine prefills per second, as far as known.
+    prompt_cache_capacity : float
+        Size of the prompt caches of engines that are not known yet, in tokens.
     """
 
     def __init__(self, *, data_centre, policy=None):
         self.data_centre = data_centre
         self.policy = policy or PlacementPolicy()
         self.score = placement_score(self.policy.score)
+        self.prefill_rate = self.policy.prefill_rate
+        self.prompt_cache_capacity = self.policy.prompt_cache_capacity
         self.summaries = {}
         self.holders = {}
         self.confirmed_at = {}
@@ -189,6 +195,26 @@
         )
         self._memory(target).note_prompt(request.preambles)
 
+    def prefill_tokens(self, target, request, now):
+        """Return the tokens to prefill before the first token of a request.
+
+        Parameters
+        ----------
+        target : str
+            Name of the target.
+        request : PlacementRequest
+            The request, not yet recorded as started.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Tokens of the request and of those ahead of it, as far as known here.
+        """
+        ahead = self._backlog(target, now).ahead(request.urgency, now=now)
+        return (ahead + self._prefill(request, target)) * self.prefill_rate
+
     def note_sent(self, target, ticket_id, request, now):
         """Record a ticket request and add its prompt to the prompt-cache estimate.
 
@@ -386,13 +412,11 @@
         uncached_tokens = self._memory(name).uncached_tokens(
             request.preambles, request.prompt_tokens
         )
-        return uncached_tokens / self.policy.prefill_rate
+        return uncached_tokens / self.prefill_rate
 
     def _memory(self, name):
         if name not in self.preambles:
-            self.preambles[name] = PreambleCache(
-                capacity=self.policy.prompt_cache_capacity
-            )
+            self.preambles[name] = PreambleCache(capacity=self.prompt_cache_capacity)
         return self.preambles[name]
 
     def _backlog(self, name, now):
--- a/skylarkpost/stewardship/prefill.py
+++ b/skylarkpost/stewardship/prefill.py
@@ -8,7 +8,10 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
-__all__ = ["Preamble", "PreambleCache", "PrefillBacklog"]
+__all__ = ["PROMPT_CACHE_FRACTION", "Preamble", "PreambleCache", "PrefillBacklog"]
+
+# Part of an engine's KV cache that holds prompts beside running requests.
+PROMPT_CACHE_FRACTION = 0.7
 
 
 class Preamble(NamedTuple):
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -68,6 +68,8 @@
         Residency, loads and evictions.
     closed : bool
         Whether new requests are refused because the target is leaving.
+    prefill_rate : float
+        Prompt tokens that the engine prefills per second, as far as known.
     retired : bool
         Whether another instance is taking over; no further orders are issued.
     """
@@ -94,6 +96,7 @@
         self.retired = False
         self.batch_limit = target.batch_limit
         self.service_time = INITIAL_SERVICE_TIME_S
+        self.prefill_rate = self.policy.prefill_rate
         self.preamble_cache = PreambleCache(capacity=self.policy.preamble_cache_tokens)
         self.backlog = PrefillBacklog(now=now)
         self.queue = FairQueue(
@@ -418,7 +421,7 @@
         uncached_tokens = self.preamble_cache.uncached_tokens(
             request.preambles, request.prompt_tokens
         )
-        return uncached_tokens / self.policy.prefill_rate
+        return uncached_tokens / self.prefill_rate
 
     def expected_wait(self, urgency):
         """Estimate how long a new request waits for a place in the batch.
