Ask the reader for all topics in one call

Cause: each follower asked its topic's reader in a call of its own, once a second and again after each read of the reader, with news or without. Now one call a second carries all topics and ends early only with news.

--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -7,6 +7,7 @@
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
+from skylarkpost.gateway.reader_queries import ReaderQueries
 from skylarkpost.listing import InstanceList, ListedInstance
 from skylarkpost.log.keyed import KeyedRecord, PeerRecords, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
@@ -27,15 +28,11 @@
 PEER_TIMEOUT_S = 0.5
 # An instance that has been silent for this long is no longer counted.
 FORGET_SILENT_AFTER_S = 10.0
-# A query to a frozen reader and one to the next reader must both end well before
-# a change has to be in force.
-RELAY_WAIT_S = 1.0
-# A reader whose records are older than the wait by more than this is stuck; about
-# the longest time that the store takes to answer when it is slow.
-RELAY_SLACK_S = 1.0
 # Instances queried while the store cannot be read. Querying a whole large fleet
 # costs more than another round of queries.
 MAX_PEERS_QUERIED = 4
+# All topics have the same readers, so that one call carries the queries of all.
+TOPIC_GROUP = "topics"
 ROLE = "entry"
 STATE = "live"
 
@@ -68,6 +65,12 @@
         self.readers = TopicReaders(
             instance=services.instance, data_centre=services.data_centre
         )
+        self.queries = ReaderQueries(
+            find_reader=self._find_reader,
+            ask=self._query_topics,
+            note_failed=self.readers.note_failed,
+            clock=services.clock,
+        )
         self.registration = BackgroundTask(name="register")
         self.follower = KeyedFollower(
             store=services.store,
@@ -76,7 +79,7 @@
             random=services.random,
             on_record=self._apply_record,
             wait=lambda: READ_WAIT_S,
-            relay=self.query_reader,
+            relay=self.queries.query,
         )
         services.followers[INSTANCES_TOPIC] = self.follower
         services.instances = self
@@ -113,6 +116,7 @@
         """Stop registering and following."""
         await self.registration.stop()
         await self.follower.stop()
+        await self.queries.stop()
 
     def status(self):
         """Return the ids of the known instances."""
@@ -164,59 +168,38 @@
         known = [answer for answer in answers if answer is not None]
         return max(known, key=lambda each: (each.end, -each.age), default=None)
 
-    async def query_reader(self, topic, start, wait):
-        """Wait for new records at an instance that reads the topic for others.
-
-        Parameters
-        ----------
-        topic : str
-            The topic.
-        start : int
-            First offset wanted.
-        wait : float
-            Longest wait, in seconds.
-
-        Returns
-        -------
-        PeerRecords or None
-            None if this instance has to read the store itself.
-        """
+    def _find_reader(self, now):
         membership = self.services.controllers.get("membership")
         if membership is None:
             return None
-        now = self.services.clock()
         live = [
             member
             for member in membership.others(now)
             if member.state is MemberState.LIVE
         ]
-        reader = self.readers.find_reader(topic, live, now)
-        if reader is None:
-            return None
-        request = fleet_pb2.TopicAsk(
-            topic=topic, start=start, wait=min(wait, RELAY_WAIT_S)
+        return self.readers.find_reader(TOPIC_GROUP, live, now)
+
+    async def _query_topics(self, address, starts, wait):
+        stub = fleet_pb2_grpc.FleetStub(self.services.peers.get(address))
+        asked = [
+            fleet_pb2.TopicAsk(topic=topic, start=start)
+            for topic, start in starts.items()
+        ]
+        request = fleet_pb2.TopicsAsk(topics=asked, wait=wait)
+        answer = await call_peer(
+            stub.ReadTopics, request, timeout=PEER_TIMEOUT_S + wait
         )
-        answer = await self._query(reader.address, request)
-        if answer is None or answer.age > wait + RELAY_SLACK_S:
-            self.readers.note_failed(reader.instance, self.services.clock())
-            log_event(
-                logger,
-                "topic-reader-failed",
-                topic=topic,
-                reader=reader.instance,
-                age=None if answer is None else answer.age,
-            )
+        if isinstance(answer, CallFailed) or len(answer.topics) != len(starts):
             return None
-        return answer
+        return {
+            topic: _peer_records(each)
+            for topic, each in zip(starts, answer.topics, strict=True)
+        }
 
     async def _query(self, address, request):
         stub = fleet_pb2_grpc.FleetStub(self.services.peers.get(address))
-        timeout = PEER_TIMEOUT_S + request.wait
-        answer = await call_peer(stub.ReadTopic, request, timeout=timeout)
-        if isinstance(answer, CallFailed) or not answer.known:
-            return None
-        records = tuple(KeyedRecord(r.key, r.value, r.offset) for r in answer.records)
-        return PeerRecords(records, answer.end, answer.age)
+        answer = await call_peer(stub.ReadTopic, request, timeout=PEER_TIMEOUT_S)
+        return None if isinstance(answer, CallFailed) else _peer_records(answer)
 
     def _peer_addresses(self):
         own = self.services.peer_address
@@ -281,22 +264,60 @@
     async def ReadTopic(self, request, context):  # noqa: N802
         """Return the known records of a topic. See ``fleet.proto``."""
         follower = self.services.followers.get(request.topic)
-        if follower is None or follower.next_offset is None:
-            return fleet_pb2.TopicAnswer(known=False)
+        return _topic_answer(follower, request.start, self.services.clock())
+
+    async def ReadTopics(self, request, context):  # noqa: N802
+        """Return the new records of several topics. See ``fleet.proto``."""
         received_at = self.services.clock()
-        if request.wait > 0.0:
-            await follower.wait_for_update(request.start, request.wait)
-            if not follower.available:
-                # The requester may be able to reach the store itself.
-                return fleet_pb2.TopicAnswer(known=False)
-        answer = fleet_pb2.TopicAnswer(
-            known=True,
-            end=follower.next_offset,
-            age=received_at - follower.fresh_at,
-        )
-        for record in follower.records.values():
-            if record.offset >= request.start:
-                answer.records.add(
-                    key=record.key, value=record.value, offset=record.offset
-                )
+        asked = [
+            (self.services.followers.get(each.topic), each.start)
+            for each in request.topics
+        ]
+        await _wait_for_any(asked, request.wait)
+        answer = fleet_pb2.TopicsAnswer()
+        for follower, start in asked:
+            # The requester may be able to reach the store itself.
+            usable = follower if follower is not None and follower.available else None
+            answer.topics.append(_topic_answer(usable, start, received_at))
         return answer
+
+
+async def _wait_for_any(asked, wait):
+    """Wait until one of the followers has records from its offset on."""
+    followers = [
+        (follower, start)
+        for follower, start in asked
+        if follower is not None and follower.next_offset is not None
+    ]
+    waits = [
+        asyncio.ensure_future(follower.wait_for_update(start, wait))
+        for follower, start in followers
+    ]
+    if not waits:
+        return
+    try:
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for each in waits:
+            each.cancel()
+
+
+def _topic_answer(follower, start, received_at):
+    if follower is None or follower.next_offset is None:
+        return fleet_pb2.TopicAnswer(known=False)
+    answer = fleet_pb2.TopicAnswer(
+        known=True,
+        end=follower.next_offset,
+        age=received_at - follower.fresh_at,
+    )
+    for record in follower.records.values():
+        if record.offset >= start:
+            answer.records.add(key=record.key, value=record.value, offset=record.offset)
+    return answer
+
+
+def _peer_records(answer):
+    if not answer.known:
+        return None
+    records = tuple(KeyedRecord(r.key, r.value, r.offset) for r in answer.records)
+    return PeerRecords(records, answer.end, answer.age)
--- /dev/null
+++ b/skylarkpost/gateway/reader_queries.py
@@ -0,0 +1,153 @@
+"""Combines the queries of all followers to the instance that reads for them."""
+
+import asyncio
+import logging
+import math
+from typing import NamedTuple
+
+from skylarkpost.eventlog import log_event
+from skylarkpost.log.keyed import PeerRecords
+
+__all__ = ["ReaderQueries", "TopicQuery"]
+
+logger = logging.getLogger(__name__)
+
+# A query to a frozen reader and one to the next reader must both end well before a
+# change has to be in force.
+RELAY_WAIT_S = 1.0
+# Followers that were answered together ask again together.
+MIN_ROUND_S = 0.25
+# A reader whose records are older than the wait by more than this is stuck; about
+# the longest time that the store takes to answer when it is slow.
+RELAY_SLACK_S = 1.0
+
+
+class TopicQuery(NamedTuple):
+    """A follower's query.
+
+    Attributes
+    ----------
+    start : int
+        First offset wanted.
+    wait : float
+        Longest time that the follower would wait at the store, in seconds.
+    asked_at : float
+        When the follower asked, in seconds.
+    answer : asyncio.Future
+        Receives `PeerRecords`, or None if the instance has to read the store.
+    """
+
+    start: int
+    wait: float
+    asked_at: float
+    answer: asyncio.Future
+
+
+class ReaderQueries:
+    """Queries of the followers of one instance, sent in one call.
+
+    Load pattern: many instances that wait for changes of several topics, nearly
+    always in vain. One call a second carries all topics.
+
+    Parameters
+    ----------
+    find_reader : callable
+        Takes ``now`` and returns the `Reader` to ask, or None.
+    ask : callable
+        Async; takes the reader's address, the first offset by topic and the wait in
+        seconds, and returns the `PeerRecords` or None by topic, or None.
+    note_failed : callable
+        Takes an instance and ``now``, after it has not answered in time.
+    clock : callable
+        Returns the present time in seconds.
+    """
+
+    def __init__(self, *, find_reader, ask, note_failed, clock):
+        self.find_reader = find_reader
+        self.ask = ask
+        self.note_failed = note_failed
+        self.clock = clock
+        self.pending = {}
+        self.task = None
+        self.last_round_at = -math.inf
+
+    async def query(self, topic, start, wait):
+        """Wait for new records of a topic at the reader.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First offset wanted.
+        wait : float
+            Longest wait, in seconds.
+
+        Returns
+        -------
+        PeerRecords or None
+            None if this instance has to read the store itself.
+        """
+        now = self.clock()
+        if self.find_reader(now) is None:
+            return None
+        answer = asyncio.get_running_loop().create_future()
+        self.pending[topic] = TopicQuery(start, wait, now, answer)
+        if self.task is None:
+            self.task = asyncio.create_task(self._run(), name="reader-queries")
+        return await answer
+
+    async def stop(self):
+        """Stop asking; the followers have stopped before."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.wait([self.task])
+            self.task = None
+
+    async def _run(self):
+        while self.pending:
+            pause = self.last_round_at + MIN_ROUND_S - self.clock()
+            await asyncio.sleep(max(0.0, pause))
+            self.last_round_at = self.clock()
+            await self._run_round()
+            # Lets the followers that were answered ask again.
+            await asyncio.sleep(0)
+        self.task = None
+
+    async def _run_round(self):
+        queries, self.pending = self.pending, {}
+        sent_at = self.clock()
+        reader = self.find_reader(sent_at)
+        answers = None
+        try:
+            if reader is not None:
+                starts = {topic: query.start for topic, query in queries.items()}
+                answers = await self.ask(reader.address, starts, RELAY_WAIT_S)
+                if answers is None:
+                    self._note_failed(reader, ",".join(sorted(queries)), None)
+        finally:
+            for topic, query in queries.items():
+                answer = None if answers is None else answers.get(topic)
+                if answer is not None and answer.age > query.wait + RELAY_SLACK_S:
+                    self._note_failed(reader, topic, answer.age)
+                    answer = None
+                self._resolve(query, answer, sent_at)
+
+    def _resolve(self, query, answer, sent_at):
+        if query.answer.done():
+            return
+        if answer is not None:
+            # The age counts from the follower's question, which was sent later.
+            delay = sent_at - query.asked_at
+            answer = PeerRecords(answer.records, answer.end, answer.age - delay)
+        query.answer.set_result(answer)
+
+    def _note_failed(self, reader, topic, age):
+        self.note_failed(reader.instance, self.clock())
+        log_event(
+            logger,
+            "topic-reader-failed",
+            topic=topic,
+            reader=reader.instance,
+            age=age,
+        )
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -94,7 +94,7 @@
         PeerRecords or None
             None if this instance has to read the store itself.
         """
-        return await self.controllers["fleet"].query_reader(topic, start, wait)
+        return await self.controllers["fleet"].queries.query(topic, start, wait)
 
     def retry_budget(self, service):
         """Return this instance's retry budget for a service.
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -151,10 +151,10 @@
         wait : float
             Timeout, in seconds.
         """
-        if self.next_offset is not None and self.next_offset > start:
-            return
         with contextlib.suppress(TimeoutError):
-            await asyncio.wait_for(self.advanced.wait(), wait)
+            async with asyncio.timeout(wait):
+                while self.next_offset is None or self.next_offset <= start:
+                    await self.advanced.wait()
 
     async def _run(self):
         backoff = FIRST_BACKOFF_S
