Hold ticket requests longer at a steward before they are repeated

Cause: a waiting request repeated its call every quarter of a second. The call's own timeout notices a steward that stopped, so a longer wait loses nothing.

--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -59,9 +59,9 @@
 # again before its team notices.
 TICKET_LEASE_S = 10.0
 # Fraction of the shortest latency goal of the engines' routes for which a steward
-# holds a request for a ticket; if it stops answering, another target can still
-# serve the request in time.
-TICKET_WAIT_FRACTION = 0.35
+# holds a request for a ticket before it has to be repeated. The timeout of the call
+# decides how soon a steward that stopped answering is noticed.
+TICKET_WAIT_FRACTION = 0.7
 MIN_TICKET_WAIT_S = 0.05
 MAX_TICKET_WAIT_S = 0.4
 TICKET_REQUEST_TIMEOUT_S = 0.5
