--- a/tests/placement/test_health.py
+++ b/tests/placement/test_health.py
@@ -72,3 +72,13 @@
     health.note_unreachable("a", 0.0)
     health.retain_only({"b"})
     assert health.records == {}
+
+
+def test_a_failure_is_forgotten_after_some_decay_times():
+    health = TargetHealthTracker()
+    for _ in range(5):
+        health.note_unreachable("b", 0.0)
+    assert health.avoided(POOL, 0.1) == {"b"}
+    later = health.memory + 0.1
+    assert health.avoided(POOL, later) == frozenset()
+    assert health.failed_at == {}
