Go on asking the reader after a round that failed

Found by reading: an error in a round left the task ended but set, and every later query of the instance would have waited without end. The test failed before. Routes to services that are not configured no longer matter to the ticket wait.

--- a/skylarkpost/gateway/reader_queries.py
+++ b/skylarkpost/gateway/reader_queries.py
@@ -93,8 +93,9 @@
             return None
         answer = asyncio.get_running_loop().create_future()
         self.pending[topic] = TopicQuery(start, wait, now, answer)
-        if self.task is None:
+        if self.task is None or self.task.done():
             self.task = asyncio.create_task(self._run(), name="reader-queries")
+            self.task.add_done_callback(_report_failure)
         return await answer
 
     async def stop(self):
@@ -112,7 +113,6 @@
             await self._run_round()
             # Lets the followers that were answered ask again.
             await asyncio.sleep(0)
-        self.task = None
 
     async def _run_round(self):
         queries, self.pending = self.pending, {}
@@ -151,3 +151,10 @@
             reader=reader.instance,
             age=age,
         )
+
+
+def _report_failure(task):
+    if task.cancelled() or task.exception() is None:
+        return
+    context = {"message": "reader queries failed", "exception": task.exception()}
+    task.get_loop().call_exception_handler(context)
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -432,13 +432,15 @@
 
     def _ticket_wait(self):
         configuration = self.config.state.configuration
+        engine_services = {
+            service.name
+            for service in configuration.services.values()
+            if service.engine is not None
+        }
         goals = [
             route.latency_goal
             for route in configuration.routes
-            if any(
-                configuration.services[each.service].engine is not None
-                for each in route.services
-            )
+            if any(each.service in engine_services for each in route.services)
         ]
         wait = TICKET_WAIT_FRACTION * min(goals, default=math.inf)
         return min(MAX_TICKET_WAIT_S, max(MIN_TICKET_WAIT_S, wait))
--- a/tests/gateway/test_reader_queries.py
+++ b/tests/gateway/test_reader_queries.py
@@ -79,3 +79,23 @@
     peer = Peer(reader=None)
     assert await peer.queries.query("a", 5, 2.0) is None
     assert peer.calls == []
+
+
+async def test_a_failed_round_does_not_end_the_queries():
+    peer = Peer(answers={"a": PeerRecords((), 5, 0.1)})
+    errors = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: errors.append(context["message"]))
+    ask = peer.queries.ask
+
+    async def fail(address, starts, wait):
+        raise ValueError("unreadable")
+
+    peer.queries.ask = fail
+    assert await peer.queries.query("a", 5, 2.0) is None
+    peer.queries.ask = ask
+    await asyncio.sleep(0)
+    peer.now += 1.0
+    answer = await asyncio.wait_for(peer.queries.query("a", 5, 2.0), 3)
+    assert answer.end == 5
+    assert errors == ["reader queries failed"]
