Bound what one instance admits beyond its share by the size of its part

Cause, found by replaying small fleets too: four even parts are the whole room where there are four instances.

--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -35,8 +35,10 @@
 # Factor by which demand may grow during that delay.
 DEMAND_GROWTH_MARGIN = 1.5
 # Times its even part of the room that an instance may admit within one delay of the
-# reports: at any moment only some of the instances get requests of one team.
-LOCAL_ROOM_FACTOR = 4.0
+# reports. Where an even part holds less than some requests, few of the instances get
+# any at one moment, and each of them may admit more.
+MIN_ROOM_FACTOR = 1.7
+MAX_ROOM_FACTOR = 4.0
 MIN_DEMAND = 1e-6
 MIN_ALLOWED = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -511,8 +513,11 @@
         # A surge reaches all instances before any of them reports it, so each admits
         # about its part of what is left until the others' reports would show it.
         recent = self.windows[team].admitted_since(now - lag)
-        chance = self.random.random()
-        return recent + chance * units < LOCAL_ROOM_FACTOR * room / max(1, instances)
+        part = room / max(1, instances)
+        requests_per_part = fleet_allowed / max(1, instances) / max(1.0, units)
+        factor = MAX_ROOM_FACTOR / requests_per_part
+        factor = max(MIN_ROOM_FACTOR, min(MAX_ROOM_FACTOR, factor))
+        return recent + self.random.random() * units < factor * part
 
     def _admitted(self, team, now):
         window = self.windows[team]
--- a/tests/limits/test_demand_share.py
+++ b/tests/limits/test_demand_share.py
@@ -107,6 +107,12 @@
     assert total >= 0.75 * (TEAM.rate + TEAM.burst / WINDOW) * 40.0
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_team_that_turns_hot_in_a_small_fleet_is_held_to_its_limit(seed):
+    admitted = replay_late_reports(count=4, lag=1.0, seed=seed)
+    assert max_in_window(admitted) <= ALLOWED
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 @pytest.mark.parametrize("lag", [1.0, 2.5])
 def test_a_team_that_turns_hot_in_a_large_fleet_is_held_to_its_limit(lag, seed):
@@ -194,3 +200,8 @@
         admitted += isinstance(outcome, Receipt)
         refused += not isinstance(outcome, Receipt) and outcome > MAX_LIMIT_WAIT_S
     assert refused <= 0.05 * admitted
+
+
+def test_a_request_without_units_is_admitted():
+    shares = DemandShares(own="a", random=random.Random(1), slack=0.0, window=WINDOW)
+    assert isinstance(shares.admit(TEAM, 0.0, instances=1, now=0.0), Receipt)
