Log prompt parts, boots and whether an answer had begun

The logs could not tell what had been waiting on a crashed engine. attempt-sent names boot and prompt parts now, attempt-failed and stream-broken name the boot and whether an event had been passed on.

No decision is changed.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -141,7 +141,9 @@
             "attempt-sent",
             request=exchange.request_id,
             target=ticket.target,
+            boot=ticket.boot,
             adapter=ticket.lora_name or None,
+            parts=_part_ids(exchange.metadata.prompt_parts),
             left=left,
             waited=now - exchange.received_at,
             reused=connection.request_count > 0,
@@ -325,7 +327,9 @@
             "stream-broken",
             request=exchange.request_id,
             target=ticket.target,
+            boot=ticket.boot,
             detail=event.detail,
+            begun=exchange.first_byte_at is not None,
             timed_out=exchange.timed_out,
         )
 
@@ -351,8 +355,10 @@
             "attempt-failed",
             request=exchange.request_id,
             target=ticket.target,
+            boot=ticket.boot,
             kind=failure.kind,
             detail=failure.detail,
+            begun=exchange.first_byte_at is not None,
             left=exchange.deadline - now,
         )
 
@@ -385,6 +391,10 @@
     )
 
 
+def _part_ids(prompt_parts):
+    return ",".join(part.part_id for part in prompt_parts) or None
+
+
 async def _iterate(chunks):
     for chunk in chunks:
         yield chunk
