--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -13,6 +13,8 @@
 
 LOAD_S = 0.05
 EVENT_INTERVAL_S = 0.005
+# How long a crashed target refuses connections.
+DOWNTIME_S = 0.2
 
 
 class ReceivedRequest(NamedTuple):
@@ -75,6 +77,13 @@
         All orders received, including refused ones.
     start_time_ms : int
         Time of the last start, in Unix milliseconds.
+    deadly_parts : set of str
+        Ids of prompt parts; the target crashes when it begins to write an answer
+        on one of them.
+    crashes : int
+        Number of crashes so far.
+    on_restart : callable or None
+        Async; called when the target is back after a crash.
     """
 
     def __init__(self, *, name, slots=0, model=None):
@@ -92,16 +101,42 @@
         self.orders = []
         self.start_time_ms = 1_700_000_000_000
         self.port = None
+        self.deadly_parts = set()
+        self.crashes = 0
+        self.on_restart = None
+        self.listener = None
+        self.writers = set()
+        self.recovery = None
 
     @contextlib.asynccontextmanager
     async def serving(self):
         """Serve on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.port = server.sockets[0].getsockname()[1]
+        await self._listen(0)
+        self.port = self.listener.sockets[0].getsockname()[1]
         try:
             yield self
         finally:
-            server.close()
+            self.listener.close()
+            if self.recovery is not None:
+                self.recovery.cancel()
+
+    def crash(self):
+        """Close all connections, refuse new ones for a while and come back empty."""
+        self.crashes += 1
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.recovery = asyncio.create_task(self._recover())
+
+    async def _recover(self):
+        await asyncio.sleep(DOWNTIME_S)
+        self.restart()
+        await self._listen(self.port)
+        if self.on_restart is not None:
+            await self.on_restart()
+
+    async def _listen(self, port):
+        self.listener = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
     def restart(self):
         """Clear all state, as a restarted process would."""
@@ -134,9 +169,11 @@
             asyncio.IncompleteReadError,
             asyncio.CancelledError,
         )
+        self.writers.add(writer)
         with contextlib.suppress(*disconnects):
             while await self._serve_request(reader, writer):
                 pass
+        self.writers.discard(writer)
         writer.close()
 
     async def _serve_request(self, reader, writer):
@@ -198,6 +235,10 @@
             "Transfer-Encoding": "chunked",
         }
         writer.write(self._format_head(200, headers | chunked))
+        if self._part_ids(request) & self.deadly_parts:
+            await writer.drain()
+            self.crash()
+            return False
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
@@ -218,6 +259,10 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _part_ids(self, request):
+        parts = request.headers.get("x-prompt-prefix", "").split(",")
+        return {part.partition(":")[0] for part in parts}
+
     def _lacks_adapter(self, request):
         _, _, adapter = request.headers.get("x-model", "").partition("/")
         self._finish_due_loads()
