Attribute crashes to what the requests on crashed targets have in common

Cause: the gateway took a crash for a fault of the target alone. The product's own quarantine is not part of it and would not have helped: it knows requests by a hash of their content, and no two of these are alike. Class of fault: what one instance learns from a target about requests is not told to the others, nor used on the next request.

Now each crash is attributed to the traits of the requests that had not begun on the target: shared prompt parts, and the whole request. Answers that begin clear their traits; two rounds of crashes with one common trait quarantine it on all instances, in the store as well. Ambiguous traits are tried by one request at a time in the fleet.

--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -69,6 +69,10 @@
         Tokens that its engine has to prefill before the first token.
     last_event_id : str or None
         Event after which the stream is resumed at another target.
+    traits : frozenset of str or None
+        What crashes of targets can be attributed to; None until it is needed.
+    trial : str or None
+        Trait for which the request is on trial.
     """
 
     def __init__(self, *, incoming, metadata, **kwargs):
@@ -87,6 +91,8 @@
         self.sent_at = None
         self.prefill_tokens = 0.0
         self.last_event_id = None
+        self.traits = None
+        self.trial = None
 
     @property
     def is_model_request(self):
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -16,6 +16,7 @@
 )
 from skylarkpost.outcomes import Reason, Refused, Relayed, RunState
 from skylarkpost.platform import HeaderCodec
+from skylarkpost.quarantine import Clear
 from skylarkpost.routing import RouteKind
 from skylarkpost.transport import (
     BodyBrokenError,
@@ -76,6 +77,8 @@
                 return result
             now = services.clock()
             self._note_failure(exchange, ticket, result, now)
+            if result.kind is FailureKind.UNKNOWN:
+                await self._note_lost(exchange, ticket, now)
             avoid.add(ticket.target)
             if not self._may_retry(exchange, result):
                 return self._final_outcome(exchange, result)
@@ -86,6 +89,13 @@
                 return self._outcome_without_ticket(exchange, result, outcome)
             exchange.ticket = outcome
 
+    async def _note_lost(self, exchange, ticket, now):
+        """Report a broken connection; wait for the result before a retry."""
+        controller = self.services.controllers["crash-suspects"]
+        probe = controller.note_lost(exchange, ticket, now)
+        if probe is not None and exchange.route.is_repeatable:
+            await asyncio.wait([probe])
+
     def _note_result(self, exchange, ticket, result):
         if exchange.cancelled is not None:
             return
@@ -196,6 +206,7 @@
             return AttemptFailure(
                 FailureKind.NOT_EXECUTED, f"status {head.status}", answer
             )
+        self._note_answered(exchange)
         is_failure = head.status >= FIRST_SERVER_ERROR_STATUS
         if is_failure and exchange.route.is_repeatable:
             return AttemptFailure(FailureKind.FAILED, f"status {head.status}", answer)
@@ -255,6 +266,8 @@
                     yield chunk
                 elif isinstance(event, ResponseBroken):
                     self._log_stream_break(exchange, ticket, event)
+                    if exchange.first_byte_at is None:
+                        await self._note_lost(exchange, ticket, self.services.clock())
                     resumed = None
                     if event_buffer is not None:
                         self._end_connection(exchange, ticket, connection)
@@ -269,8 +282,13 @@
         finally:
             self._end_connection(exchange, ticket, connection)
 
+    def _note_answered(self, exchange):
+        controller = self.services.controllers["crash-suspects"]
+        controller.note_answered(exchange, self.services.clock())
+
     def _note_first_event(self, exchange):
         now = exchange.first_byte_at = self.services.clock()
+        self._note_answered(exchange)
         if exchange.is_model_request and len(exchange.targets_tried) == 1:
             controller = self.services.controllers["stewardship"]
             controller.note_first_token(exchange, now)
@@ -312,7 +330,11 @@
     def _may_retry(self, exchange, failure):
         route = exchange.route
         exchange.unsent_attempts += failure.kind is FailureKind.NOT_SENT
-        return exchange.cancelled is None and may_retry(
+        controller = self.services.controllers["crash-suspects"]
+        verdict = controller.verdict(exchange, self.services.clock())
+        if exchange.cancelled is not None or not isinstance(verdict, Clear):
+            return False
+        return may_retry(
             RetryPolicy(route.kind, route.is_resumable, route.max_targets),
             failure,
             targets_tried=len(exchange.targets_tried),
--- a/skylarkpost/gateway/run.py
+++ b/skylarkpost/gateway/run.py
@@ -20,6 +20,7 @@
 
 PARTS = (
     "skylarkpost.gateway.configuration",
+    "skylarkpost.gateway.crash_suspects",
     "skylarkpost.gateway.directory",
     "skylarkpost.gateway.filters",
     "skylarkpost.gateway.fleet",
--- a/skylarkpost/outcomes/reasons.py
+++ b/skylarkpost/outcomes/reasons.py
@@ -22,6 +22,7 @@
     METHOD_NOT_ALLOWED = "method-not-allowed"
     TOO_LARGE = "too-large"
     QUARANTINED = "quarantined"
+    CRASH_SUSPECT = "crash-suspect"
     OVER_RATE = "over-rate"
     TEAM_UNKNOWN = "team-unknown"
     LIMIT_UNREACHABLE = "limit-unreachable"
@@ -64,6 +65,7 @@
     Reason.METHOD_NOT_ALLOWED: 405,
     Reason.TOO_LARGE: 413,
     Reason.QUARANTINED: 422,
+    Reason.CRASH_SUSPECT: 503,
     Reason.OVER_RATE: 429,
     Reason.IDEMPOTENCY_KEY_MISSING: 400,
     Reason.IDEMPOTENCY_KEY_INVALID: 400,
--- a/skylarkpost/quarantine/__init__.py
+++ b/skylarkpost/quarantine/__init__.py
@@ -1,5 +1,10 @@
 """Quarantine: refuses requests that have repeatedly crashed targets."""
 
+from skylarkpost.quarantine.crash_evidence import (
+    CrashEvidence,
+    EvidencePolicy,
+    OnTrial,
+)
 from skylarkpost.quarantine.fingerprint import fingerprint_request
 from skylarkpost.quarantine.refusal import quarantine_refusal
 from skylarkpost.quarantine.suspects import (
@@ -10,14 +15,22 @@
     Suspected,
     SuspectTracker,
 )
+from skylarkpost.quarantine.traits import shared_part_traits, traits_of
+from skylarkpost.quarantine.trials import TrialRegister
 
 __all__ = [
     "Clear",
     "Crash",
+    "CrashEvidence",
     "CrashReport",
+    "EvidencePolicy",
+    "OnTrial",
     "Quarantined",
     "SuspectTracker",
     "Suspected",
+    "TrialRegister",
     "fingerprint_request",
     "quarantine_refusal",
+    "shared_part_traits",
+    "traits_of",
 ]
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -33,9 +33,12 @@
     ----------
     detail : str
         What happened.
+    is_refused : bool
+        Whether nothing listens at the address.
     """
 
     detail: str
+    is_refused: bool = False
 
 
 class ResponseHead(NamedTuple):
@@ -352,7 +355,10 @@
         return ConnectFailed("no connection in time")
     except OSError as error:
         sock.close()
-        return ConnectFailed(f"refused: {error.strerror or error!r}")
+        return ConnectFailed(
+            f"refused: {error.strerror or error!r}",
+            isinstance(error, ConnectionRefusedError),
+        )
     except BaseException:
         sock.close()
         raise
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -69,7 +69,7 @@
     script : list of str
         Behaviour for the next requests: ``"ok"``, ``"fail"``, ``"shed"``,
         ``"break"`` (connection closed mid-answer), ``"drop"`` (closed before
-        any byte), ``"silent"``, ``"late"`` (the answer to another attempt
+        any byte), ``"crash"`` (of the target, before any byte), ``"silent"``, ``"late"`` (the answer to another attempt
         comes first), ``"unsigned"`` (no server stamp).
     events : int
         Number of events of a complete stream.
@@ -206,6 +206,9 @@
         self.executed.append(request)
         if action == "drop":
             return False
+        if action == "crash":
+            self.crash()
+            return False
         if action == "silent":
             await asyncio.sleep(30)
             return False
