Take a stream that ends inside an event for broken off

What callers saw: a stream without length or chunks, cut when its target crashed, reached them as complete, without its last events. One cut before its first event was complete and empty, so the crash was not attributed to anything either.

Cause: the end of the connection was taken for the end of the answer. It is now, only if the last event is complete and there was one; otherwise the stream is broken off, or resumed where that is allowed. An answer counts as begun with its first whole event.

test_a_stream_whose_connection_ends_inside_an_event_is_broken_off and test_a_stream_cut_inside_an_event_is_resumed_where_that_is_allowed failed before.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -185,7 +185,8 @@
             and head.status < FIRST_NON_SUCCESS_STATUS
         )
         if is_stream:
-            return self._relay_stream(exchange, ticket, connection, head, [])
+            body = self._stream_body(exchange, ticket, connection)
+            return _relayed(head, body)
         chunks, size = [], 0
         while True:
             event = await connection.receive()
@@ -193,9 +194,8 @@
                 chunks.append(event)
                 size += len(event)
                 if size > MAX_BUFFERED_BYTES:
-                    return self._relay_stream(
-                        exchange, ticket, connection, head, chunks
-                    )
+                    body = self._large_body(exchange, ticket, connection, chunks)
+                    return _relayed(head, body)
             elif isinstance(event, ResponseBroken):
                 return self._failure_from_break(exchange, event.detail)
             else:
@@ -238,11 +238,6 @@
             )
             await connection.skip_response()
 
-    def _relay_stream(self, exchange, ticket, connection, head, chunks):
-        headers = strip_hop_by_hop(head.headers)
-        body = self._stream_body(exchange, ticket, connection, chunks)
-        return Relayed(status=head.status, headers=headers, body=body)
-
     def _buffered_answer(self, answer):
         headers = strip_hop_by_hop(answer.head.headers)
         if not any(name == "content-length" for name, _ in headers):
@@ -252,33 +247,46 @@
             status=answer.head.status, headers=headers, body=_iterate(answer.chunks)
         )
 
-    async def _stream_body(self, exchange, ticket, connection, chunks):
-        event_buffer = EventBuffer() if exchange.route.is_resumable else None
+    async def _large_body(self, exchange, ticket, connection, chunks):
         try:
             for chunk in chunks:
                 yield chunk
+            while True:
+                event = await connection.receive()
+                if isinstance(event, ResponseBroken):
+                    self._log_stream_break(exchange, ticket, event)
+                    raise BodyBrokenError(event.detail)
+                if not isinstance(event, bytes):
+                    return
+                yield event
+        finally:
+            self._end_connection(exchange, ticket, connection)
+
+    async def _stream_body(self, exchange, ticket, connection):
+        is_resumable = exchange.route.is_resumable
+        event_buffer = EventBuffer()
+        try:
             while True:
                 event = await connection.receive()
                 if isinstance(event, bytes):
-                    chunk = event if event_buffer is None else event_buffer.add(event)
-                    if chunk and exchange.first_byte_at is None:
+                    complete = event_buffer.add(event)
+                    if complete and exchange.first_byte_at is None:
                         self._note_first_event(exchange)
-                    yield chunk
-                elif isinstance(event, ResponseBroken):
-                    self._log_stream_break(exchange, ticket, event)
-                    if exchange.first_byte_at is None:
-                        await self._note_lost(exchange, ticket, self.services.clock())
-                    resumed = None
-                    if event_buffer is not None:
-                        self._end_connection(exchange, ticket, connection)
-                        resumed = await self._resume(exchange, event_buffer, event)
-                    if resumed is None:
-                        raise BodyBrokenError(event.detail)
-                    ticket, connection = resumed
-                else:
-                    if event_buffer is not None:
-                        yield event_buffer.take_remainder()
+                    yield complete if is_resumable else event
+                    continue
+                stream_break = _stream_break(exchange, event, event_buffer)
+                if stream_break is None:
                     return
+                self._log_stream_break(exchange, ticket, stream_break)
+                if exchange.first_byte_at is None:
+                    await self._note_lost(exchange, ticket, self.services.clock())
+                resumed = None
+                if is_resumable:
+                    self._end_connection(exchange, ticket, connection)
+                    resumed = await self._resume(exchange, event_buffer, stream_break)
+                if resumed is None:
+                    raise BodyBrokenError(stream_break.detail)
+                ticket, connection = resumed
         finally:
             self._end_connection(exchange, ticket, connection)
 
@@ -417,6 +425,26 @@
     return ",".join(part.part_id for part in prompt_parts) or None
 
 
+def _relayed(head, body):
+    headers = strip_hop_by_hop(head.headers)
+    return Relayed(status=head.status, headers=headers, body=body)
+
+
+def _stream_break(exchange, event, event_buffer):
+    """Return how a stream broke off, or None if it is complete.
+
+    An answer without length or chunks ends with its connection. If that is inside an
+    event, or before the first one, the target stopped early.
+    """
+    if isinstance(event, ResponseBroken):
+        return event
+    if event_buffer.take_remainder():
+        return ResponseBroken("the connection ended inside an event", True)
+    if exchange.first_byte_at is None and event.is_by_close:
+        return ResponseBroken("the connection ended before an event", False)
+    return None
+
+
 async def _iterate(chunks):
     for chunk in chunks:
         yield chunk
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -72,7 +72,15 @@
 
 
 class ResponseEnd(NamedTuple):
-    """The response is complete."""
+    """The response is complete.
+
+    Attributes
+    ----------
+    is_by_close : bool
+        Whether only the end of the connection says so.
+    """
+
+    is_by_close: bool = False
 
 
 class TargetConnection(asyncio.Protocol):
@@ -122,7 +130,7 @@
         if self.is_busy:
             ended_cleanly = exc is None and self._body_ends_at_close and self._in_body
             if ended_cleanly:
-                self._push(ResponseEnd())
+                self._push(ResponseEnd(is_by_close=True))
             else:
                 self._push(
                     ResponseBroken(
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -70,7 +70,9 @@
         Behaviour for the next requests: ``"ok"``, ``"fail"``, ``"shed"``,
         ``"break"`` (connection closed mid-answer), ``"drop"`` (closed before
         any byte), ``"crash"`` (of the target, before any byte), ``"silent"``, ``"late"`` (the answer to another attempt
-        comes first), ``"unsigned"`` (no server stamp).
+        comes first), ``"unsigned"`` (no server stamp), ``"unframed"`` (a body
+        without length or chunks, ended by its connection), ``"unframed-break"``
+        (the same, cut inside an event), ``"unframed-empty"`` (cut after the head).
     events : int
         Number of events of a complete stream.
     orders : list of ReceivedOrder
@@ -233,11 +235,13 @@
         return await self._stream(request, writer, stamped, action)
 
     async def _stream(self, request, writer, headers, action):
-        chunked = {
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
-        writer.write(self._format_head(200, headers | chunked))
+        is_framed = not action.startswith("unframed")
+        headers = headers | {"Content-Type": "text/event-stream"}
+        if is_framed:
+            headers["Transfer-Encoding"] = "chunked"
+        writer.write(self._format_head(200, headers))
+        if action == "unframed-empty":
+            return False
         if self._part_ids(request) & self.deadly_parts:
             await writer.drain()
             self.crash()
@@ -245,22 +249,25 @@
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
-            if action == "break" and number == first + 1:
+            is_cut = action in ("break", "unframed-break") and number == first + 1
+            if is_cut:
                 event = event[:8]
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            chunk = b"%x\r\n%b\r\n" % (len(event), event)
+            writer.write(chunk if is_framed else event)
             try:
                 await writer.drain()
             except ConnectionError:
                 self.cancelled.append(request)
                 raise
-            if action == "break" and number == first + 1:
+            if is_cut:
                 return False
             await asyncio.sleep(EVENT_INTERVAL_S)
             if writer.transport.is_closing():
                 self.cancelled.append(request)
                 return False
-        writer.write(b"0\r\n\r\n")
-        return True
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+        return is_framed
 
     def _part_ids(self, request):
         parts = request.headers.get("x-prompt-prefix", "").split(",")
--- a/tests/gateway/test_end_to_end.py
+++ b/tests/gateway/test_end_to_end.py
@@ -60,6 +60,36 @@
         assert request.headers["x-request-priority"] == "4"
 
 
+async def test_a_stream_that_ends_with_its_connection_is_passed_on_whole():
+    async with gateway(engines=1, plain=0) as rig:
+        rig.targets["e0"].script = ["unframed"]
+        status, body, _ = await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        assert status == 200
+        assert body.count(b"data:") == 4
+
+
+@pytest.mark.parametrize("action", ["unframed-break", "unframed-empty"])
+async def test_a_stream_whose_connection_ends_inside_an_event_is_broken_off(action):
+    async with gateway(engines=1, plain=0) as rig:
+        rig.targets["e0"].script = [action]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+
+
+@pytest.mark.parametrize("action", ["unframed-break", "unframed-empty"])
+async def test_a_stream_cut_inside_an_event_is_resumed_where_that_is_allowed(action):
+    async with gateway(engines=2, plain=0) as rig:
+        script = [action]
+        for target in rig.targets.values():
+            target.script = script
+        status, body, _ = await rig.fetch(
+            "/resumable/", method="POST", headers=ADAPTER | {"X-Model": MODEL}
+        )
+        assert status == 200
+        events = [b"id: %d\ndata: %d\n\n" % (n, n) for n in range(1, 5)]
+        assert body == b"".join(events)
+
+
 async def test_more_adapters_than_fit_take_turns_and_never_overload_an_engine():
     async with gateway(engines=1, plain=0, slots=2) as rig:
         calls = [
