Log the request limits that targets name

Answers' Server-Limit is decoded in the adapter and logged when it changes (target-limit).

No decision is changed.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -176,7 +176,7 @@
         return encode_request(incoming.method, incoming.target, headers, incoming.body)
 
     async def _read_answer(self, exchange, ticket, connection):
-        head_result = await self._read_head(exchange, connection)
+        head_result = await self._read_head(exchange, ticket, connection)
         if isinstance(head_result, AttemptFailure):
             return head_result
         head, metadata = head_result
@@ -212,7 +212,7 @@
             return AttemptFailure(FailureKind.FAILED, f"status {head.status}", answer)
         return self._buffered_answer(answer)
 
-    async def _read_head(self, exchange, connection):
+    async def _read_head(self, exchange, ticket, connection):
         while True:
             event = await connection.receive()
             if isinstance(event, ResponseBroken):
@@ -222,6 +222,8 @@
             metadata = HeaderCodec.read_answer(event.status, event.headers)
             expected = exchange.metadata.attempt_id
             if metadata.attempt_id in (None, expected):
+                limits = self.services.controllers["target-limits"]
+                limits.note_answer(ticket, metadata.request_limit)
                 if event.status < FIRST_NON_SUCCESS_STATUS and not metadata.is_stamped:
                     # Without the stamp this success can't be attributed to the target.
                     return AttemptFailure(
@@ -315,7 +317,7 @@
             connection = await self._send(exchange, ticket)
             failure = connection
             if not isinstance(connection, AttemptFailure):
-                head_result = await self._read_head(exchange, connection)
+                head_result = await self._read_head(exchange, ticket, connection)
                 failure = head_result
                 if not isinstance(head_result, AttemptFailure):
                     if head_result[0].status < FIRST_NON_SUCCESS_STATUS:
--- a/skylarkpost/gateway/metadata.py
+++ b/skylarkpost/gateway/metadata.py
@@ -63,8 +63,12 @@
         Whether the target states that it did not run the request.
     is_stamped : bool
         Whether the answer carries the target's signature.
+    request_limit : float or None
+        Requests a second that the target accepts from all instances together; None
+        if it names no limit.
     """
 
     attempt_id: str | None
     not_executed: bool
     is_stamped: bool
+    request_limit: float | None = None
--- a/skylarkpost/gateway/run.py
+++ b/skylarkpost/gateway/run.py
@@ -27,6 +27,7 @@
     "skylarkpost.gateway.forward",
     "skylarkpost.gateway.quota",
     "skylarkpost.gateway.stewardship",
+    "skylarkpost.gateway.target_limits",
     "skylarkpost.membership.controller",
     "skylarkpost.placement.filter",
 )
--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -18,6 +18,8 @@
 NOT_EXECUTED = "x-not-executed"
 LAST_EVENT = "last-event-id"
 STAMP = "x-server-stamp"
+# Requests a second that a target accepts from all instances together.
+REQUEST_LIMIT = "server-limit"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "bearer "
 MS_PER_S = 1000.0
@@ -150,6 +152,7 @@
             attempt_id=attempt,
             not_executed=NOT_EXECUTED in values or misdirected or unread,
             is_stamped=STAMP in values,
+            request_limit=_parse_rate(values.get(REQUEST_LIMIT)),
         )
 
 
@@ -161,6 +164,14 @@
     return value / MS_PER_S if math.isfinite(value) and value > 0 else None
 
 
+def _parse_rate(text):
+    try:
+        value = float(text)
+    except (TypeError, ValueError):
+        return None
+    return value if math.isfinite(value) and value >= 0 else None
+
+
 def _parse_token_counts(text):
     if text is None:
         return None, None
