--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -84,6 +84,10 @@
         on one of them.
     crashes : int
         Number of crashes so far.
+    request_limit : float or str or None
+        Requests a second that the target names in its answers.
+    started_at : list of float
+        When each request was received, on the event loop's clock, in seconds.
     on_restart : callable or None
         Async; called when the target is back after a crash.
     """
@@ -105,6 +109,8 @@
         self.port = None
         self.deadly_parts = set()
         self.crashes = 0
+        self.request_limit = None
+        self.started_at = []
         self.on_restart = None
         self.listener = None
         self.writers = set()
@@ -199,7 +205,10 @@
 
     async def _run(self, request, writer):
         action = self.script.pop(0) if self.script else "ok"
+        self.started_at.append(asyncio.get_running_loop().time())
         attempt = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        if self.request_limit is not None:
+            attempt["Server-Limit"] = str(self.request_limit)
         if action == "shed" or self._lacks_adapter(request):
             status = 503 if action == "shed" else 421
             return self._send_response(
