Keep to the request limits that targets name, over all instances together

What callers saw: little.

Cause: nobody read Server-Limit.

Stewards count the tickets that they grant in the span over which targets count; requests without a steward are admitted by shares that follow the demand, the mechanism of team limits. What answers say travels with the heartbeats; the answer to the request that was sent last is the newest. Three settings say what the deployment tolerates.

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -223,7 +223,9 @@
             expected = exchange.metadata.attempt_id
             if metadata.attempt_id in (None, expected):
                 limits = self.services.controllers["target-limits"]
-                limits.note_answer(ticket, metadata.request_limit)
+                limits.note_answer(
+                    ticket, metadata.request_limit, sent_at=exchange.sent_at
+                )
                 if event.status < FIRST_NON_SUCCESS_STATUS and not metadata.is_stamped:
                     # Without the stamp this success can't be attributed to the target.
                     return AttemptFailure(
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -212,7 +212,8 @@
             instance=self.services.instance,
             now=now,
             policy=self.policy._replace(
-                preamble_cache_tokens=PROMPT_CACHE_FRACTION * limits.cache_tokens
+                preamble_cache_tokens=PROMPT_CACHE_FRACTION * limits.cache_tokens,
+                limit_window=self.services.settings.bounds.limit_window_s,
             ),
             authority=authority,
         )
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -210,7 +210,7 @@
         Ticket or Refused
         """
         if not exchange.is_model_request:
-            return self._acquire_service(exchange, avoid, now)
+            return await self._acquire_service(exchange, avoid, now)
         while True:
             outcome = await self._acquire_engine(exchange, avoid)
             is_final = getattr(outcome, "reason", None) is not Reason.NO_TARGET
@@ -281,6 +281,8 @@
             for name, version in model.adapters.items()
         }
         outstanding = len(self.placer.sent.get(entry.name, ()))
+        limits = self.services.controllers["target-limits"]
+        has_room = limits.admit(entry.boot, now) == 0.0
         return LoadReport(
             boot=entry.boot,
             taken_at=now,
@@ -291,7 +293,7 @@
             loading=(),
             running=outstanding,
             waiting=0,
-            batch_limit=entry.slots,
+            batch_limit=entry.slots if has_room else 0,
             prompt_cache_hits=0,
             prompt_cache_tokens=0,
         )
@@ -461,16 +463,44 @@
             avoided.update(self.locator.without_steward(known.by_name, now))
         return frozenset(avoided)
 
-    def _acquire_service(self, exchange, avoid, now):
+    async def _acquire_service(self, exchange, avoid, now):
+        """Choose a plain target, and wait for room within its limit if it names one."""
+        give_up_at = exchange.received_at + min(
+            exchange.route.latency_goal, exchange.deadline - exchange.received_at
+        )
+        while True:
+            outcome = self._choose_service(exchange, avoid, now)
+            if not isinstance(outcome, float):
+                return outcome
+            if now + outcome > give_up_at:
+                return _too_busy(outcome)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(exchange.cancel_event.wait(), outcome)
+                return exchange.cancelled
+            now = self.services.clock()
+
+    def _choose_service(self, exchange, avoid, now):
+        """Return a ticket, a refusal, or the seconds until a target has room."""
         known = self.catalogue.of_service(exchange.service, now)
         avoid = avoid | self._targets_to_avoid(known, now)
-        ticket = self.service_placer.choose(
-            known.targets, request_id=exchange.request_id, avoid=avoid, now=now
-        )
-        if ticket is not None:
-            directory = self.services.controllers["directory"]
+        limits = self.services.controllers["target-limits"]
+        directory = self.services.controllers["directory"]
+        targets, waits = known.targets, []
+        while True:
+            ticket = self.service_placer.choose(
+                targets, request_id=exchange.request_id, avoid=avoid, now=now
+            )
+            if ticket is None:
+                break
             boot = directory.targets.find(ticket.target, now).boot
-            return ticket._replace(boot=boot)
+            wait = limits.admit(boot, now)
+            if wait == 0.0:
+                return ticket._replace(boot=boot)
+            self.service_placer.withdraw(ticket)
+            waits.append(wait)
+            targets = [each for each in targets if each.name != ticket.target]
+        if waits:
+            return min(waits)
         return _no_target("No target of this route takes requests at present.")
 
     def _find_member(self, instance, now):
@@ -499,8 +529,11 @@
     def _tick(self):
         now = self.services.clock()
         self.placer.prefill_rate = self.prefill_rate.tokens_per_s
+        limits = self.services.controllers["target-limits"]
         for executor in self.lease_manager.executors.values():
-            executor.steward.prefill_rate = self.prefill_rate.tokens_per_s
+            steward = executor.steward
+            steward.prefill_rate = self.prefill_rate.tokens_per_s
+            limits.pace(steward.pace, steward.boot, now)
         self.lease_manager.tick(now)
         summaries = [
             executor.summary(now) for executor in self.lease_manager.executors.values()
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -398,6 +398,18 @@
         self.received.pop(instance, None)
         self.received_at.pop(instance, None)
 
+    def drop(self, team):
+        """Drop what is known of the usage of a team here.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        """
+        self.demands.pop(team, None)
+        self.windows.pop(team, None)
+        self.allowances.pop(team, None)
+
     def report(self, now):
         """Return the usage to publish, and remember it for `share`.
 
--- a/skylarkpost/placement/outstanding.py
+++ b/skylarkpost/placement/outstanding.py
@@ -83,6 +83,19 @@
             expires_at=float("inf"),
         )
 
+    def withdraw(self, ticket):
+        """Forget a call that is not made.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            From `choose`.
+        """
+        tickets = self.outstanding.get(ticket.target, set())
+        tickets.discard(ticket.ticket_id)
+        if not tickets:
+            self.outstanding.pop(ticket.target, None)
+
     def note_finished(self, ticket, *, succeeded, now):
         """Record the end of a call; repeated notifications are ignored.
 
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -72,6 +72,21 @@
     quota_slack: float = Field(
         default=0.0, ge=0.0, description="Units tolerated beyond a team's limit."
     )
+    limit_window_s: float = Field(
+        default=4.0,
+        gt=0.0,
+        description="Span over which targets that name a limit count their requests.",
+    )
+    limit_overrun: float = Field(
+        default=0.5,
+        ge=0.0,
+        description="Part of a target's limit that is tolerated beyond it.",
+    )
+    limit_slack: float = Field(
+        default=5.0,
+        ge=0.0,
+        description="Requests in a span that are tolerated beyond that.",
+    )
 
 
 class GatewaySettings(Section):
--- a/skylarkpost/stewardship/controller.py
+++ b/skylarkpost/stewardship/controller.py
@@ -460,7 +460,7 @@
         "queued": len(steward.queue),
         "resident": sorted(steward.slots.residency.usable()),
         "evictions": steward.slots.evictions,
-        "expected_wait": round(steward.expected_wait(5), 3),
+        "expected_wait": round(steward.expected_wait(5, now), 3),
         "silent_for": None
         if executor.silent_since is None
         else round(now - executor.silent_since, 3),
--- a/skylarkpost/stewardship/policy.py
+++ b/skylarkpost/stewardship/policy.py
@@ -59,6 +59,8 @@
         Prompt tokens that the engine prefills per second.
     preamble_cache_tokens : float
         Prompt tokens that the prefix cache of the engine holds.
+    limit_window : float
+        Span over which engines that name a limit count their requests, in seconds.
     """
 
     ticket_lease: float = 10.0
@@ -84,3 +86,4 @@
     parallel_loads: int = 1
     prefill_rate: float = 40_000.0
     preamble_cache_tokens: float = 200_000.0
+    limit_window: float = 4.0
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -13,6 +13,7 @@
 from skylarkpost.stewardship.policy import StewardPolicy
 from skylarkpost.stewardship.prefill import PreambleCache, PrefillBacklog
 from skylarkpost.stewardship.queue import FairQueue
+from skylarkpost.stewardship.request_pace import RequestPace
 from skylarkpost.stewardship.slots import SlotPlanner
 from skylarkpost.stewardship.summary import TargetSummary, adapter_hash
 from skylarkpost.stewardship.takeover import Takeover
@@ -72,6 +73,8 @@
         Prompt tokens that the engine prefills per second, as far as known.
     retired : bool
         Whether another instance is taking over; no further orders are issued.
+    pace : RequestPace
+        Limit on the requests a second that the engine names.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         self.prefill_rate = self.policy.prefill_rate
         self.preamble_cache = PreambleCache(capacity=self.policy.preamble_cache_tokens)
         self.backlog = PrefillBacklog(now=now)
+        self.pace = RequestPace(window=self.policy.limit_window)
         self.queue = FairQueue(
             limit=self.policy.queue_limit,
             order=self.policy.queue_order,
@@ -410,7 +414,7 @@
         float
             Seconds.
         """
-        wait = self.expected_wait(request.urgency)
+        wait = self.expected_wait(request.urgency, now)
         if not self.slots.is_usable(request.lora_name):
             wait += self._expected_load_wait(now)
         # The prefill backlog shrinks during the wait, so only the longer counts.
@@ -423,23 +427,25 @@
         )
         return uncached_tokens / self.prefill_rate
 
-    def expected_wait(self, urgency):
+    def expected_wait(self, urgency, now):
         """Estimate how long a new request waits for a place in the batch.
 
         Parameters
         ----------
         urgency : int
             Its urgency.
+        now : float
+            Current time, in seconds.
 
         Returns
         -------
         float
             Seconds.
         """
-        ahead = self.queue.count_at_least(urgency) + 1 - self._available_tickets()
+        ahead = self.queue.count_at_least(urgency) + 1 - self._free_tickets(now)
         if ahead <= 0:
             return 0.0
-        return ahead * self.service_time / self.batch_limit
+        return ahead * max(self.service_time / self.batch_limit, self.pace.interval)
 
     def summary(self, now):
         """Return the state of the target that is published to other instances.
@@ -461,11 +467,13 @@
             full_powers=self.permissions is Permissions.FULL,
             boot=self.boot or "",
             open=self._may_grant(now) and not self.closed,
-            room=self._available_tickets(),
+            room=self._free_tickets(now),
             batch_limit=self.batch_limit,
             queued=len(self.queue),
             queued_urgent=tuple(self.queue.count_at_least(u) for u in URGENCIES),
-            service_time=round(self.service_time, 2),
+            service_time=round(
+                max(self.service_time, self.batch_limit * self.pace.interval), 2
+            ),
             load_wait=round(self._expected_load_wait(now), 2),
             free_slots=self.slots.residency.free_slots(),
             victim_worth=round(
@@ -525,7 +533,7 @@
 
     def _grant_all(self, now):
         commands = []
-        while self._available_tickets() > 0:
+        while self._free_tickets(now) > 0:
             # Run one suspect at a time, so that a crash identifies the culprit.
             entry = self.queue.pop(now, suspects=not self.ledger.has_suspect())
             if entry is None:
@@ -548,6 +556,7 @@
             suspect=request.suspect,
         )
         self.ledger.add(held)
+        self.pace.take(now)
         self.backlog.add(self._prefill_time(request), urgency=request.urgency, now=now)
         self.preamble_cache.note_prompt(request.preambles)
         assert self.ledger.occupied() <= self.batch_limit + self.policy.batch_slack
@@ -579,7 +588,7 @@
         if reason is Reason.LOAD_FAILED:
             retry_after = self.slots.backoff.remaining(request.lora_name, now)
         else:
-            retry_after = self.expected_wait(request.urgency)
+            retry_after = self.expected_wait(request.urgency, now)
         return RefuseTicket(
             ticket_id=request.ticket_id,
             holder=request.holder,
@@ -608,6 +617,9 @@
         limit = self.batch_limit + self.policy.batch_slack
         return limit - self.ledger.occupied()
 
+    def _free_tickets(self, now):
+        return min(self._available_tickets(), self.pace.free(now))
+
     def _may_grant(self, now):
         report_at = self.slots.residency.report_at
         if report_at is None or now - report_at > REPORT_TIMEOUT_S:
--- a/tests/gateway/test_target_limits.py
+++ b/tests/gateway/test_target_limits.py
@@ -85,7 +85,7 @@
 
         async def ask_again():
             await rig.fetch("/safe/")
-            return not limits.limits
+            return not limits.status()
 
         async with asyncio.timeout(5.0):
             while not await ask_again():
