Bound what an instance tells of the requests on crashed targets

A crash with some hundred requests waiting, many times over, made a digest larger than heartbeats carry, which is an assertion and stops the process. A crash is told with the 128 traits that are suspected most, and the last 24 crashes; what is left out is in the log line. Records of the store move to a module of their own.

test_crashes_with_many_requests_waiting_fit_into_the_digests fails without the bound.

--- a/skylarkpost/gateway/crash_suspects.py
+++ b/skylarkpost/gateway/crash_suspects.py
@@ -7,9 +7,8 @@
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.filters import Filter, register_filter
+from skylarkpost.gateway.cause_store import CauseStore
 from skylarkpost.gateway.crash_detection import CrashDetector, LostRequest
-from skylarkpost.log.keyed import KeyedRecord, StoreAppended
-from skylarkpost.log.keyed_follower import KeyedFollower
 from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.quarantine import (
     Clear,
@@ -20,13 +19,7 @@
     shared_part_traits,
     traits_of,
 )
-from skylarkpost.quarantine.crash_news import (
-    CrashNews,
-    SeenCrash,
-    StoredCrashes,
-    decode,
-    encode,
-)
+from skylarkpost.quarantine.crash_news import CrashNews, SeenCrash, decode, encode
 from skylarkpost.rendezvous import choose_member
 from skylarkpost.rpc import (
     CallFailed,
@@ -40,9 +33,7 @@
 
 logger = logging.getLogger(__name__)
 
-CAUSES_TOPIC = "keyed.skylarkpost-crash-causes"
 DIGEST_TOPIC = "crashes"
-READ_WAIT_S = 10.0
 TICK_INTERVAL_S = 0.5
 # Digests carry ages, which must not get much older than this on an idle connection.
 REFRESH_INTERVAL_S = 5.0
@@ -53,9 +44,10 @@
 PEER_TIMEOUT_S = 0.5
 # Beyond this many instances, the others learn of a crash from digests.
 MAX_PEERS_TOLD = 128
-MAX_OWN_CRASHES = 64
+# Together these keep a digest below the bound of the heartbeats.
+MAX_OWN_CRASHES = 24
+MAX_TRAITS_PER_CRASH = 128
 MAX_OWN_ANSWERS = 256
-MAX_STORED_CAUSES = 64
 
 
 @register_controller("crash-suspects", order=40, front_ends=(GATEWAY,))
@@ -82,8 +74,8 @@
         were sent, by boot of the target.
     own_answers : dict of str to float
         When an answer here cleared a trait.
-    stored : dict of str to set of str
-        Ids of the crashes in the store, by trait.
+    store : CauseStore
+        Records of the quarantined traits.
     """
 
     def __init__(self, *, services):
@@ -93,23 +85,14 @@
         self.detector = CrashDetector(services=services, on_crash=self._note_crash)
         self.own_crashes = {}
         self.own_answers = {}
-        self.stored = {}
+        self.store = CauseStore(
+            services=services, evidence=self.evidence, on_change=self._update
+        )
         self.quarantined = {}
         self.dropped_traits = 0
         self.published_at = -math.inf
         self.tasks = set()
         self.background = BackgroundTask(name="crash-suspects")
-        self.follower = KeyedFollower(
-            store=services.store,
-            topic=CAUSES_TOPIC,
-            clock=services.clock,
-            random=services.random,
-            on_record=self._apply_record,
-            wait=lambda: READ_WAIT_S,
-            peers=services.query_peers,
-            relay=services.query_reader,
-        )
-        services.followers[CAUSES_TOPIC] = self.follower
 
     def add_to_server(self, server):
         """Receive news and requests for trials from other instances."""
@@ -120,20 +103,20 @@
     async def start(self):
         """Start following the store and exchanging digests."""
         self.membership.subscribe(DIGEST_TOPIC, self._receive_digest, relayed=True)
-        self.follower.start()
+        self.store.follower.start()
         self.background.start(self._run())
 
     async def stop(self):
         """Stop following and exchanging."""
         await self.background.stop()
-        await self.follower.stop()
+        await self.store.follower.stop()
         await self.detector.stop()
         for task in self.tasks:
             task.cancel()
 
     def is_ready(self):
         """Return whether the quarantined traits are known."""
-        return self.follower.synced.is_set()
+        return self.store.follower.synced.is_set()
 
     def status(self):
         """Return the quarantined traits."""
@@ -288,10 +271,7 @@
         self.receive_news(payload, now)
 
     def _note_crash(self, boot, requests, crashed_at):
-        sent_at = {}
-        for request in requests:
-            for trait in request.traits:
-                sent_at[trait] = max(request.sent_at, sent_at.get(trait, 0.0))
+        sent_at, dropped = self._sent_times(requests)
         self.services.metrics.count_event("target-crashed")
         log_event(
             logger,
@@ -299,6 +279,7 @@
             boot=boot,
             waiting=len(requests),
             traits=",".join(sorted(sent_at)),
+            traits_dropped=dropped,
         )
         self.own_crashes[boot] = (crashed_at, sent_at)
         while len(self.own_crashes) > MAX_OWN_CRASHES:
@@ -308,6 +289,23 @@
         self._tell_peers(now)
         self._update(now)
 
+    def _sent_times(self, requests):
+        """Return when requests with each trait were sent last, and traits dropped."""
+        sent_at = {}
+        for request in requests:
+            for trait in request.traits:
+                sent_at[trait] = max(request.sent_at, sent_at.get(trait, 0.0))
+        # A trait that was on a crashed target before and never answered is suspected most.
+        kept = sorted(
+            sent_at,
+            key=lambda trait: (
+                trait not in self.evidence.crashes,
+                trait in self.evidence.answered_at,
+                trait,
+            ),
+        )[:MAX_TRAITS_PER_CRASH]
+        return {trait: sent_at[trait] for trait in kept}, len(sent_at) - len(kept)
+
     def _update(self, now):
         """Log changes of the quarantined traits, and stop open requests with them."""
         quarantined = self.evidence.quarantined(now)
@@ -395,7 +393,7 @@
             member.instance: member.address for member in self.membership.reachable(now)
         }
         grantor = choose_member(trait, members)
-        if grantor == self.services.instance:
+        if grantor is None or grantor == self.services.instance:
             return self.handle_trial(trait, request, now, ended=ended)
         channel = self.services.peers.get(members[grantor])
         stub = quarantine_pb2_grpc.CrashSuspectsStub(channel)
@@ -416,7 +414,8 @@
             self._forget(now)
             if now - self.published_at >= REFRESH_INTERVAL_S:
                 self._publish(now)
-            await self._update_store(now)
+            live = {member.instance for member in self.membership.reachable(now)}
+            await self.store.update(self.quarantined, self.own_crashes, live, now)
 
     def _publish(self, now):
         self.published_at = now
@@ -437,77 +436,6 @@
             if now - at >= life or len(self.own_answers) > MAX_OWN_ANSWERS:
                 del self.own_answers[trait]
 
-    def _apply_record(self, record, now):
-        trait = record.key
-        if not record.value:
-            self.stored.pop(trait, None)
-            if trait in self.evidence.crashes:
-                self.evidence.note_answered([trait], now)
-                self._update(now)
-            return
-        stored = decode(record.value, StoredCrashes)
-        if stored is None:
-            log_event(logger, "entry-malformed", key=trait, offset=record.offset)
-            return
-        self.stored[trait] = set(stored.crashes)
-        wall_now = self.services.wall_clock()
-        for crash_id, (crashed_at, sent_at) in stored.crashes.items():
-            crash_age = max(0.0, wall_now - crashed_at)
-            sent_age = max(crash_age, wall_now - sent_at)
-            self.evidence.add_crash(crash_id, {trait: now - sent_age}, now - crash_age)
-        self._update(now)
-
-    async def _update_store(self, now):
-        """Write quarantined traits to the store, and delete those that have ended."""
-        records = [
-            KeyedRecord(trait, self._stored_value(trait, now))
-            for trait in sorted(self.quarantined)
-            if self._is_to_be_stored(trait)
-        ]
-        room = MAX_STORED_CAUSES - len(self.stored)
-        if len(records) > room:
-            log_event(
-                logger,
-                "crash-causes-full",
-                level=logging.WARNING,
-                not_stored=len(records) - room,
-            )
-            records = records[: max(0, room)]
-        live = {member.instance for member in self.membership.reachable(now)}
-        records += [
-            KeyedRecord(trait, b"")
-            for trait in self.stored
-            if trait not in self.evidence.crashes
-            and choose_member(trait, live) == self.services.instance
-        ]
-        if not records:
-            return
-        answer = await self.services.store.append(CAUSES_TOPIC, records)
-        log_event(
-            logger,
-            "crash-causes-stored",
-            traits=",".join(record.key for record in records),
-            outcome=type(answer).__name__,
-        )
-        if isinstance(answer, StoreAppended):
-            await self.follower.catch_up()
-
-    def _is_to_be_stored(self, trait):
-        crashes = self.evidence.crashes[trait].keys()
-        is_own = any(boot in crashes for boot in self.own_crashes)
-        return is_own and not crashes <= self.stored.get(trait, set())
-
-    def _stored_value(self, trait, now):
-        wall_now = self.services.wall_clock()
-        crashes = {
-            crash_id: (
-                wall_now - (now - each.crashed_at),
-                wall_now - (now - each.sent_at),
-            )
-            for crash_id, each in self.evidence.crashes[trait].items()
-        }
-        return encode(StoredCrashes(crashes))
-
 
 class CrashSuspectsServicer(quarantine_pb2_grpc.CrashSuspectsServicer):
     """Serves the other instances.
--- a/tests/gateway/test_crash_causes.py
+++ b/tests/gateway/test_crash_causes.py
@@ -8,7 +8,9 @@
 import pytest
 
 from skylarkpost.discovery import TargetState
-from skylarkpost.gateway.crash_suspects import CAUSES_TOPIC
+from skylarkpost.gateway.cause_store import CAUSES_TOPIC
+from skylarkpost.gateway.crash_detection import LostRequest
+from skylarkpost.membership.digests import MAX_PAYLOAD_BYTES
 from skylarkpost.quarantine.crash_news import (
     CrashNews,
     SeenCrash,
@@ -186,14 +188,14 @@
         for number in range(3):
             await send_deadly(rig, number, f"c{number}")
         controller = suspects(rig)
-        await wait_until(lambda: f"part:{DEADLY}" in controller.stored)
-        stored = controller.follower.records[f"part:{DEADLY}"]
+        await wait_until(lambda: f"part:{DEADLY}" in controller.store.stored)
+        stored = controller.store.follower.records[f"part:{DEADLY}"]
         assert len(decode(stored.value, StoredCrashes).crashes) >= 2
         controller.receive_news(
             encode(CrashNews(answers={f"part:{DEADLY}": 0.0})),
             rig.instance.services.clock(),
         )
-        await wait_until(lambda: controller.stored == {})
+        await wait_until(lambda: controller.store.stored == {})
 
 
 async def test_trials_are_granted_to_one_request_at_a_time():
@@ -216,3 +218,25 @@
         await asyncio.sleep(0.1)
         assert controller.evidence.crashes == {}
         assert (await rig.fetch("/safe/"))[0] == 200
+
+
+async def test_crashes_with_many_requests_waiting_fit_into_the_digests():
+    async with gateway(engines=0, plain=1) as rig:
+        controller = suspects(rig)
+        now = rig.instance.services.clock()
+        for number in range(100):
+            requests = [
+                LostRequest(
+                    frozenset({f"part:{DEADLY}", f"request:{number:03}{each:029}"}), now
+                )
+                for each in range(300)
+            ]
+            controller._note_crash(f"i-{number:010}/1700000000000", requests, now)
+        [digest] = [
+            each
+            for each in controller.membership.core.digests.published.values()
+            if each.topic == "crashes"
+        ]
+        assert len(digest.payload) < MAX_PAYLOAD_BYTES
+        # What is suspected most is among what is told.
+        assert digest.payload.count(f"part:{DEADLY}".encode()) >= 20
