--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -134,6 +134,14 @@
     run.targets[number].script += run.random.sample(FAULTY_ANSWERS, 3)
 
 
+@fault_kind("deadly-part", subjects="one")
+async def send_deadly_part(run, number, duration):
+    """Add a prompt part that crashes engines to some requests."""
+    run.has_deadly_part = True
+    await asyncio.sleep(duration)
+    run.has_deadly_part = False
+
+
 @fault_kind("callers-reset", subjects="instances")
 async def reset_callers(run, number, duration):
     """Reset the callers' connections to a gateway."""
--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -17,13 +17,16 @@
     route,
 )
 
-__all__ = ["EVENTS", "Callers", "Operator", "VersionProbe"]
+__all__ = ["DEADLY_PART", "EVENTS", "Callers", "Operator", "VersionProbe"]
 
 KINDS = ("safe", "unsafe", "stream", "resumable")
 ADAPTERS = 6
 EVENTS = 12
 DEADLINE_S = 2.5
 THINK_S = 0.05
+# Prompt part that crashes engines, and the share of requests with it.
+DEADLY_PART = "dd"
+DEADLY_SHARE = 0.2
 PUBLISH_INTERVAL_S = (0.3, 2.0)
 PROBE_INTERVAL_S = 0.1
 # Statuses that callers may get during a shutdown without other faults.
@@ -189,7 +192,11 @@
             adapter = self.soak_run.random.randrange(1, ADAPTERS + 1)
             headers["X-Model"] = f"{MODEL}/a{adapter}"
             headers["X-Token-Count"] = "100,10"
-            headers["X-Prompt-Prefix"] = f"aa:50,{self.count:x}:40"
+            parts = f"aa:50,{self.count:x}:40"
+            is_deadly = self.soak_run.random.random() < DEADLY_SHARE
+            if self.soak_run.has_deadly_part and path is None and is_deadly:
+                parts = f"aa:50,{DEADLY_PART}:10,{self.count:x}:40"
+            headers["X-Prompt-Prefix"] = parts
         status, is_complete, received = None, False, bytearray()
         timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 1.0)
         url = _url(self.soak_run, number, path or f"/{kind}/")
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import functools
 import itertools
 import json
 import pathlib
@@ -14,7 +15,7 @@
 import yarl
 
 from lab.soak import faults  # noqa: F401  (fills the registry of kinds)
-from lab.soak.load import EVENTS, Callers, Operator, VersionProbe
+from lab.soak.load import DEADLY_PART, EVENTS, Callers, Operator, VersionProbe
 from lab.soak.plan import KINDS, SoakShape, draw_plan
 from lab.soak.promises import (
     Violation,
@@ -88,8 +89,14 @@
             GatewayTargetStandIn(name=f"e{n}", slots=2, model=MODEL)
             for n in range(shape.engines)
         ] + [GatewayTargetStandIn(name=f"p{n}") for n in range(shape.services)]
-        for target in self.targets:
+        for number, target in enumerate(self.targets):
             target.events = EVENTS
+            target.deadly_parts = {DEADLY_PART}
+            # The link stays open; callers see the reset and the new boot.
+            target.crash = functools.partial(self._crash_target, number)
+        self.has_deadly_part = False
+        self.crashes = 0
+        self.crash_tasks = set()
         self.target_links = []
         self.store_links = []
         self.front_links = []
@@ -161,6 +168,12 @@
         self.target_links[number].reset()
         await self.announce(number)
 
+    def _crash_target(self, number):
+        self.crashes += 1
+        task = asyncio.create_task(self.restart_target(number))
+        self.crash_tasks.add(task)
+        task.add_done_callback(self.crash_tasks.discard)
+
     async def announce(self, number):
         """Write a target's entry to the store on behalf of the target."""
         target = self.targets[number]
