--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -10,6 +10,8 @@
 RESTART_PAUSE_S = 0.3
 SIGNAL_CHECK_S = 0.02
 LOST_APPENDS = 3
+# Requests a second; a fraction of what callers send to each target.
+REQUEST_LIMIT = 3.0
 # Script entries of a target that make consecutive requests fail in different ways.
 FAULTY_ANSWERS = ("drop", "fail", "shed", "break", "late", "unsigned")
 
@@ -134,6 +136,14 @@
     run.targets[number].script += run.random.sample(FAULTY_ANSWERS, 3)
 
 
+@fault_kind("target-limited", subjects="targets")
+async def limit_target(run, number, duration):
+    """Make a target name a limit on its requests."""
+    run.targets[number].request_limit = REQUEST_LIMIT
+    await asyncio.sleep(duration)
+    run.targets[number].request_limit = None
+
+
 @fault_kind("deadly-part", subjects="one")
 async def send_deadly_part(run, number, duration):
     """Add a prompt part that crashes engines to some requests."""
