Keep the part of a silent instance in the shares of limited targets

An instance that fell silent was forgotten at once for the limits of targets, so that the others took over its part while it may still be serving behind a cut. It is kept for 15 s now, as for team limits: one piece of code in DemandShares serves both.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -7,7 +7,6 @@
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
-from skylarkpost.membership import MemberState
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.runtime import BackgroundTask
 
@@ -15,9 +14,6 @@
 
 TOPIC = "demand"
 PUBLISH_INTERVAL_S = 0.4
-# Network partitions last some seconds, and an instance behind one goes on admitting
-# its share.
-FORGET_SILENT_AFTER_S = 15.0
 # Longest wait for room in a limit; a fraction of the shortest latency goals.
 MAX_LIMIT_WAIT_S = 0.2
 
@@ -40,7 +36,6 @@
             slack=services.settings.bounds.quota_slack,
             window=services.settings.bounds.quota_window_s,
         )
-        self.silent_since = {}
         self.background = BackgroundTask(name="quota")
 
     async def start(self):
@@ -80,25 +75,9 @@
                 for team, each in self.shares.report(now).items()
             }
             membership.publish(TOPIC, msgspec.msgpack.encode(usage))
-            self._forget_silent_instances(membership, now)
+            self.shares.note_heard(membership.heard(now), now)
             await asyncio.sleep(PUBLISH_INTERVAL_S)
 
-    def _forget_silent_instances(self, membership, now):
-        received = {
-            member.instance
-            for member in membership.others(now)
-            if member.state is not MemberState.SILENT
-        }
-        self.shares.silent = set(self.shares.received) - received
-        for instance in list(self.shares.received):
-            if instance in received:
-                self.silent_since.pop(instance, None)
-                continue
-            since = self.silent_since.setdefault(instance, now)
-            if now - since > FORGET_SILENT_AFTER_S:
-                self.shares.forget(instance)
-                del self.silent_since[instance]
-
 
 def request_units(team, metadata):
     """Return the units that a request counts against its team's limit.
--- a/skylarkpost/gateway/target_limits.py
+++ b/skylarkpost/gateway/target_limits.py
@@ -11,7 +11,6 @@
 from skylarkpost.eventlog import log_event
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
 from skylarkpost.limits.target_limits import TargetLimits, TargetLimitsDigest
-from skylarkpost.membership import MemberState
 from skylarkpost.runtime import BackgroundTask
 
 __all__ = ["TargetLimitController"]
@@ -202,14 +201,5 @@
             }
             digest = TargetLimitsDigest(self.limits.own_ages(now), usage)
             self.membership.publish(TOPIC, msgspec.msgpack.encode(digest))
-            self._forget_silent_instances(now)
+            self.shares.note_heard(self.membership.heard(now), now)
             await asyncio.sleep(PUBLISH_INTERVAL_S)
-
-    def _forget_silent_instances(self, now):
-        live = {
-            member.instance
-            for member in self.membership.others(now)
-            if member.state is not MemberState.SILENT
-        }
-        for instance in [each for each in self.shares.received if each not in live]:
-            self.shares.forget(instance)
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -39,6 +39,9 @@
 # any at one moment, and each of them may admit more.
 MIN_ROOM_FACTOR = 1.7
 MAX_ROOM_FACTOR = 4.0
+# Network partitions last some seconds, and an instance behind one goes on admitting
+# its share.
+FORGET_SILENT_AFTER_S = 15.0
 MIN_DEMAND = 1e-6
 MIN_ALLOWED = 1.0
 MIN_RETRY_AFTER_S = 0.05
@@ -369,6 +372,7 @@
         self.received = {}
         self.received_at = {}
         self.silent = set()
+        self.silent_since = {}
         self.windows = {}
         self.allowances = {}
 
@@ -387,6 +391,26 @@
         self.received[instance] = reported
         self.received_at[instance] = now
 
+    def note_heard(self, heard, now):
+        """Record which instances are heard; forget those silent for long.
+
+        Parameters
+        ----------
+        heard : set of str
+            The instances from which messages arrive.
+        now : float
+            The present time, in seconds.
+        """
+        self.silent = set(self.received) - heard
+        for instance in list(self.received):
+            if instance in heard:
+                self.silent_since.pop(instance, None)
+                continue
+            since = self.silent_since.setdefault(instance, now)
+            if now - since > FORGET_SILENT_AFTER_S:
+                self.forget(instance)
+                del self.silent_since[instance]
+
     def forget(self, instance):
         """Drop an instance that can't serve any more.
 
--- a/skylarkpost/membership/controller.py
+++ b/skylarkpost/membership/controller.py
@@ -220,6 +220,25 @@
         """
         return [m for m in self.members(now) if m.state is MemberState.LIVE]
 
+    def heard(self, now):
+        """Return the other instances from which messages arrive.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        set of str
+            Their ids.
+        """
+        return {
+            member.instance
+            for member in self.others(now)
+            if member.state is not MemberState.SILENT
+        }
+
     def neighbours(self, now):
         """Return the other instances of this data centre not known to be dead.
 
--- a/tests/limits/test_demand_share.py
+++ b/tests/limits/test_demand_share.py
@@ -5,7 +5,7 @@
 import pytest
 
 from skylarkpost.gateway.quota import MAX_LIMIT_WAIT_S
-from skylarkpost.limits.demand_share import DemandShares, SlidingWindow
+from skylarkpost.limits.demand_share import DemandShares, SlidingWindow, TeamUsage
 from skylarkpost.limits.demand_share import WindowReceipt as Receipt
 from skylarkpost.routing import GatewayTeam
 
@@ -205,3 +205,16 @@
 def test_a_request_without_units_is_admitted():
     shares = DemandShares(own="a", random=random.Random(1), slack=0.0, window=WINDOW)
     assert isinstance(shares.admit(TEAM, 0.0, instances=1, now=0.0), Receipt)
+
+
+def test_a_silent_instance_keeps_its_part_for_a_while():
+    shares = DemandShares(own="0", random=random.Random(1), slack=SLACK, window=WINDOW)
+    shares.receive("1", {"hot": TeamUsage(100.0, 0.0)}, 0.0)
+    shares.note_heard({"1"}, 1.0)
+    assert shares.silent == set()
+    shares.note_heard(set(), 2.0)
+    assert shares.silent == {"1"}
+    shares.note_heard(set(), 17.0)
+    assert "1" in shares.received
+    shares.note_heard(set(), 17.1)
+    assert shares.received == {}
