Count what all instances admitted for a limited target

Cause: shares follow the demand within a second, and the callers of the leaving instance came to the others; what it had admitted in the last four seconds still counted at the target, while the others admitted its part as well. An instance now also counts what the others report as admitted.

--- a/skylarkpost/gateway/target_limits.py
+++ b/skylarkpost/gateway/target_limits.py
@@ -21,9 +21,9 @@
 PUBLISH_INTERVAL_S = 0.4
 # Answers name a limit again and again while it holds.
 LIMIT_LIFE_S = 15.0
-# Fractions of the tolerated excess that may be used: by a steward, which knows of all
-# its tickets, and by the instances that send without one, whose views may differ.
-STEWARD_EXCESS_FRACTION = 0.8
+# Fraction of the tolerated excess that is used; the rest covers requests on their way.
+EXCESS_FRACTION = 0.8
+# Fraction that is shared out to instances without a steward, whose views may differ.
 DIRECT_EXCESS_FRACTION = 0.4
 # A request in units of the shares, whose smallest allowance is one unit.
 UNITS_PER_REQUEST = 100.0
@@ -109,7 +109,7 @@
         limit = self.limit(boot, now)
         allowed = math.inf
         if limit is not None:
-            allowed = limit * pace.window + self._excess(limit, STEWARD_EXCESS_FRACTION)
+            allowed = limit * pace.window + self._excess(limit, EXCESS_FRACTION)
         pace.set_limit(limit, allowed=allowed, now=now)
 
     def _excess(self, limit, fraction):
@@ -157,6 +157,12 @@
         limit = self.limit(boot, now)
         if limit is None:
             return 0.0
+        # Shares follow callers that move to other instances, but what was admitted
+        # where they came from still counts at the target.
+        most = limit * self.shares.window + self._excess(limit, EXCESS_FRACTION)
+        admitted = self.shares.admitted_by_all(boot, now) / UNITS_PER_REQUEST
+        if admitted + 1.0 > most:
+            return self.shares.window / max(1.0, most)
         instances = max(self.services.fleet_size(), 1 + len(self.shares.received))
         outcome = self.shares.admit(
             _DirectLimit(
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -555,6 +555,28 @@
         factor = max(MIN_ROOM_FACTOR, min(MAX_ROOM_FACTOR, factor))
         return recent + self.random.random() * units < factor * part
 
+    def admitted_by_all(self, team, now):
+        """Return what all instances are known to have admitted within the window.
+
+        Parameters
+        ----------
+        team : str
+            Name of the team.
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float
+            Units. What an instance reported leaves the window evenly.
+        """
+        total = self._admitted(team, now) if team in self.windows else 0.0
+        for instance, reported in self.received.items():
+            age = now - self.received_at[instance]
+            left = max(0.0, 1.0 - age / self.window)
+            total += left * reported.get(team, NO_USAGE).admitted
+        return total
+
     def _admitted(self, team, now):
         window = self.windows[team]
         assumed = window.assumed(self.allowances[team], now)
--- a/tests/limits/test_target_limits.py
+++ b/tests/limits/test_target_limits.py
@@ -59,10 +59,11 @@
     return TargetLimitController(services=services)
 
 
-def press(weights, *, limit, offered, seed, seconds=30.0, restarts=()):
+def press(weights, *, limit, offered, seed, seconds=30.0, restarts=(), moves=None):
     """Send requests to one target by weight of the instances.
 
-    All instances hear of the limit at the beginning. Return the times of the requests
+    All instances hear of the limit at the beginning. Callers move to other instances
+    every `moves` seconds. Return the times of the requests
     that were sent, and the number of those refused.
     """
     rng = random.Random(seed)
@@ -85,7 +86,8 @@
                 for receiver, other in enumerate(instances):
                     if sender != receiver:
                         other.shares.receive(str(sender), usage, now)
-        instance = rng.choices(instances, weights)[0]
+        turn = 0 if moves is None else int(now / moves) % count
+        instance = rng.choices(instances, (*weights[turn:], *weights[:turn]))[0]
         if instance.admit(BOOT, now) == 0.0:
             sent.append(now)
         else:
@@ -116,6 +118,17 @@
     assert most_in_a_window(settled) <= 1.5 * WINDOW_S * 3.0 + 5
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("moves", [1.5, 3.0, 6.0])
+@pytest.mark.parametrize("limit", [2.0, 8.0])
+def test_callers_that_move_do_not_exceed_the_limit_of_a_target(limit, moves, seed):
+    weights = (30, 1, 1, 1)
+    sent, _ = press(weights, limit=limit, offered=4 * limit, seed=seed, moves=moves)
+    settled = [at for at in sent if at >= WINDOW_S]
+    assert most_in_a_window(settled) <= 1.5 * WINDOW_S * limit + 5
+    assert len(settled) >= 0.5 * limit * 26.0
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_a_target_that_is_not_pressed_refuses_little(seed):
     sent, refused = press((1,) * 4, limit=8.0, offered=4.0, seed=seed)
