Add requests that are lost later to the same crash

A target that crashed may be noticed twice, when a connection breaks later than the others. The second time replaced the traits of the first in what an instance tells those that join.

--- a/skylarkpost/gateway/crash_suspects.py
+++ b/skylarkpost/gateway/crash_suspects.py
@@ -271,7 +271,9 @@
         self.receive_news(payload, now)
 
     def _note_crash(self, boot, requests, crashed_at):
-        sent_at, dropped = self._sent_times(requests)
+        # Requests that are lost later may belong to the same crash.
+        first_at, known = self.own_crashes.pop(boot, (crashed_at, {}))
+        sent_at, dropped = self._sent_times(requests, known)
         self.services.metrics.count_event("target-crashed")
         log_event(
             logger,
@@ -281,17 +283,17 @@
             traits=",".join(sorted(sent_at)),
             traits_dropped=dropped,
         )
-        self.own_crashes[boot] = (crashed_at, sent_at)
+        self.own_crashes[boot] = (first_at, sent_at)
         while len(self.own_crashes) > MAX_OWN_CRASHES:
             del self.own_crashes[next(iter(self.own_crashes))]
-        self.evidence.add_crash(boot, sent_at, crashed_at)
+        self.evidence.add_crash(boot, sent_at, first_at)
         now = self.services.clock()
         self._tell_peers(now)
         self._update(now)
 
-    def _sent_times(self, requests):
+    def _sent_times(self, requests, known):
         """Return when requests with each trait were sent last, and traits dropped."""
-        sent_at = {}
+        sent_at = dict(known)
         for request in requests:
             for trait in request.traits:
                 sent_at[trait] = max(request.sent_at, sent_at.get(trait, 0.0))
--- a/tests/gateway/test_crash_causes.py
+++ b/tests/gateway/test_crash_causes.py
@@ -240,3 +240,16 @@
         assert len(digest.payload) < MAX_PAYLOAD_BYTES
         # What is suspected most is among what is told.
         assert digest.payload.count(f"part:{DEADLY}".encode()) >= 20
+
+
+async def test_requests_lost_later_are_added_to_the_same_crash():
+    async with gateway(engines=0, plain=1) as rig:
+        controller = suspects(rig)
+        now = rig.instance.services.clock()
+        for part in ("part:aa", "part:bb"):
+            request = LostRequest(frozenset({part}), now - 1.0)
+            controller._note_crash("e0/1", [request], now)
+        [(crashed_at, sent_at)] = controller.own_crashes.values()
+        assert crashed_at == now
+        assert sent_at.keys() == {"part:aa", "part:bb"}
+        assert controller.evidence.quarantined(now) == {}
