--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -650,15 +650,19 @@
     def _expected_load_wait(self, now):
         waiting = len(self.queue.blocked_adapters(now))
         rounds = 1 + waiting / self.policy.parallel_loads
-        return self.slots.load_cost * rounds + self._expected_slot_wait(waiting)
+        return self.slots.load_cost * rounds + self._expected_slot_wait(now)
 
-    def _expected_slot_wait(self, waiting):
+    def _expected_slot_wait(self, now):
         """Estimate how long until an adapter slot is free for one more adapter.
 
         Load pattern: streams hold all adapter slots, and requests for other adapters
         arrive.
         """
         in_use = self.slots.used_slots()
+        waiting = sum(
+            self.slots.residency.state(each.lora_name) is None
+            for each in self.queue.blocked_adapters(now)
+        )
         missing = waiting + 1 - (self.target.slots - in_use)
         if missing <= 0 or not in_use:
             return 0.0
--- a/tests/stewardship/test_steward.py
+++ b/tests/stewardship/test_steward.py
@@ -305,3 +305,26 @@
     bench.tick(1.2)
     bench.submit("early", "other@1", 1.3, patience=1.1)
     assert "early" not in bench.refused
+
+
+def test_an_adapter_that_is_loading_does_not_wait_for_a_slot_as_well():
+    bench = Bench(failing={"a@1"})
+    slots = bench.steward.target.slots
+    assert slots == 2
+    request = TicketRequest(
+        ticket_id="r1",
+        lora_name="a@1",
+        team="t",
+        weight=1.0,
+        urgency=5,
+        tokens=100,
+        holder="i-1",
+        deadline=60.0,
+    )
+    # The load is ordered and stays in progress.
+    [permit] = bench.steward.request(request, 1.0)
+    assert isinstance(permit, RequestLoadPermit)
+    [load] = bench.steward.permit_granted(1.0)
+    assert isinstance(load, LoadAdapter)
+    load_cost = bench.steward.slots.load_cost
+    assert bench.steward.summary(1.1).load_wait <= 2 * load_cost
