Break off a stream that sends no end of an event

Bytes without the end of an event were kept and searched again with each piece, for streams that may be resumed since they exist, and for all streams since the end inside an event is noticed: memory and processor time grew until the deadline. A stream with over a megabyte that is no event is broken off. The refusal of a plain target without room says target, not engine.

test_a_stream_without_the_end_of_an_event_is_broken_off failed before: 20 MB were read. Found by reading the change.

--- a/skylarkpost/gateway/event_buffer.py
+++ b/skylarkpost/gateway/event_buffer.py
@@ -51,6 +51,11 @@
                 self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
         return complete
 
+    @property
+    def pending_bytes(self):
+        """Number of bytes after the last complete event."""
+        return len(self._remainder)
+
     def take_remainder(self):
         """Return and clear the bytes after the last complete event.
 
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -35,6 +35,8 @@
 # Answers up to this size are buffered in full before the caller receives any of
 # them, so that another target can be tried if the connection breaks.
 MAX_BUFFERED_BYTES = 262_144
+# A target may send without end what is no event; events are some kilobytes long.
+MAX_EVENT_BYTES = 1_048_576
 # With a shorter delay callers would retry before anything has changed.
 MIN_RETRY_AFTER_S = 0.2
 FIRST_SERVER_ERROR_STATUS = 500
@@ -276,8 +278,10 @@
                     complete = event_buffer.add(event)
                     if complete and exchange.first_byte_at is None:
                         self._note_first_event(exchange)
-                    yield complete if is_resumable else event
-                    continue
+                    if event_buffer.pending_bytes <= MAX_EVENT_BYTES:
+                        yield complete if is_resumable else event
+                        continue
+                    event = ResponseBroken("an event is too long", True)
                 stream_break = _stream_break(exchange, event, event_buffer)
                 if stream_break is None:
                     return
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -610,7 +610,7 @@
 def _too_busy(retry_after):
     return Refused(
         reason=Reason.QUEUE_FULL,
-        message="No engine could begin in time.",
+        message="No target could begin in time.",
         run_state=RunState.NOT_RUN,
         retry_after=max(MIN_RETRY_AFTER_S, retry_after),
     )
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -13,6 +13,7 @@
 
 LOAD_S = 0.05
 EVENT_INTERVAL_S = 0.005
+ENDLESS_CHUNK_BYTES = 65_536
 # How long a crashed target refuses connections.
 DOWNTIME_S = 0.2
 
@@ -72,7 +73,8 @@
         any byte), ``"crash"`` (of the target, before any byte), ``"silent"``, ``"late"`` (the answer to another attempt
         comes first), ``"unsigned"`` (no server stamp), ``"unframed"`` (a body
         without length or chunks, ended by its connection), ``"unframed-break"``
-        (the same, cut inside an event), ``"unframed-empty"`` (cut after the head).
+        (the same, cut inside an event), ``"unframed-empty"`` (cut after the head),
+        ``"endless"`` (a stream without the end of an event).
     events : int
         Number of events of a complete stream.
     orders : list of ReceivedOrder
@@ -86,6 +88,8 @@
         Number of crashes so far.
     request_limit : float or str or None
         Requests a second that the target names in its answers.
+    endless_bytes : int
+        Bytes sent in streams without the end of an event.
     started_at : list of float
         When each request was received, on the event loop's clock, in seconds.
     on_restart : callable or None
@@ -111,6 +115,7 @@
         self.crashes = 0
         self.request_limit = None
         self.started_at = []
+        self.endless_bytes = 0
         self.on_restart = None
         self.listener = None
         self.writers = set()
@@ -255,6 +260,15 @@
             await writer.drain()
             self.crash()
             return False
+        if action == "endless":
+            chunk = b"%x\r\n%b\r\n" % (ENDLESS_CHUNK_BYTES, b"x" * ENDLESS_CHUNK_BYTES)
+            with contextlib.suppress(ConnectionError):
+                while not writer.transport.is_closing():
+                    writer.write(chunk)
+                    self.endless_bytes += len(chunk)
+                    await writer.drain()
+            self.cancelled.append(request)
+            return False
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
--- a/tests/gateway/test_end_to_end.py
+++ b/tests/gateway/test_end_to_end.py
@@ -90,6 +90,17 @@
         assert body == b"".join(events)
 
 
+async def test_a_stream_without_the_end_of_an_event_is_broken_off():
+    async with gateway(engines=1, plain=0) as rig:
+        engine = rig.targets["e0"]
+        engine.script = ["endless"]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await rig.fetch("/stream/", method="POST", headers=ADAPTER)
+        await wait_until(lambda: len(engine.cancelled) == 1)
+        # One event and what the sockets and their readers hold.
+        assert engine.endless_bytes < 8_000_000
+
+
 async def test_more_adapters_than_fit_take_turns_and_never_overload_an_engine():
     async with gateway(engines=1, plain=0, slots=2) as rig:
         calls = [
