--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -24,8 +24,9 @@
 EVENTS = 12
 DEADLINE_S = 2.5
 THINK_S = 0.05
-# Prompt part that crashes engines, and the share of requests with it.
-DEADLY_PART = "dd"
+# Prompt part that crashes engines, and the share of requests with it. No request has
+# it as its own last part, which is the request's number.
+DEADLY_PART = "deadbeef"
 DEADLY_SHARE = 0.2
 PUBLISH_INTERVAL_S = (0.3, 2.0)
 PROBE_INTERVAL_S = 0.1
