--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -1,12 +1,14 @@
 """Client of the platform's store."""
 
 import base64
+import logging
 import socket
 import struct
 
 import aiohttp
 import msgspec
 
+from skylarkpost.eventlog import log_event
 from skylarkpost.log.keyed import (
     KeyedRecord,
     KeyedRecords,
@@ -21,6 +23,10 @@
 
 __all__ = ["OPERATOR_TOPIC", "TARGETS_TOPIC", "StoreClient"]
 
+logger = logging.getLogger(__name__)
+
+# Number of times that the store has come back from an older copy.
+ERA_HEADER = "Store-Era"
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
 # The only partition of each keyed topic.
@@ -37,6 +43,8 @@
 KEEP_ALIVE_IDLE_S = 1
 # The store's default and maximum response size.
 READ_SIZE_KB = 1024
+# Characters of a malformed header in the log.
+MAX_LOGGED_HEADER = 40
 READ_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 
@@ -65,11 +73,17 @@
     ----------
     address : str
         ``IP:PORT`` of the store.
+
+    Attributes
+    ----------
+    era : int
+        Highest era in an answer so far.
     """
 
     def __init__(self, *, address):
         self.base_url = f"http://{address}"
         self.session = None
+        self.era = 0
 
     async def append(self, topic, records, *, expected_end=None):
         """Append keyed records, all or none of them.
@@ -199,12 +213,29 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
+                self._note_era(response.headers.get(ERA_HEADER))
                 return response.status, await response.read()
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return StoreUnavailable(f"not connected: {error!r}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return StoreUnknown(f"no answer: {error!r}")
 
+    def _note_era(self, header):
+        if header is None:
+            return
+        if not header.isascii() or not header.isdigit():
+            log_event(
+                logger,
+                "store-era-malformed",
+                level=logging.WARNING,
+                value=header[:MAX_LOGGED_HEADER],
+            )
+            return
+        era = int(header)
+        if era > self.era:
+            log_event(logger, "store-era", era=era, before=self.era)
+            self.era = era
+
     def _open_session(self):
         if self.session is None:
             connector = aiohttp.TCPConnector(limit=0, socket_factory=_make_socket)
