--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -45,10 +45,13 @@
         Time of receipt on the event loop's clock, in seconds.
     holder : str
         Steward that sent the order.
+    fencing_number : int
+        Number that the order carries.
     """
 
     at: float
     holder: str
+    fencing_number: int
 
 
 class GatewayTargetStandIn:
@@ -325,7 +328,7 @@
 
     def _order(self, order):
         now = asyncio.get_running_loop().time()
-        self.orders.append(ReceivedOrder(now, order["holder"]))
+        self.orders.append(ReceivedOrder(now, order["holder"], order["fence"]))
         self._finish_due_loads()
         name, version = order["adapter"], order.get("version", 1)
         if order["op"] == "load" and name in self.loading:
--- a/standins/store.py
+++ b/standins/store.py
@@ -14,6 +14,7 @@
 
 __all__ = ["StoreStandIn", "StoreSwitches"]
 
+ERA_HEADER = "Store-Era"
 LENGTH = struct.Struct(">I")
 END_AND_FIRST = struct.Struct(">QQ")
 PAGE_SIZE = 500
@@ -65,6 +66,20 @@
         """Delete the history; the newest record of each key stays."""
         self.first_offset, self.records = self.end_offset, []
 
+    def copy(self):
+        """Return a copy of the contents, without waiting reads."""
+        copied = Topic()
+        copied.first_offset = self.first_offset
+        copied.records = list(self.records)
+        copied.newest = dict(self.newest)
+        return copied
+
+    def restore(self, copied):
+        """Replace the contents by those of a copy."""
+        self.first_offset = copied.first_offset
+        self.records = list(copied.records)
+        self.newest = dict(copied.newest)
+
 
 class StoreStandIn(StandIn):
     """Serves appends, long-polling reads and the newest records.
@@ -75,6 +90,8 @@
         Topics by name.
     calls : int
         Number of calls received.
+    era : int
+        Number of restores, plus one.
     """
 
     switches_type = StoreSwitches
@@ -83,13 +100,14 @@
         super().__init__()
         self.topics = {}
         self.calls = 0
+        self.era = 1
 
     def routes(self):
         """Return the routes of the store."""
         return [
-            Route("/-/log-append", self.append, methods=["POST"]),
-            Route("/-/log-read", self.read, methods=["GET"]),
-            Route("/-/log-newest", self.newest, methods=["GET"]),
+            Route("/-/log-append", self._with_era(self.append), methods=["POST"]),
+            Route("/-/log-read", self._with_era(self.read), methods=["GET"]),
+            Route("/-/log-newest", self._with_era(self.newest), methods=["GET"]),
         ]
 
     def topic(self, name):
@@ -104,6 +122,32 @@
         async with topic.appended:
             topic.appended.notify_all()
 
+    def copy(self):
+        """Return a copy of all topics, for a later restore."""
+        return {name: topic.copy() for name, topic in self.topics.items()}
+
+    async def restore(self, copied):
+        """Come back with the contents of a copy, in a new era.
+
+        Parameters
+        ----------
+        copied : dict of str to Topic
+            From `copy`. Topics created since then are empty.
+        """
+        self.era += 1
+        for name, topic in self.topics.items():
+            topic.restore(copied.get(name, Topic()))
+            async with topic.appended:
+                topic.appended.notify_all()
+
+    def _with_era(self, handler):
+        async def answer(request):
+            response = await handler(request)
+            response.headers[ERA_HEADER] = str(self.era)
+            return response
+
+        return answer
+
     async def append(self, request):
         """Append records atomically, if the end offset is as expected."""
         self.calls += 1
@@ -133,16 +177,20 @@
         topic = self.topic(request.query_params["topic"])
         start = int(request.query_params["from"])
         wait = int(request.query_params.get("waitMs", 0)) / 1000.0
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             return JSONResponse({"first": topic.first_offset}, status_code=410)
+        era = self.era
         try:
             async with asyncio.timeout(wait), topic.appended:
                 await topic.appended.wait_for(
-                    lambda: topic.end_offset > start and not self.switches.deaf
+                    lambda: (
+                        self.era != era
+                        or (topic.end_offset > start and not self.switches.deaf)
+                    )
                 )
         except TimeoutError:
             pass
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             return JSONResponse({"first": topic.first_offset}, status_code=410)
         records = topic.records[start - topic.first_offset :]
         body = b"".join(LENGTH.pack(len(each)) + each for each in records)
--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,57 @@
+"""The store comes back from an older copy while a gateway instance serves."""
+
+import asyncio
+
+from skylarkpost.gateway.lease_manager import LEASES_TOPIC
+from skylarkpost.platform import OPERATOR_TOPIC
+from tests.gateway.rig import (
+    MODEL,
+    ROUTES,
+    configuration,
+    gateway,
+    route,
+    wait_until,
+)
+
+# Longer than an instance may give orders without reading the leases.
+AUTHORITY_LAPSE_S = 4.0
+
+
+async def generate(rig, adapter):
+    headers = {
+        "X-Model": f"{MODEL}/{adapter}",
+        "X-Token-Count": "100,10",
+        "X-Prompt-Prefix": "aa:50,bb:40",
+    }
+    return await rig.fetch("/stream/", method="POST", headers=headers)
+
+
+async def test_a_route_added_after_a_restore_is_served():
+    lost = [*ROUTES, route("lost", "/lost/", "safe")]
+    added = [*lost, route("added", "/added/", "safe")]
+    async with gateway(engines=0) as rig:
+        copied = rig.store.copy()
+        await rig.configure(configuration(version=5, routes=lost))
+        await rig.store.restore(copied)
+        # The store holds version 1 only; version 5 is in force all the same.
+        await asyncio.sleep(0.3)
+        status, _, _ = await rig.fetch("/lost/1")
+        assert status == 200
+        payload = configuration(version=7, routes=added)
+        await rig.store.put(OPERATOR_TOPIC, "config", payload)
+        state = rig.instance.services.controllers["config"].state
+        await wait_until(lambda: state.version == 7)
+        status, _, _ = await rig.fetch("/added/1")
+        assert status == 200
+
+
+async def test_orders_go_on_after_the_store_has_lost_the_leases():
+    async with gateway(engines=1, plain=0) as rig:
+        assert (await generate(rig, "a1"))[0] == 200
+        numbers = [order.fencing_number for order in rig.targets["e0"].orders]
+        await rig.store.restore({})
+        await asyncio.sleep(AUTHORITY_LAPSE_S)
+        assert rig.store.topics[LEASES_TOPIC].newest.keys() == {"e0"}
+        assert (await generate(rig, "a2"))[0] == 200
+        later = [order.fencing_number for order in rig.targets["e0"].orders]
+        assert min(later) >= max(numbers)
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -227,3 +227,45 @@
         await wait_until(lambda: seen == {"a": b"1"})
         async with asyncio.timeout(5):
             await follower.wait_for_update(0, 30.0)
+
+
+async def test_a_record_at_an_offset_used_before_a_restore_is_delivered():
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        copied = stand_in.copy()
+        await stand_in.put(TOPIC, "a", b"2")
+        async with following(client) as (follower, seen):
+            await wait_until(lambda: seen == {"a": b"2"})
+            await stand_in.restore(copied)
+            await stand_in.put(TOPIC, "a", b"3")
+            await wait_until(lambda: seen == {"a": b"3"})
+
+
+async def test_restores_in_quick_succession_lose_no_record():
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        copied = stand_in.copy()
+        async with following(client) as (follower, seen):
+            await wait_until(lambda: seen == {"a": b"1"})
+            for number in range(2, 6):
+                await stand_in.put(TOPIC, "a", b"lost")
+                await stand_in.restore(copied)
+                await stand_in.put(TOPIC, "b", str(number).encode())
+                await asyncio.sleep(0.01 * number)
+            await wait_until(lambda: seen.get("b") == b"5")
+
+
+async def test_a_topic_shorter_after_a_restore_is_followed_at_once():
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        copied = stand_in.copy()
+        for number in range(50):
+            await stand_in.put(TOPIC, "b", str(number).encode())
+        async with following(client) as (follower, seen):
+            await wait_until(lambda: seen.get("b") == b"49")
+            await stand_in.restore(copied)
+            await stand_in.put(TOPIC, "c", b"1")
+            await wait_until(lambda: seen.get("c") == b"1")
+            calls = stand_in.calls
+            await asyncio.sleep(0.3)
+            assert stand_in.calls - calls < 6
