Order records of the store by era and offset

Cause: an offset was taken for the age of a record, and a restored store gives offsets out again. Now a position is the era, which the store names in each answer, and the offset as one number. It is made in the store's client, so that followers, peers and readers compare as before. After a restore a topic is read anew; a value that is newer than the store's stays in force and is what other instances get, and an instance that starts then asks them for it. Leases are not mended yet.

--- a/skylarkpost/gateway/cause_store.py
+++ b/skylarkpost/gateway/cause_store.py
@@ -5,6 +5,7 @@
 from skylarkpost.eventlog import log_event
 from skylarkpost.log.keyed import KeyedRecord, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import describe_position
 from skylarkpost.quarantine.crash_news import StoredCrashes, decode, encode
 from skylarkpost.rendezvous import choose_member
 
@@ -126,7 +127,12 @@
             return
         stored = decode(record.value, StoredCrashes)
         if stored is None:
-            log_event(logger, "entry-malformed", key=trait, offset=record.offset)
+            log_event(
+                logger,
+                "entry-malformed",
+                key=trait,
+                offset=describe_position(record.offset),
+            )
             return
         self.stored[trait] = set(stored.crashes)
         wall_now = self.services.wall_clock()
--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -5,6 +5,7 @@
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.eventlog import log_event
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import describe_position
 from skylarkpost.platform import (
     OPERATOR_TOPIC,
     Malformed,
@@ -53,6 +54,7 @@
             wait=lambda: READ_WAIT_RATIO * services.settings.bounds.config_ms / 1000.0,
             peers=services.query_peers,
             relay=services.query_reader,
+            recall=services.query_all_peers,
         )
         services.followers[OPERATOR_TOPIC] = self.follower
 
@@ -95,8 +97,8 @@
         await self.follower.stop()
 
     def is_ready(self):
-        """Return whether a configuration is known."""
-        return self.state.table is not None
+        """Return whether a configuration is known that the others know as well."""
+        return self.state.table is not None and self.follower.synced.is_set()
 
     def degraded(self):
         """Return a description of the fault if the store can't be read."""
@@ -109,18 +111,20 @@
         return {"version": self.state.version}
 
     def _apply_record(self, record, now):
+        """Apply a record; return False if a newer value is in force."""
+        if not record.value:
+            return True
         if record.key == "config":
-            self._apply_configuration(record, now)
-        elif record.key.startswith("version/"):
-            self._apply_version(record, now)
+            return self._apply_configuration(record, now)
+        if record.key.startswith("version/"):
+            return self._apply_version(record, now)
+        return True
 
     def _apply_configuration(self, record, now):
-        if not record.value:
-            return
         decoded = decode_configuration(record.value)
         if isinstance(decoded, Malformed):
             self._log_malformed(record, decoded)
-            return
+            return False
         before = self.state.configuration
         applied = self.state.apply(decoded, record.value, now)
         if applied:
@@ -130,20 +134,19 @@
             "configuration-applied" if applied else "configuration-older",
             version=decoded.version,
             in_force=self.state.version,
-            offset=record.offset,
+            offset=describe_position(record.offset),
             routes=len(decoded.routes),
         )
+        return applied
 
     def _apply_version(self, record, now):
-        if not record.value:
-            return
         decoded = decode_adapter_version(record.value)
         if isinstance(decoded, Malformed):
             self._log_malformed(record, decoded)
-            return
+            return False
         model, adapter, version = decoded
         if version <= self.adapter_version(model, adapter):
-            return
+            return False
         self.adapter_versions[model, adapter] = (version, now)
         log_event(
             logger,
@@ -151,8 +154,9 @@
             model=model,
             adapter=adapter,
             version=version,
-            offset=record.offset,
+            offset=describe_position(record.offset),
         )
+        return True
 
     def _log_malformed(self, record, malformed):
         log_event(
@@ -160,7 +164,7 @@
             "entry-malformed",
             level=logging.WARNING,
             key=record.key,
-            offset=record.offset,
+            offset=describe_position(record.offset),
             detail=malformed.detail,
         )
 
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -6,6 +6,7 @@
 from skylarkpost.discovery import TargetDirectory
 from skylarkpost.eventlog import log_event
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import describe_position
 from skylarkpost.platform import TARGETS_TOPIC, Malformed, decode_target
 
 __all__ = ["DirectoryController"]
@@ -103,7 +104,7 @@
                 "entry-malformed",
                 level=logging.WARNING,
                 key=record.key,
-                offset=record.offset,
+                offset=describe_position(record.offset),
                 detail=decoded.detail,
             )
             return
@@ -118,5 +119,5 @@
                 state=decoded.state,
                 boot=decoded.boot,
                 address=decoded.address,
-                offset=record.offset,
+                offset=describe_position(record.offset),
             )
--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -160,13 +160,30 @@
         PeerRecords or None
             From the queried instance that has read furthest; None if none answered.
         """
+        answers = await self.read_topic_everywhere(topic, start)
+        return max(answers, key=lambda each: (each.end, -each.age), default=None)
+
+    async def read_topic_everywhere(self, topic, start):
+        """Query other instances for the new records of a topic.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First position wanted; -1 for everything.
+
+        Returns
+        -------
+        list of PeerRecords
+            From each queried instance that knows the topic.
+        """
         addresses = self._peer_addresses()
         if len(addresses) > MAX_PEERS_QUERIED:
             addresses = self.services.random.sample(addresses, MAX_PEERS_QUERIED)
         request = fleet_pb2.TopicAsk(topic=topic, start=start)
         answers = await asyncio.gather(*(self._query(a, request) for a in addresses))
-        known = [answer for answer in answers if answer is not None]
-        return max(known, key=lambda each: (each.end, -each.age), default=None)
+        return [answer for answer in answers if answer is not None]
 
     def _find_reader(self, now):
         membership = self.services.controllers.get("membership")
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -7,6 +7,7 @@
 from skylarkpost.gateway.targets import target_from_entry
 from skylarkpost.log.keyed import KeyedRecord, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import describe_position
 from skylarkpost.membership import MemberState
 from skylarkpost.platform import EngineCodec
 from skylarkpost.runtime import BackgroundTask
@@ -233,7 +234,7 @@
             logger,
             "stewardship-began",
             target=lease.target,
-            number=lease.number,
+            number=describe_position(lease.number),
             orders_in=self.table.orders_from.get(lease.target, now) - now,
         )
 
@@ -269,7 +270,12 @@
             return
         lease = decode_lease(record.value)
         if lease is None:
-            log_event(logger, "entry-malformed", key=record.key, offset=record.offset)
+            log_event(
+                logger,
+                "entry-malformed",
+                key=record.key,
+                offset=describe_position(record.offset),
+            )
             return
         self.table.apply(record.key, lease, record.offset, now)
         log_event(
@@ -277,7 +283,7 @@
             "lease-record",
             target=record.key,
             holder=lease.holder,
-            number=record.offset,
+            number=describe_position(record.offset),
             settled=lease.is_settled,
         )
 
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -77,6 +77,22 @@
         """
         return await self.controllers["fleet"].read_topic(topic, start)
 
+    async def query_all_peers(self, topic, start):
+        """Query other instances for the records of a topic, and return all answers.
+
+        Parameters
+        ----------
+        topic : str
+            The topic.
+        start : int
+            First position wanted; -1 for everything.
+
+        Returns
+        -------
+        list of PeerRecords
+        """
+        return await self.controllers["fleet"].read_topic_everywhere(topic, start)
+
     async def query_reader(self, topic, start, wait):
         """Query the instance that reads a topic for others.
 
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -13,6 +13,7 @@
     RecordsTrimmed,
     StoreUnavailable,
 )
+from skylarkpost.log.positions import describe_position, era_of
 from skylarkpost.runtime import BackgroundTask
 
 __all__ = ["KeyedFollower"]
@@ -28,11 +29,17 @@
 MAX_BACKOFF_S = 1.0
 # A small fraction of the smallest `max_age`.
 AGE_CHECK_S = 0.2
+# After a restore, instances that could not be reached at first are asked again.
+RECALL_INTERVAL_S = 1.0
+RECALL_WINDOW_S = 10.0
 
 
 class KeyedFollower:
     """Delivers the changes of a topic in order, never an older one after a newer.
 
+    After a restore of the store the topic is read anew. What the store offers then may
+    be older than what is known, and what it has lost is written again only later.
+
     Parameters
     ----------
     store : object
@@ -44,7 +51,8 @@
     random : random.Random
         For the jitter of retries.
     on_record : callable
-        Takes a `KeyedRecord` and ``now``. An empty value deletes the key.
+        Takes a `KeyedRecord` and ``now``. An empty value deletes the key. It returns
+        False if the value is older than the known one, which then stays known here.
     wait : callable
         Returns the long-poll timeout of a read, in seconds: short enough that a
         dead connection is noticed, long enough that an idle topic costs few calls.
@@ -62,11 +70,23 @@
     max_age : float or None
         Maximum age of the known state in seconds, after which peers are queried too:
         a read on a dead connection takes longer to fail.
+    on_restore : callable or None
+        Takes the time at which the state of the era before was last known to be
+        complete, and ``now``. Called before the first record of an era.
+    on_lost : callable or None
+        Takes a `KeyedRecord` that a restored store lacks, and ``now``. Without it such
+        records stay known, until they are written again.
+    recall : callable or None
+        Async; takes the topic and a position, and returns the `PeerRecords` of all
+        instances that answer. Called at the start and after a restore, for values that
+        the store has lost; `on_record` has to refuse older values.
 
     Attributes
     ----------
     next_offset : int or None
-        Offset of the next record to read; None before the first snapshot.
+        Position of the next record to read; None before a snapshot.
+    reached : int
+        Highest value of `next_offset` so far, or -1.
     records : dict of str to KeyedRecord
         Newest record of each key, including deleted keys.
     fresh_at : float
@@ -91,6 +111,9 @@
         peers=None,
         relay=None,
         max_age=None,
+        on_restore=None,
+        on_lost=None,
+        recall=None,
     ):
         self.store = store
         self.topic = topic
@@ -102,7 +125,14 @@
         self.peers = peers
         self.relay = relay
         self.max_age = max_age
+        self.on_restore = on_restore
+        self.on_lost = on_lost
+        self.recall = recall
+        self.recall_from = None
+        self.recall_until = -math.inf
+        self.recalled_at = -math.inf
         self.next_offset = None
+        self.reached = -1
         self.fresh_at = -math.inf
         self.available = False
         self.reconnected_at = -math.inf
@@ -161,8 +191,10 @@
         while True:
             if await self._step_by_relay():
                 backoff = FIRST_BACKOFF_S
+                await self._recall_if_due()
                 continue
             answered = await self._step()
+            await self._recall_if_due()
             if answered:
                 backoff = FIRST_BACKOFF_S
                 if self.pause is not None:
@@ -185,7 +217,7 @@
             return False
         requested_at = self.clock()
         answer = await self.relay(self.topic, self.next_offset, self.wait())
-        if answer is None or answer.end < self.next_offset:
+        if answer is None or answer.end < self.reached:
             return False
         if self.lost_at is not None:
             self._note_answered()
@@ -220,24 +252,32 @@
             if self.next_offset is not None and record.offset < self.next_offset:
                 continue
             self._deliver(record, now)
-            self.next_offset = record.offset + 1
-        if self.next_offset is not None and self.next_offset >= answer.end:
+            self._reach(record.offset + 1)
+        if self._is_of_era(answer.end) and self.next_offset >= answer.end:
             self.fresh_at = max(self.fresh_at, min(now, fresh_at))
             self._note_advanced()
 
     def _apply_snapshot(self, answer, began):
-        if any(answer.end <= known.offset for known in self.records.values()):
+        is_outdated = answer.end < self.reached
+        if is_outdated or any(
+            answer.end <= known.offset for known in self.records.values()
+        ):
             log_event(
-                logger, "snapshot-outdated", topic=self.topic, end_offset=answer.end
+                logger,
+                "snapshot-outdated",
+                topic=self.topic,
+                end_offset=describe_position(answer.end),
             )
             return False
         now = self.clock()
         present = {record.key for record in answer.records}
+        self._enter_era(answer.end, present, now)
         for key, known in list(self.records.items()):
-            if known.value and key not in present:
+            is_of_era = era_of(known.offset) == era_of(answer.end)
+            if known.value and is_of_era and key not in present:
                 self._deliver(KeyedRecord(key, b"", answer.end - 1), now)
         self._apply_newest(answer.records, now)
-        self.next_offset = answer.end
+        self._reach(answer.end)
         self.fresh_at = max(self.fresh_at, began)
         self._note_advanced()
         return True
@@ -249,8 +289,78 @@
                 self._deliver(record, now)
 
     def _deliver(self, record, now):
+        is_taken = self.on_record(record, now) is not False
+        known = self.records.get(record.key)
+        if not is_taken and known is not None and known.value:
+            record = record._replace(value=known.value)
         self.records[record.key] = record
-        self.on_record(record, now)
+
+    def _enter_era(self, end, present, now):
+        """Prepare for records of a new era; `present` are the keys that it has."""
+        if self.reached >= 0 and era_of(end) <= era_of(self.reached):
+            return
+        if self.reached >= 0:
+            log_event(
+                logger,
+                "topic-restored",
+                level=logging.WARNING,
+                topic=self.topic,
+                reached=describe_position(self.reached),
+                end=describe_position(end),
+                lost=",".join(sorted(self.records.keys() - present)) or None,
+            )
+        if self.on_restore is not None:
+            self.on_restore(self.fresh_at, now)
+        if self.recall is not None:
+            self.recall_from = self.reached
+            self.recall_until = now + RECALL_WINDOW_S
+        for key, known in list(self.records.items()):
+            if key in present:
+                continue
+            if not known.value:
+                del self.records[key]
+            elif self.on_lost is not None:
+                del self.records[key]
+                self.on_lost(known, now)
+
+    async def _recall_if_due(self):
+        """Ask other instances for values that a restored store has lost."""
+        if self.recall_from is None:
+            return
+        now = self.clock()
+        if now > self.recall_until:
+            self.recall_from = None
+        elif now - self.recalled_at >= RECALL_INTERVAL_S:
+            self.recalled_at = now
+            answers = await self.recall(self.topic, self.recall_from)
+            for answer in answers:
+                self._apply_recalled(answer.records)
+            if answers:
+                self.recall_from = None
+        if not self.synced.is_set():
+            self._note_advanced()
+
+    def _apply_recalled(self, records):
+        now = self.clock()
+        for record in records:
+            known = self.records.get(record.key)
+            if not record.value or (known is not None and known.value == record.value):
+                continue
+            if known is not None and not known.value and known.offset > record.offset:
+                # Deleted since.
+                continue
+            if self.on_record(record, now) is not False:
+                log_event(
+                    logger,
+                    "record-recalled",
+                    topic=self.topic,
+                    key=record.key,
+                    offset=describe_position(record.offset),
+                )
+                offset = record.offset
+                if known is not None:
+                    offset = max(known.offset, record.offset)
+                self.records[record.key] = record._replace(offset=offset)
 
     async def _query_peers(self):
         if self.peers is None:
@@ -258,18 +368,33 @@
         start = -1 if self.next_offset is None else self.next_offset
         requested_at = self.clock()
         answer = await self.peers(self.topic, start)
-        if answer is None or (self.next_offset or 0) > answer.end:
+        if answer is None or self.reached > answer.end:
             return
         self._apply_peer_records(answer, requested_at)
 
     def _apply_peer_records(self, answer, requested_at):
-        self._apply_newest(answer.records, self.clock())
-        self.next_offset = answer.end
+        now = self.clock()
+        # The answer holds all records of an era that is new here.
+        era = era_of(answer.end)
+        present = {each.key for each in answer.records if era_of(each.offset) == era}
+        self._enter_era(answer.end, present, now)
+        self._apply_newest(answer.records, now)
+        self._reach(answer.end)
         self.fresh_at = max(self.fresh_at, requested_at - answer.age)
         self._note_advanced()
 
+    def _is_of_era(self, position):
+        if self.next_offset is None:
+            return False
+        return era_of(position) == era_of(self.next_offset)
+
+    def _reach(self, position):
+        self.next_offset = position
+        self.reached = max(self.reached, position)
+
     def _note_advanced(self):
-        self.synced.set()
+        if self.recall_from is None or self.recalled_at > -math.inf:
+            self.synced.set()
         self.advanced.set()
         self.advanced = asyncio.Event()
 
@@ -282,7 +407,7 @@
                 level=logging.WARNING,
                 topic=self.topic,
                 detail=detail,
-                next_offset=self.next_offset,
+                next_offset=describe_position(self.next_offset),
             )
         self.available = False
 
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -2,8 +2,10 @@
 
 import base64
 import logging
+import re
 import socket
 import struct
+from typing import NamedTuple
 
 import aiohttp
 import msgspec
@@ -19,6 +21,7 @@
     StoreUnavailable,
     StoreUnknown,
 )
+from skylarkpost.log.positions import MAX_ERA, era_of, make_position, offset_of
 from skylarkpost.transport.sockets import configure_socket
 
 __all__ = ["OPERATOR_TOPIC", "TARGETS_TOPIC", "StoreClient"]
@@ -27,6 +30,7 @@
 
 # Number of times that the store has come back from an older copy.
 ERA_HEADER = "Store-Era"
+ERA_FORMAT = re.compile("[0-9]{1,10}")
 OPERATOR_TOPIC = "keyed.op"
 TARGETS_TOPIC = "keyed.servers"
 # The only partition of each keyed topic.
@@ -61,6 +65,14 @@
     end_offset: int
 
 
+class StoreAnswer(NamedTuple):
+    """An answer of the store, and the era in which it was given."""
+
+    era: int
+    status: int
+    payload: bytes
+
+
 class TopicEnds(msgspec.Struct, rename="camel"):
     offset: int = 0
     end_offset: int = 0
@@ -69,6 +81,9 @@
 class StoreClient:
     """Client of the store's keyed topics. Failures are returned, not raised.
 
+    Offsets are positions, see `skylarkpost.log.positions`. An answer from an earlier
+    era than one that was received before is discarded.
+
     Parameters
     ----------
     address : str
@@ -77,7 +92,7 @@
     Attributes
     ----------
     era : int
-        Highest era in an answer so far.
+        Latest known era of the store.
     """
 
     def __init__(self, *, address):
@@ -103,21 +118,26 @@
         """
         query = {"topic": topic, "part": PARTITION}
         if expected_end is not None:
-            query["asOf"] = str(expected_end)
+            if era_of(expected_end) < self.era:
+                return StoreUnavailable("append: the store has been restored")
+            query["asOf"] = str(offset_of(expected_end))
         body = b"".join(_encode_record(record) for record in records)
         answer = await self._call("POST", "/-/log-append", query, body=body)
         if isinstance(answer, StoreUnavailable | StoreUnknown):
             return answer
-        status, payload = answer
-        if status not in (200, 412):
-            return StoreUnavailable(f"append: status {status}")
+        if answer.status not in (200, 412):
+            return StoreUnavailable(f"append: status {answer.status}")
         try:
-            ends = msgspec.json.decode(payload, type=TopicEnds)
+            ends = msgspec.json.decode(answer.payload, type=TopicEnds)
         except msgspec.DecodeError as error:
             return StoreUnknown(f"append: {error}")
-        if status == 412:
-            return StoreConflict(ends.end_offset)
-        return StoreAppended(ends.offset, ends.end_offset)
+        end = make_position(answer.era, ends.end_offset)
+        if answer.status == 412:
+            return StoreConflict(end)
+        if expected_end is not None and answer.era != era_of(expected_end):
+            # The same offset, but other records before it.
+            return StoreUnknown("append: the store has been restored")
+        return StoreAppended(make_position(answer.era, ends.offset), end)
 
     async def read(self, topic, start, *, wait):
         """Read records, waiting for the next one if there is none yet.
@@ -135,10 +155,12 @@
         -------
         KeyedRecords, RecordsTrimmed or StoreUnavailable
         """
+        if era_of(start) < self.era:
+            return RecordsTrimmed()
         query = {
             "topic": topic,
             "part": PARTITION,
-            "from": str(start),
+            "from": str(offset_of(start)),
             "maxKb": str(READ_SIZE_KB),
             "waitMs": str(int(wait * 1000)),
         }
@@ -147,13 +169,16 @@
             return StoreUnavailable(answer.detail)
         if isinstance(answer, StoreUnavailable):
             return answer
-        status, payload = answer
-        if status == 410:
+        if answer.era < era_of(start):
+            return StoreUnavailable("read: answered in an earlier era")
+        if answer.status == 410 or answer.era > era_of(start):
             return RecordsTrimmed()
-        if status != 200 or len(payload) < READ_HEADER.size:
-            return StoreUnavailable(f"read: status {status}, {len(payload)} bytes")
-        end, _ = READ_HEADER.unpack_from(payload)
-        return KeyedRecords(_decode_records(payload, start), end)
+        size = len(answer.payload)
+        if answer.status != 200 or size < READ_HEADER.size:
+            return StoreUnavailable(f"read: status {answer.status}, {size} bytes")
+        end, _ = READ_HEADER.unpack_from(answer.payload)
+        records = _decode_records(answer.payload, start)
+        return KeyedRecords(records, make_position(answer.era, end))
 
     async def newest(self, topic):
         """Read the newest record of each key.
@@ -169,7 +194,7 @@
             The end offset is that of the first page: records may be appended
             while later pages are read.
         """
-        records, end, after = [], None, None
+        records, end, after, era = [], None, None, None
         while True:
             query = {"topic": topic, "part": PARTITION}
             if after is not None:
@@ -179,18 +204,23 @@
                 return StoreUnavailable(answer.detail)
             if isinstance(answer, StoreUnavailable):
                 return answer
-            status, payload = answer
-            if status != 200:
-                return StoreUnavailable(f"newest: status {status}")
+            if answer.status != 200:
+                return StoreUnavailable(f"newest: status {answer.status}")
+            era = answer.era if era is None else era
+            if answer.era != era:
+                return StoreUnavailable("newest: restored between two pages")
             try:
-                page = msgspec.json.decode(payload, type=NewestPage)
+                page = msgspec.json.decode(answer.payload, type=NewestPage)
                 records += [
-                    KeyedRecord(i.key, base64.b64decode(i.value), i.offset)
+                    KeyedRecord(
+                        i.key, base64.b64decode(i.value), make_position(era, i.offset)
+                    )
                     for i in page.items
                 ]
             except (msgspec.DecodeError, ValueError) as error:
                 return StoreUnavailable(f"newest: {error}")
-            end = page.end_offset if end is None else end
+            if end is None:
+                end = make_position(era, page.end_offset)
             if not page.has_more or not page.items:
                 return KeyedSnapshot(tuple(records), end)
             after = page.items[-1].key
@@ -201,6 +231,7 @@
             await self.session.close()
 
     async def _call(self, method, path, query, *, body=None, extra_timeout=0.0):
+        era_before = self.era
         timeout = aiohttp.ClientTimeout(
             total=ANSWER_TIMEOUT_S + extra_timeout, sock_connect=CONNECT_TIMEOUT_S
         )
@@ -213,28 +244,34 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                self._note_era(response.headers.get(ERA_HEADER))
-                return response.status, await response.read()
+                era = self._read_era(response.headers.get(ERA_HEADER), era_before)
+                answer = StoreAnswer(era, response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return StoreUnavailable(f"not connected: {error!r}")
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             return StoreUnknown(f"no answer: {error!r}")
+        if answer.era < self.era:
+            log_event(logger, "store-answer-outdated", era=answer.era, known=self.era)
+            return StoreUnknown("answered in an earlier era")
+        return answer
 
-    def _note_era(self, header):
+    def _read_era(self, header, era_before):
+        """Return the era that an answer names; without one, that of the request."""
         if header is None:
-            return
-        if not header.isascii() or not header.isdigit():
+            return era_before
+        if ERA_FORMAT.fullmatch(header) is None or int(header) > MAX_ERA:
             log_event(
                 logger,
                 "store-era-malformed",
                 level=logging.WARNING,
                 value=header[:MAX_LOGGED_HEADER],
             )
-            return
+            return era_before
         era = int(header)
         if era > self.era:
             log_event(logger, "store-era", era=era, before=self.era)
             self.era = era
+        return era
 
     def _open_session(self):
         if self.session is None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -91,7 +91,7 @@
     calls : int
         Number of calls received.
     era : int
-        Number of restores, plus one.
+        Number of restores.
     """
 
     switches_type = StoreSwitches
@@ -100,7 +100,7 @@
         super().__init__()
         self.topics = {}
         self.calls = 0
-        self.era = 1
+        self.era = 0
 
     def routes(self):
         """Return the routes of the store."""
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -18,6 +18,7 @@
     StoreUnknown,
 )
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import make_position
 from skylarkpost.platform import StoreClient
 from standins.common import serving
 from standins.store import StoreStandIn
@@ -234,7 +235,7 @@
         await stand_in.put(TOPIC, "a", b"1")
         copied = stand_in.copy()
         await stand_in.put(TOPIC, "a", b"2")
-        async with following(client) as (follower, seen):
+        async with following(client) as (_, seen):
             await wait_until(lambda: seen == {"a": b"2"})
             await stand_in.restore(copied)
             await stand_in.put(TOPIC, "a", b"3")
@@ -245,7 +246,7 @@
     async with store() as (stand_in, client):
         await stand_in.put(TOPIC, "a", b"1")
         copied = stand_in.copy()
-        async with following(client) as (follower, seen):
+        async with following(client) as (_, seen):
             await wait_until(lambda: seen == {"a": b"1"})
             for number in range(2, 6):
                 await stand_in.put(TOPIC, "a", b"lost")
@@ -261,7 +262,7 @@
         copied = stand_in.copy()
         for number in range(50):
             await stand_in.put(TOPIC, "b", str(number).encode())
-        async with following(client) as (follower, seen):
+        async with following(client) as (_, seen):
             await wait_until(lambda: seen.get("b") == b"49")
             await stand_in.restore(copied)
             await stand_in.put(TOPIC, "c", b"1")
@@ -269,3 +270,85 @@
             calls = stand_in.calls
             await asyncio.sleep(0.3)
             assert stand_in.calls - calls < 6
+
+
+async def test_a_value_that_only_others_know_after_a_restore_is_recalled():
+    """An instance that starts after the restore reads the older value alone."""
+    newest = {}
+    asked = []
+
+    def take_newer(record, now):
+        if record.value <= newest.get(record.key, b""):
+            return False
+        newest[record.key] = record.value
+        return True
+
+    async def recall(topic, start):
+        asked.append(start)
+        if len(asked) == 1:
+            return []
+        return [PeerRecords((KeyedRecord("a", b"9", 7),), 8, 0.0)]
+
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"5")
+        copied = stand_in.copy()
+        await stand_in.restore(copied)
+        async with following(client, recall=recall) as (follower, _):
+            follower.on_record = take_newer
+            await wait_until(lambda: newest.get("a") == b"5")
+            await wait_until(follower.synced.is_set)
+            await wait_until(lambda: newest.get("a") == b"9")
+            assert follower.records["a"].value == b"9"
+            assert asked == [-1, -1]
+            # What the store offers is older; other instances get the newer value.
+            await stand_in.restore(copied)
+            await wait_until(lambda: len(asked) == 3)
+            assert follower.records["a"].value == b"9"
+            await stand_in.put(TOPIC, "a", b"95")
+            await wait_until(lambda: newest.get("a") == b"95")
+
+
+async def test_records_that_a_restored_store_lacks_are_told_as_lost():
+    lost = []
+
+    def note_lost(record, now):
+        lost.append(record.key)
+
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        copied = stand_in.copy()
+        await stand_in.put(TOPIC, "b", b"1")
+        async with following(client, on_lost=note_lost) as (_, seen):
+            await wait_until(lambda: len(seen) == 2)
+            await stand_in.restore(copied)
+            await wait_until(lambda: lost == ["b"])
+            assert seen == {"a": b"1", "b": b"1"}
+
+
+async def test_an_instance_without_the_store_hears_of_a_restore_from_a_peer():
+    answers = [
+        PeerRecords((KeyedRecord("a", b"1", 70), KeyedRecord("b", b"1", 71)), 72, 0.0),
+        PeerRecords(
+            (KeyedRecord("a", b"2", make_position(1, 4)),), make_position(1, 5), 0.0
+        ),
+        PeerRecords((KeyedRecord("a", b"old", 80),), 90, 0.0),
+    ]
+    restores, lost = [], []
+
+    async def peers(topic, start):
+        return answers.pop(0) if len(answers) > 1 else answers[0]
+
+    async with store() as (stand_in, client):
+        stand_in.switches.busy = True
+        async with following(
+            client,
+            peers=peers,
+            on_restore=lambda known_at, now: restores.append(known_at),
+            on_lost=lambda record, now: lost.append(record.key),
+        ) as (follower, seen):
+            await wait_until(lambda: follower.reached == make_position(1, 5))
+            await asyncio.sleep(0.3)
+            assert seen == {"a": b"2", "b": b"1"}
+            assert lost == ["b"]
+            assert len(restores) == 2
+            assert follower.next_offset == make_position(1, 5)
