Confirm the leases of engines in each era of the store

What callers and targets saw: after a restore of the store two instances gave orders to the same engine with the same fencing number, or one with a lower number than before (ONE), and after a restore without the leases nobody gave orders at all. Cause: the fencing number is the offset of a lease record, which a restored store gives out again; the store's older records name holders that have been replaced since; and a record that was lost was written again by nobody. An append with an expected end could also succeed in another era, where the same offset stood behind other records. Now a lease counts only in the era in which it was written, and each record names the position that its writer had read. After a restore one instance writes the leases of all again in a single conditional append; until it is read, nobody gives orders, while stewards and tickets go on. A holder that waits for its predecessor gives orders only once its claim is settled in the store: so whoever knew a lease within the wait knows that no lost claim was used. Tried first: orders as soon as a claim's wait is over, without its settlement. A test of a takeover now also asks for the settlement before the first order.

--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -92,6 +92,9 @@
         self.policy = policy
         self.max_ticket_wait = max_ticket_wait
         lease_policy = LeasePolicy(order_gap=services.settings.bounds.lease_ms / 1000.0)
+        lease_policy = lease_policy._replace(
+            first_claim_wait=lease_policy.takeover_wait
+        )
         self.table = LeaseTable(own=services.instance, policy=lease_policy)
         self.executors = {}
         self.engine_pools = []
@@ -110,6 +113,7 @@
             peers=services.query_peers,
             relay=services.query_reader,
             max_age=MAX_READ_AGE_S,
+            on_restore=self.table.note_restore,
         )
         services.followers[LEASES_TOPIC] = self.follower
         self.claim_task = BackgroundTask(name="lease-claims")
@@ -161,13 +165,31 @@
                     name, "lease-lost" if name not in held else "target-gone"
                 )
         for name, lease in held.items():
-            if name in engines and name not in self.executors:
+            if not self.table.is_confirmed(name):
+                continue
+            if name in self.executors:
+                self._renew_lease(self.executors[name], lease)
+            elif name in engines:
                 self._start_steward(lease, *engines[name], now)
         for name, executor in self.executors.items():
             executor.engines.entry = engines[name][0]
             executor.tick()
             self._note_authority(name, now)
 
+    def _renew_lease(self, executor, lease):
+        """Follow the lease to a newer record, written by whoever confirmed it."""
+        if lease.number <= executor.claim.number:
+            return
+        executor.claim = lease
+        executor.steward.raise_fencing_number(lease.number)
+        executor.engines.raise_fencing_number(lease.number)
+        log_event(
+            logger,
+            "stewardship-renewed",
+            target=lease.target,
+            number=describe_position(lease.number),
+        )
+
     def _engines(self, now):
         """Return the entry and service of each usable engine, by name."""
         known = self.services.controllers["config"].state.configuration
@@ -267,7 +289,7 @@
 
     def _apply_record(self, record, now):
         if not record.value:
-            return
+            return True
         lease = decode_lease(record.value)
         if lease is None:
             log_event(
@@ -276,16 +298,19 @@
                 key=record.key,
                 offset=describe_position(record.offset),
             )
-            return
-        self.table.apply(record.key, lease, record.offset, now)
+            return False
+        is_taken = self.table.apply(record.key, lease, record.offset, now)
         log_event(
             logger,
             "lease-record",
             target=record.key,
             holder=lease.holder,
             number=describe_position(record.offset),
+            as_of=describe_position(lease.as_of),
             settled=lease.is_settled,
+            taken=is_taken,
         )
+        return is_taken
 
     async def _run_claims(self):
         while True:
@@ -299,7 +324,7 @@
                 await asyncio.sleep(CLAIM_RETRY_INTERVAL_S)
 
     async def _append_due_records(self, now):
-        """Append due claims and settlements; return False if the append failed."""
+        """Append what is due of this instance; return False if the append failed."""
         membership = self.services.controllers["membership"]
         live = {
             member.instance: member.data_centre
@@ -310,31 +335,32 @@
             name: entry.data_centre for name, (entry, _) in self._engines(now).items()
         }
         own = self.services.instance
-        records = [
-            KeyedRecord(
-                target,
-                encode_lease(
-                    LeaseRecord(holder=own, is_settled=self.table.is_first(target))
-                ),
-            )
-            for target in self.table.due_claims(engines, live, now)
-        ]
-        records += [
-            KeyedRecord(target, encode_lease(LeaseRecord(holder=own, is_settled=True)))
-            for target in self.table.due_settlements(now)
-            if target in engines
-        ]
+        as_of = self.follower.next_offset
+        restated = self.table.due_restatements(engines, live, now)
+        records = {
+            lease.target: self.table.restatement(lease, as_of) for lease in restated
+        }
+        for target in self.table.due_claims(engines, live, now):
+            is_first = self.table.is_first(target)
+            records[target] = LeaseRecord(own, is_settled=is_first, as_of=as_of)
+        for target in self.table.due_settlements(now):
+            if target in engines:
+                records[target] = LeaseRecord(own, is_settled=True, as_of=as_of)
         if not records:
             return True
         # The append succeeds only if the topic ends where this instance has read it
         # to; after a concurrent append, it has to read before it claims again.
         answer = await self.services.store.append(
-            LEASES_TOPIC, records, expected_end=self.follower.next_offset
+            LEASES_TOPIC,
+            [KeyedRecord(name, encode_lease(each)) for name, each in records.items()],
+            expected_end=as_of,
         )
         log_event(
             logger,
             "leases-claimed",
-            targets=",".join(record.key for record in records),
+            targets=",".join(records),
+            restated=len(restated),
+            as_of=describe_position(as_of),
             outcome=type(answer).__name__,
             live=len(live),
         )
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -71,8 +71,8 @@
         Maximum age of the known state in seconds, after which peers are queried too:
         a read on a dead connection takes longer to fail.
     on_restore : callable or None
-        Takes the time at which the state of the era before was last known to be
-        complete, and ``now``. Called before the first record of an era.
+        Takes the era, the time at which the state of the era before was last known to
+        be complete, and ``now``. Called before the first record of an era.
     on_lost : callable or None
         Takes a `KeyedRecord` that a restored store lacks, and ``now``. Without it such
         records stay known, until they are written again.
@@ -193,14 +193,14 @@
                 backoff = FIRST_BACKOFF_S
                 await self._recall_if_due()
                 continue
-            answered = await self._step()
+            answered = await self.step()
             await self._recall_if_due()
             if answered:
                 backoff = FIRST_BACKOFF_S
                 if self.pause is not None:
                     await asyncio.sleep(self.pause())
                 continue
-            await self._query_peers()
+            await self.query_peers()
             await asyncio.sleep(backoff * self.random.uniform(0.5, 1.0))
             backoff = min(MAX_BACKOFF_S, 2 * backoff)
 
@@ -210,7 +210,7 @@
             if self.clock() - self.fresh_at > max(
                 self.max_age, self.wait() + AGE_CHECK_S
             ):
-                await self._query_peers()
+                await self.query_peers()
 
     async def _step_by_relay(self):
         if self.relay is None or self.next_offset is None:
@@ -224,7 +224,14 @@
         self._apply_peer_records(answer, requested_at)
         return True
 
-    async def _step(self):
+    async def step(self):
+        """Read the store once, and apply its answer.
+
+        Returns
+        -------
+        bool
+            Whether the store gave an answer that could be used.
+        """
         began = self.clock()
         wait = 0.0
         if self.next_offset is None:
@@ -310,7 +317,7 @@
                 lost=",".join(sorted(self.records.keys() - present)) or None,
             )
         if self.on_restore is not None:
-            self.on_restore(self.fresh_at, now)
+            self.on_restore(era_of(end), self.fresh_at, now)
         if self.recall is not None:
             self.recall_from = self.reached
             self.recall_until = now + RECALL_WINDOW_S
@@ -362,7 +369,8 @@
                     offset = max(known.offset, record.offset)
                 self.records[record.key] = record._replace(offset=offset)
 
-    async def _query_peers(self):
+    async def query_peers(self):
+        """Ask another instance for its records, and apply its answer."""
         if self.peers is None:
             return
         start = -1 if self.next_offset is None else self.next_offset
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -128,6 +128,16 @@
             now=now,
         )
 
+    def raise_fencing_number(self, number):
+        """Use the number of a newer record of the same lease in later orders.
+
+        Parameters
+        ----------
+        number : int
+            The number.
+        """
+        self.fencing_number = self.slots.fencing_number = number
+
     @property
     def boot(self):
         """Boot id of the engine in the latest report."""
--- a/skylarkpost/targets/sequenced_engine_client.py
+++ b/skylarkpost/targets/sequenced_engine_client.py
@@ -185,7 +185,7 @@
         -------
         OrderDone, OrderRefused, OrderFailed or OrderUnknown
         """
-        self.fencing_number = fencing_number
+        self.raise_fencing_number(fencing_number)
         if boot != self.entry.boot:
             return OrderRefused(code="wrong-boot")
         deadline = self.clock() + timeout
@@ -225,7 +225,7 @@
         -------
         OrderDone, OrderRefused, OrderFailed or OrderUnknown
         """
-        self.fencing_number = fencing_number
+        self.raise_fencing_number(fencing_number)
         if boot != self.entry.boot:
             return OrderRefused(code="wrong-boot")
         adapter = lora_name.rpartition("@")[0]
@@ -255,6 +255,16 @@
         is_settled = now >= self.last_order_at + REPORT_SETTLE_S
         return self.orders_accepted is None and is_settled
 
+    def raise_fencing_number(self, fencing_number):
+        """Use a fencing number in later orders, unless it is lower than the last one.
+
+        Parameters
+        ----------
+        fencing_number : int
+            The number; that of a command may be older than the lease's.
+        """
+        self.fencing_number = max(self.fencing_number, fencing_number)
+
     def _set_count(self, count):
         if self.orders_accepted is None:
             self.unsettled_count = max(
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -145,7 +145,9 @@
         running = asyncio.create_task(instance.run())
         lease_manager = services.controllers["stewardship"].lease_manager
         # No other instance exists, so claims need not wait for heartbeats.
-        lease_manager.table.policy = lease_manager.table.policy._replace(settle=0.0)
+        lease_manager.table.policy = lease_manager.table.policy._replace(
+            settle=0.0, first_claim_wait=0.0
+        )
 
         def is_stewarded():
             counts = [
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -343,12 +343,12 @@
         async with following(
             client,
             peers=peers,
-            on_restore=lambda known_at, now: restores.append(known_at),
+            on_restore=lambda era, known_at, now: restores.append(era),
             on_lost=lambda record, now: lost.append(record.key),
         ) as (follower, seen):
             await wait_until(lambda: follower.reached == make_position(1, 5))
             await asyncio.sleep(0.3)
             assert seen == {"a": b"2", "b": b"1"}
             assert lost == ["b"]
-            assert len(restores) == 2
+            assert restores == [0, 1]
             assert follower.next_offset == make_position(1, 5)
--- a/tests/stewardship/test_leases.py
+++ b/tests/stewardship/test_leases.py
@@ -41,8 +41,10 @@
     assert not lease_table.may_order("t", fresh_at=10.0 + wait, now=10.0 + wait)
     assert lease_table.due_settlements(10.0 + wait) == []
     later = 10.0 + wait + POLICY.margin
-    assert lease_table.may_order("t", fresh_at=later, now=later)
     assert lease_table.due_settlements(later) == ["t"]
+    assert not lease_table.may_order("t", fresh_at=later, now=later)
+    lease_table.apply("t", LeaseRecord("a", is_settled=True), 2, now=later)
+    assert lease_table.may_order("t", fresh_at=later, now=later)
 
 
 def test_a_restarted_instance_resumes_only_a_settled_lease():
