Keep a target's leaving and end over a restore of the store

Cause: the older announcement was taken for news. The store can't tell; what is known of the run can: a run that has said it leaves stays so, one that had gone is used only if the store still has it after the time in which it removes silent targets, and one that the copy lacks is used until it must have written again. Evidence: test_a_leaving_target_gets_nothing_after_the_store_forgot_that_it_leaves failed before.

--- a/skylarkpost/discovery/directory.py
+++ b/skylarkpost/discovery/directory.py
@@ -1,9 +1,18 @@
 """Directory of the targets that may receive requests."""
 
+import logging
+import math
+
 from skylarkpost.discovery.entries import TargetState
+from skylarkpost.eventlog import log_event
 
 __all__ = ["TargetDirectory"]
 
+logger = logging.getLogger(__name__)
+
+# Runs of targets that are remembered after they have gone.
+MAX_GONE = 4096
+
 
 class TargetDirectory:
     """Announced targets by id.
@@ -17,6 +26,8 @@
     expiry_grace : float
         Seconds for which a target stays usable after its entry expired during an
         outage; the store's own time limit for entries to be renewed.
+    silence : float
+        Seconds after which the store removes an announcement that is not renewed.
 
     Attributes
     ----------
@@ -25,12 +36,22 @@
     expired : dict of str to tuple
         Entries that expired during an outage, and the time until which they are
         usable.
+    gone : dict of str to int
+        Start of the runs whose announcement has been removed, by target.
+    held_back : dict of str to tuple
+        Announcements of gone runs that a restored store offers again, and the time
+        at which they are believed, since the store still has them then.
     version : int
         Incremented with each change.
     """
 
-    def __init__(self, *, expiry_grace):
+    def __init__(self, *, expiry_grace, silence=0.0):
         self.expiry_grace = expiry_grace
+        self.silence = silence
+        self.gone = {}
+        self.gone_before_restore = {}
+        self.believed_from = -math.inf
+        self.held_back = {}
         self.entries = {}
         self.expired = {}
         self.version = 0
@@ -52,16 +73,71 @@
         bool
             Whether the entry changed.
         """
-        known = self.entries.get(entry.name)
-        if known is not None and entry.started_at_ms < known.started_at_ms:
+        if self.is_outdated(entry, now):
             return False
+        known = self.entries.get(entry.name)
         self.expired.pop(entry.name, None)
+        self.held_back.pop(entry.name, None)
+        self.gone.pop(entry.name, None)
+        gone_run = self.gone_before_restore.get(entry.name)
+        if now < self.believed_from and gone_run == entry.started_at_ms:
+            self.held_back[entry.name] = (entry, self.believed_from)
+            return False
         self.entries[entry.name] = entry
         if known is not None and known == entry:
             return False
         self.version += 1
         return True
 
+    def is_outdated(self, entry, now):
+        """Return whether an announcement says less than what is known.
+
+        Parameters
+        ----------
+        entry : TargetEntry
+            The announcement.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        bool
+            True for an earlier run, and for a run that has said that it leaves if a
+            restored store offers what it said before.
+        """
+        known = self.entries.get(entry.name)
+        if known is None or entry.started_at_ms > known.started_at_ms:
+            return False
+        if entry.started_at_ms < known.started_at_ms:
+            return True
+        was_leaving = known.state is TargetState.LEAVING
+        is_restored = now < self.believed_from
+        return is_restored and was_leaving and entry.state is TargetState.READY
+
+    def note_restore(self, now):
+        """Prepare for announcements from a store that was restored from a copy.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        """
+        self.gone_before_restore = dict(self.gone)
+        self.believed_from = now + self.silence
+
+    def lose(self, name, now):
+        """Remove an announcement that a restored store lacks.
+
+        Parameters
+        ----------
+        name : str
+            The target; it stays usable until it must have written again.
+        now : float
+            Current time, in seconds.
+        """
+        self.drop(name, now, after_outage=True)
+        self.gone.pop(name, None)
+
     def drop(self, name, now, *, after_outage):
         """Remove an announcement.
 
@@ -74,10 +150,17 @@
         after_outage : bool
             Whether the store was unreachable right before.
         """
+        self.held_back.pop(name, None)
+        self.gone_before_restore.pop(name, None)
         entry = self.entries.pop(name, None)
         if entry is None:
             return
         self.version += 1
+        self.gone[name] = entry.started_at_ms
+        if len(self.gone) > MAX_GONE:
+            forgotten = next(iter(self.gone))
+            del self.gone[forgotten]
+            log_event(logger, "gone-target-forgotten", target=forgotten)
         if after_outage and entry.state is TargetState.READY:
             self.expired[name] = (entry, now + self.expiry_grace)
 
@@ -98,6 +181,12 @@
         entry = self.entries.get(name)
         if entry is not None:
             return entry if entry.state is TargetState.READY else None
+        held_back = self.held_back.get(name)
+        if held_back is not None and now >= held_back[1]:
+            del self.held_back[name]
+            self.entries[name] = held_back[0]
+            self.version += 1
+            return self.find(name, now)
         expired = self.expired.get(name)
         if expired is None:
             return None
@@ -118,7 +207,7 @@
         -------
         list of TargetEntry
         """
-        names = [*self.entries, *self.expired]
+        names = [*self.entries, *self.expired, *self.held_back]
         found = (self.find(name, now) for name in names)
         return [entry for entry in found if entry is not None]
 
@@ -138,11 +227,13 @@
             The same object until an announcement changes, so that callers can
             keep what they derive from it.
         """
-        if self.expired or self.grouped_version != self.version:
+        is_changing = self.expired or self.held_back
+        if is_changing or self.grouped_version != self.version:
             grouped = {}
             for entry in self.usable(now):
                 grouped.setdefault(entry.service, []).append(entry)
             self.grouped = {name: tuple(each) for name, each in grouped.items()}
-            # Expired entries end without a change of the version.
-            self.grouped_version = None if self.expired else self.version
+            # Expired and held back entries change without a change of the version.
+            is_changing = self.expired or self.held_back
+            self.grouped_version = None if is_changing else self.version
         return self.grouped.get(service, ())
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -21,6 +21,9 @@
 READ_PAUSE_RATIO = 0.25
 # Entries that expired during an outage are back within two seconds.
 EXPIRY_GRACE_S = 2.0
+# The store removes an announcement after three heartbeats without a renewal; one more
+# for its own delay after a restore.
+SILENT_HEARTBEATS = 4
 
 
 @register_controller("directory", order=6, front_ends=(GATEWAY,))
@@ -40,7 +43,10 @@
 
     def __init__(self, *, services):
         super().__init__(services=services)
-        self.targets = TargetDirectory(expiry_grace=EXPIRY_GRACE_S)
+        heartbeat = services.settings.bounds.heartbeat_ms / 1000.0
+        self.targets = TargetDirectory(
+            expiry_grace=EXPIRY_GRACE_S, silence=SILENT_HEARTBEATS * heartbeat
+        )
         self.follower = KeyedFollower(
             store=services.store,
             topic=TARGETS_TOPIC,
@@ -51,6 +57,8 @@
             pause=self._pause,
             peers=services.query_peers,
             relay=services.query_reader,
+            on_restore=lambda era, known_at, now: self.targets.note_restore(now),
+            on_lost=self._note_lost,
         )
         services.followers[TARGETS_TOPIC] = self.follower
 
@@ -90,13 +98,18 @@
         """Return the names of the announced targets."""
         return {"targets": sorted(self.targets.entries)}
 
+    def _note_lost(self, record, now):
+        self.targets.lose(record.key, now)
+        log_event(logger, "target-lost-in-restore", target=record.key)
+
     def _apply_record(self, record, now):
+        """Apply a record; return False if more is known of the target."""
         if not record.value:
             outage = now - self.follower.reconnected_at < EXPIRY_GRACE_S
             outage = outage or not self.follower.available
             self.targets.drop(record.key, now, after_outage=outage)
             log_event(logger, "target-gone", target=record.key, after_outage=outage)
-            return
+            return True
         decoded = decode_target(record.key, record.value)
         if isinstance(decoded, Malformed):
             log_event(
@@ -107,7 +120,17 @@
                 offset=describe_position(record.offset),
                 detail=decoded.detail,
             )
-            return
+            return True
+        if self.targets.is_outdated(decoded, now):
+            log_event(
+                logger,
+                "target-announcement-older",
+                target=decoded.name,
+                state=decoded.state,
+                boot=decoded.boot,
+                offset=describe_position(record.offset),
+            )
+            return False
         known = self.targets.entries.get(decoded.name)
         self.targets.put(decoded, now)
         is_new = known is None or known.boot != decoded.boot
@@ -121,3 +144,4 @@
                 address=decoded.address,
                 offset=describe_position(record.offset),
             )
+        return True
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -60,6 +60,12 @@
         gt=0.0,
         description="From the announcement that a target leaves to its last request.",
     )
+    heartbeat_ms: Milliseconds = Field(
+        default=1200.0,
+        gt=0.0,
+        description="Interval at which targets renew their announcements; the store "
+        "removes one after three.",
+    )
     retry_ratio: float = Field(
         default=0.2, ge=0.0, le=10.0, description="Retries for each request."
     )
--- a/tests/discovery/test_directory.py
+++ b/tests/discovery/test_directory.py
@@ -69,3 +69,40 @@
     assert directory.of_service("desk", 3.0) == ()
     directory.put(entry(), 4.0)
     assert [each.name for each in directory.of_service("desk", 4.0)] == ["t"]
+
+
+def test_a_target_that_leaves_is_not_used_again_after_a_restore():
+    directory = TargetDirectory(expiry_grace=2.0, silence=4.8)
+    directory.put(entry(state=TargetState.LEAVING), 0.0)
+    directory.note_restore(1.0)
+    assert directory.is_outdated(entry(), 1.0)
+    assert not directory.put(entry(), 1.0)
+    assert directory.usable(9.0) == []
+    # A new run of the target isn't leaving.
+    directory.put(entry(started_at_ms=2), 1.5)
+    assert [each.name for each in directory.usable(1.5)] == ["t"]
+
+
+def test_a_gone_target_that_a_restored_store_offers_is_believed_only_after_a_while():
+    directory = TargetDirectory(expiry_grace=2.0, silence=4.8)
+    for name in ("gone", "back"):
+        directory.put(entry(name), 0.0)
+        directory.drop(name, 1.0, after_outage=False)
+    directory.note_restore(10.0)
+    directory.put(entry("gone"), 10.0)
+    directory.put(entry("back"), 10.0)
+    assert directory.of_service("desk", 12.0) == ()
+    directory.drop("gone", 13.0, after_outage=False)
+    assert directory.of_service("desk", 14.7) == ()
+    assert [each.name for each in directory.of_service("desk", 14.9)] == ["back"]
+
+
+def test_a_target_that_a_restored_store_lacks_is_used_until_it_must_have_written_again():
+    directory = TargetDirectory(expiry_grace=2.0, silence=4.8)
+    directory.put(entry(), 0.0)
+    directory.note_restore(1.0)
+    directory.lose("t", 1.0)
+    assert [each.name for each in directory.usable(2.9)] == ["t"]
+    assert directory.usable(3.1) == []
+    directory.put(entry(), 3.2)
+    assert [each.name for each in directory.usable(3.2)] == ["t"]
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from skylarkpost.gateway.lease_manager import LEASES_TOPIC
+from skylarkpost.log.positions import era_of
 from skylarkpost.platform import OPERATOR_TOPIC
 from tests.gateway.rig import (
     MODEL,
@@ -49,9 +50,24 @@
     async with gateway(engines=1, plain=0) as rig:
         assert (await generate(rig, "a1"))[0] == 200
         numbers = [order.fencing_number for order in rig.targets["e0"].orders]
-        await rig.store.restore({})
+        copied = rig.store.copy()
+        del copied[LEASES_TOPIC]
+        await rig.store.restore(copied)
         await asyncio.sleep(AUTHORITY_LAPSE_S)
         assert rig.store.topics[LEASES_TOPIC].newest.keys() == {"e0"}
         assert (await generate(rig, "a2"))[0] == 200
         later = [order.fencing_number for order in rig.targets["e0"].orders]
         assert min(later) >= max(numbers)
+
+
+async def test_a_leaving_target_gets_nothing_after_the_store_forgot_that_it_leaves():
+    async with gateway(engines=0, plain=2) as rig:
+        copied = rig.store.copy()
+        await rig.announce(rig.targets["p0"], state="draining")
+        directory = rig.instance.services.controllers["directory"]
+        await wait_until(lambda: len(directory.targets.usable(0.0)) == 1)
+        await rig.store.restore(copied)
+        await wait_until(lambda: era_of(directory.follower.reached) == 1)
+        for _ in range(12):
+            assert (await rig.fetch("/safe/"))[0] == 200
+        assert not rig.targets["p0"].executed
