Write causes of crashes again that a restored store has lost

What callers would have seen: targets crash again by requests whose cause was known (BUDGET). Cause: a key that the store lacks was taken for deleted, and a deleted record ends a quarantine. What a restored store lacks is told apart now; the trait stays quarantined and its record is written again, by an instance that saw a crash or by one chosen among the live. Evidence: test_a_quarantine_outlasts_the_loss_of_its_record failed before. Ruled out: old records that come back do not quarantine what was answered since (CrashEvidence.answered_at).

--- a/skylarkpost/gateway/cause_store.py
+++ b/skylarkpost/gateway/cause_store.py
@@ -35,6 +35,8 @@
     ----------
     stored : dict of str to set of str
         Ids of the crashes in the store, by trait.
+    lost : set of str
+        Traits whose records a restored store lacks.
     """
 
     def __init__(self, *, services, evidence, on_change):
@@ -42,6 +44,7 @@
         self.evidence = evidence
         self.on_change = on_change
         self.stored = {}
+        self.lost = set()
         self.follower = KeyedFollower(
             store=services.store,
             topic=CAUSES_TOPIC,
@@ -51,6 +54,7 @@
             wait=lambda: READ_WAIT_S,
             peers=services.query_peers,
             relay=services.query_reader,
+            on_lost=self._note_lost,
         )
         services.followers[CAUSES_TOPIC] = self.follower
 
@@ -72,7 +76,7 @@
         records = [
             KeyedRecord(trait, self._value(trait, now))
             for trait in sorted(quarantined)
-            if self._is_to_be_stored(trait, own_crashes)
+            if self._is_to_be_stored(trait, own_crashes, live)
         ]
         room = max(0, MAX_STORED_CAUSES - len(self.stored))
         if len(records) > room:
@@ -101,11 +105,19 @@
         if isinstance(answer, StoreAppended):
             await self.follower.catch_up()
 
-    def _is_to_be_stored(self, trait, own_crashes):
+    def _is_to_be_stored(self, trait, own_crashes, live):
         crashes = self.evidence.crashes[trait].keys()
         is_own = any(crash_id in crashes for crash_id in own_crashes)
+        if trait in self.lost:
+            # Whoever saw the crashes may have been restarted since.
+            is_own = is_own or choose_member(trait, live) == self.services.instance
         return is_own and not crashes <= self.stored.get(trait, set())
 
+    def _note_lost(self, record, now):
+        self.stored.pop(record.key, None)
+        self.lost.add(record.key)
+        log_event(logger, "crash-cause-lost", trait=record.key)
+
     def _value(self, trait, now):
         wall_now = self.services.wall_clock()
         crashes = {
@@ -119,6 +131,7 @@
 
     def _apply_record(self, record, now):
         trait = record.key
+        self.lost.discard(trait)
         if not record.value:
             self.stored.pop(trait, None)
             if trait in self.evidence.crashes:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -1,10 +1,13 @@
 """The store comes back from an older copy while a gateway instance serves."""
 
 import asyncio
+import time
 
+from skylarkpost.gateway.cause_store import CAUSES_TOPIC
 from skylarkpost.gateway.lease_manager import LEASES_TOPIC
 from skylarkpost.log.positions import era_of
 from skylarkpost.platform import OPERATOR_TOPIC
+from skylarkpost.quarantine.crash_news import StoredCrashes, encode
 from tests.gateway.rig import (
     MODEL,
     ROUTES,
@@ -71,3 +74,20 @@
         for _ in range(12):
             assert (await rig.fetch("/safe/"))[0] == 200
         assert not rig.targets["p0"].executed
+
+
+async def test_a_quarantine_outlasts_the_loss_of_its_record():
+    trait = "part:dd"
+    async with gateway(engines=1, plain=0) as rig:
+        copied = rig.store.copy()
+        now = time.time()
+        crashes = {"e9/1": (now - 9, now - 10), "e9/2": (now - 5, now - 6)}
+        await rig.store.put(CAUSES_TOPIC, trait, encode(StoredCrashes(crashes)))
+        controller = rig.instance.services.controllers["crash-suspects"]
+        await wait_until(lambda: controller.quarantined)
+        await rig.store.restore(copied)
+        await wait_until(lambda: era_of(controller.store.follower.reached) == 1)
+        assert controller.quarantined
+        # Another instance that starts now reads it in the store.
+        await wait_until(lambda: trait in rig.store.topics[CAUSES_TOPIC].newest)
+        assert controller.quarantined
