Register again after the store has lost an instance's address

What others would have seen: an instance that started within the lost seconds, or all of them, missing in the list from which new instances learn of the others. Cause: an instance wrote its record once, at its start. It compares now, in each era, and writes again after a random pause. Instances that the store has lost stay known.

--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -11,6 +11,7 @@
 from skylarkpost.listing import InstanceList, ListedInstance
 from skylarkpost.log.keyed import KeyedRecord, PeerRecords, StoreAppended
 from skylarkpost.log.keyed_follower import KeyedFollower
+from skylarkpost.log.positions import era_of
 from skylarkpost.log.readers import TopicReaders
 from skylarkpost.membership import MemberState
 from skylarkpost.rpc import CallFailed, call_peer, fleet_pb2, fleet_pb2_grpc
@@ -24,6 +25,7 @@
 # The list changes rarely, and a long read costs a single call.
 READ_WAIT_S = 10.0
 REGISTRATION_RETRY_S = 0.5
+REGISTRATION_CHECK_S = 0.5
 # Peers answer within milliseconds unless they are unreachable.
 PEER_TIMEOUT_S = 0.5
 # An instance that has been silent for this long is no longer counted.
@@ -238,8 +240,24 @@
             answer = await services.store.append(INSTANCES_TOPIC, [entry])
             log_event(logger, "instance-registered", outcome=type(answer).__name__)
             if isinstance(answer, StoreAppended):
+                await self._wait_until_lost(entry, era_of(answer.end))
+                # After a restore, many instances may have to register.
+                await asyncio.sleep(services.random.uniform(0, REGISTRATION_RETRY_S))
+            else:
+                await asyncio.sleep(REGISTRATION_RETRY_S)
+
+    async def _wait_until_lost(self, entry, era):
+        """Wait until the store has lost a record that was appended in an era."""
+        while True:
+            await asyncio.sleep(REGISTRATION_CHECK_S)
+            present_era = era_of(self.follower.reached)
+            if present_era <= era:
+                continue
+            known = self.follower.records.get(entry.key)
+            is_kept = known is not None and era_of(known.offset) == present_era
+            if not is_kept or known.value != entry.value:
                 return
-            await asyncio.sleep(REGISTRATION_RETRY_S)
+            era = present_era
 
     def _apply_record(self, record, now):
         if not record.value:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -4,6 +4,7 @@
 import time
 
 from skylarkpost.gateway.cause_store import CAUSES_TOPIC
+from skylarkpost.gateway.fleet import INSTANCES_TOPIC
 from skylarkpost.gateway.lease_manager import LEASES_TOPIC
 from skylarkpost.log.positions import era_of
 from skylarkpost.platform import OPERATOR_TOPIC
@@ -20,6 +21,8 @@
 # Longer than an instance may give orders without reading the leases.
 AUTHORITY_LAPSE_S = 4.0
 
+REGISTRATION = b'{"address":"127.0.0.1:9","data_centre":"yaba","boot":"b"}'
+
 
 async def generate(rig, adapter):
     headers = {
@@ -91,3 +94,20 @@
         # Another instance that starts now reads it in the store.
         await wait_until(lambda: trait in rig.store.topics[CAUSES_TOPIC].newest)
         assert controller.quarantined
+
+
+async def test_an_instance_registers_again_after_the_store_has_lost_its_address():
+    async with gateway(engines=0, plain=1) as rig:
+        instances = rig.store.topics[INSTANCES_TOPIC]
+        fleet = rig.instance.services.controllers["fleet"]
+        await rig.store.put(INSTANCES_TOPIC, "other", REGISTRATION)
+        await wait_until(lambda: "other" in fleet.instances)
+        copied = rig.store.copy()
+        copied.pop(INSTANCES_TOPIC)
+        for era in (1, 2):
+            await rig.store.restore(copied)
+            await wait_until(lambda: "entry-1" in instances.newest)
+            await wait_until(lambda e=era: era_of(fleet.follower.reached) == e)
+        assert len(instances.records) == 1
+        # The others are known, until they have registered again.
+        assert "other" in fleet.instances
