--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -10,6 +10,10 @@
 RESTART_PAUSE_S = 0.3
 SIGNAL_CHECK_S = 0.02
 LOST_APPENDS = 3
+# How long the store is away before it comes back from a copy, and then until the
+# operator and the targets have written again.
+RESTORE_AWAY_S = 1.0
+WRITTEN_AGAIN_S = 1.0
 # Requests a second; a fraction of what callers send to each target.
 REQUEST_LIMIT = 3.0
 # Script entries of a target that make consecutive requests fail in different ways.
@@ -102,6 +106,19 @@
     run.store.switches.lose_appends = LOST_APPENDS
 
 
+@fault_kind("store-restored", subjects="one")
+async def restore_store(run, number, duration):
+    """Make the store come back as it was before the fault began."""
+    copied = run.store.copy()
+    await asyncio.sleep(duration)
+    run.store.switches.busy = True
+    await asyncio.sleep(RESTORE_AWAY_S)
+    await run.store.restore(copied)
+    run.store.switches.busy = False
+    await asyncio.sleep(WRITTEN_AGAIN_S)
+    await run.write_again()
+
+
 @fault_kind("target-link-slow", subjects="targets")
 async def slow_target_link(run, number, duration):
     """Delay all data to and from a target."""
--- a/lab/soak/load.py
+++ b/lab/soak/load.py
@@ -55,6 +55,7 @@
         self.version = 0
         self.withdrawn = []
         self.is_stopped = False
+        self.payload = b""
 
     async def run(self):
         """Publish at random intervals until stopped."""
@@ -69,12 +70,16 @@
             self.withdrawn.append(f"key-{self.version}")
         self.version += 1
         newest = route(f"gen{self.version}", f"/gen{self.version}/", "safe")
-        payload = configuration(
+        self.payload = configuration(
             version=self.version,
             routes=[*ROUTES, newest],
             keys=[KEY, f"key-{self.version}"],
         )
-        await self.soak_run.store.put(OPERATOR_TOPIC, "config", payload)
+        await self.write_again()
+
+    async def write_again(self):
+        """Write the newest version."""
+        await self.soak_run.store.put(OPERATOR_TOPIC, "config", self.payload)
 
 
 class VersionProbe:
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -156,6 +156,8 @@
 def check_orders(targets):
     """Check that each target had one steward at a time and was not overloaded.
 
+    The fencing numbers of its orders may not go back, nor be used by two holders.
+
     Parameters
     ----------
     targets : list of standins.gateway_target.GatewayTargetStandIn
@@ -174,4 +176,20 @@
             if before.holder != after.holder and gap < MIN_STEWARD_GAP_S:
                 detail = f"{target.name}: {before.holder}, {after.holder} {gap:.2f} s"
                 violations.append(Violation("one steward at a time", detail))
+        violations += _check_fencing_numbers(target)
     return violations
+
+
+def _check_fencing_numbers(target):
+    highest, holder = -1, None
+    for order in target.orders:
+        is_same_holder = order.holder == holder
+        is_repeated = order.fencing_number == highest and not is_same_holder
+        if order.fencing_number < highest or is_repeated:
+            detail = (
+                f"{target.name}: {order.fencing_number} from {order.holder} after "
+                f"{highest} from {holder}"
+            )
+            yield Violation("fencing numbers rise", detail)
+        elif order.fencing_number > highest:
+            highest, holder = order.fencing_number, order.holder
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -183,6 +183,12 @@
         entry = target.entry(service, data_centre, address=address)
         await self.store.put(TARGETS_TOPIC, target.name, entry)
 
+    async def write_again(self):
+        """Write what a restored store has lost, for the operator and the targets."""
+        await self.operator.write_again()
+        for number in range(len(self.targets)):
+            await self.announce(number)
+
     async def is_ready(self, number):
         """Return whether the readiness check of a gateway succeeds."""
         url = f"http://{self.ready_addresses[number]}/-/readyz"
--- a/tests/lab/soak/test_promises.py
+++ b/tests/lab/soak/test_promises.py
@@ -73,14 +73,24 @@
 
 def test_two_stewards_without_a_pause_and_overloads_are_found():
     target = GatewayTargetStandIn(name="e0")
-    target.orders = [ReceivedOrder(1.0, "a"), ReceivedOrder(5.0, "b")]
+    target.orders = [ReceivedOrder(1.0, "a", 1), ReceivedOrder(5.0, "b", 2)]
     assert check_orders([target]) == []
-    target.orders.append(ReceivedOrder(6.0, "a"))
+    target.orders.append(ReceivedOrder(6.0, "a", 3))
     target.overloads = 1
     found = [violation.promise for violation in check_orders([target])]
     assert found == ["no engine is overloaded", "one steward at a time"]
 
 
+@pytest.mark.parametrize(("holder", "number"), [("b", 7), ("a", 6)])
+def test_a_fencing_number_used_twice_or_lower_is_found(holder, number):
+    target = GatewayTargetStandIn(name="e0")
+    target.orders = [ReceivedOrder(1.0, "a", 7), ReceivedOrder(2.0, "a", 7)]
+    assert check_orders([target]) == []
+    target.orders.append(ReceivedOrder(9.0, holder, number))
+    [violation] = check_orders([target])
+    assert violation.promise == "fencing numbers rise"
+
+
 def test_a_request_that_was_read_may_not_be_cut_by_a_shutdown():
     # Seed 30: four requests crossed the close of idle connections and were never read.
     interrupted = [attempt("safe", status=None, is_complete=False)]
