Never take an earlier refusal for the answer to a later request

What callers saw, in tests: 'not run, try again' for work that a target was running, and work that ran twice at one target (REFUSED, TWICE). Cause: a request that was tried again at the same target could go out on the connection that carried its first attempt. Both bear the same id, so that the first refusal, written once more, passed for the answer to the second. And an answer without an id was taken on a connection whose target names them. Now the same request never uses a connection twice, and an answer without an id on such a connection says nothing.

--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -51,6 +51,8 @@
         Service that it is routed to; set by the route filter.
     quota_receipt : object or None
         Receipt of the charge to the team's limit.
+    used_connections : set of TargetConnection
+        Connections that the request was sent on.
     targets_tried : set of str
         Boots of the targets that it was sent to.
     table : skylarkpost.routing.RouteTable or None
@@ -83,6 +85,7 @@
         self.service = None
         self.quota_receipt = None
         self.targets_tried = set()
+        self.used_connections = set()
         self.table = None
         self.connection = None
         self.timer = None
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -136,6 +136,10 @@
         """Send the request; return its connection, or the failure."""
         services = self.services
         connection = await services.connect(ticket, exchange.service)
+        while connection in exchange.used_connections:
+            # An answer to the first attempt could be taken for one to the next.
+            connection.abort()
+            connection = await services.connect(ticket, exchange.service)
         if isinstance(connection, ConnectFailed | PoolExhausted):
             return AttemptFailure(FailureKind.NOT_SENT, connection.detail)
         now = services.clock()
@@ -146,6 +150,7 @@
         exchange.start_timer(left)
         exchange.sent_at = now
         exchange.connection = connection
+        exchange.used_connections.add(connection)
         exchange.targets_tried.add(ticket.boot)
         exchange.dispatched = True
         log_event(
@@ -223,7 +228,13 @@
                 continue
             metadata = HeaderCodec.read_answer(event.status, event.headers)
             expected = exchange.metadata.attempt_id
+            if metadata.attempt_id is None and connection.names_requests:
+                # Another answer that was written again may lack what would tell it.
+                return AttemptFailure(
+                    FailureKind.UNKNOWN, "an answer without the id of its request"
+                )
             if metadata.attempt_id in (None, expected):
+                connection.names_requests = metadata.attempt_id is not None
                 limits = self.services.controllers["target-limits"]
                 limits.note_answer(
                     ticket, metadata.request_limit, sent_at=exchange.sent_at
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -99,6 +99,8 @@
         Idle timeout in seconds that the target announced in ``Keep-Alive``.
     request_count : int
         Number of requests sent on this connection.
+    names_requests : bool
+        Whether the last answer on this connection named its request.
     is_open : bool
         Whether the connection is established and not closed.
     """
@@ -109,6 +111,7 @@
         self.idle_since = clock()
         self.idle_timeout = None
         self.request_count = 0
+        self.names_requests = False
         self.is_open = False
         self.closes_after_response = False
         self.events = deque()
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -77,7 +77,11 @@
         comes first), ``"unsigned"`` (no server stamp), ``"unframed"`` (a body
         without length or chunks, ended by its connection), ``"unframed-break"``
         (the same, cut inside an event), ``"unframed-empty"`` (cut after the head),
-        ``"endless"`` (a stream without the end of an event).
+        ``"endless"`` (a stream without the end of an event), ``"refused-again"``
+        (the last refusal on the connection is written once more before the answer),
+        ``"refused-unnamed"`` (the same, without the id of its attempt),
+        ``"half-head"`` (closed inside the head), ``"error-page"`` (a success that is
+        no stream), ``"from-start"`` (a stream whose events begin anew).
     events : int
         Number of events of a complete stream.
     orders : list of ReceivedOrder
@@ -120,6 +124,7 @@
         self.started_at = []
         self.endless_bytes = 0
         self.on_restart = None
+        self.refusals = {}
         self.listener = None
         self.writers = set()
         self.recovery = None
@@ -219,9 +224,12 @@
             attempt["Server-Limit"] = str(self.request_limit)
         if action == "shed" or self._lacks_adapter(request):
             status = 503 if action == "shed" else 421
-            return self._send_response(
-                writer, status, b"", attempt | {"X-Not-Executed": "1"}
-            )
+            refusal = self.refusals[writer] = attempt | {"X-Not-Executed": "1"}
+            return self._send_response(writer, status, b"", refusal)
+        if action == "refused-again" and writer in self.refusals:
+            self._send_response(writer, 503, b"", self.refusals[writer])
+        if action == "refused-unnamed":
+            self._send_response(writer, 503, b"", {"X-Not-Executed": "1"})
         self.executed.append(request)
         if action == "drop":
             return False
@@ -240,6 +248,16 @@
         if action == "late":
             self._send_response(writer, 200, b"another's", {"X-Attempt-Id": "another"})
         stamped = attempt | {"X-Server-Stamp": f"{self.name}.1"}
+        if action == "half-head":
+            writer.write(self._format_head(200, stamped)[:-9])
+            return False
+        if action == "error-page":
+            return self._send_response(
+                writer,
+                200,
+                b"upstream error\n\n",
+                stamped | {"Content-Type": "text/html"},
+            )
         if self.model is None:
             if action == "break":
                 writer.write(
@@ -273,6 +291,8 @@
             self.cancelled.append(request)
             return False
         first = int(request.headers.get("last-event-id", 0)) + 1
+        if action == "from-start":
+            first = 1
         for number in range(first, self.events + 1):
             event = b"id: %d\ndata: %d\n\n" % (number, number)
             is_cut = action in ("break", "unframed-break") and number == first + 1
--- /dev/null
+++ b/tests/gateway/test_faulty_targets.py
@@ -0,0 +1,68 @@
+"""Answers of faulty targets, as other operators have seen them."""
+
+import pytest
+
+from tests.gateway.rig import MODEL, configuration, gateway, route
+
+ADAPTER = {
+    "X-Model": f"{MODEL}/a1",
+    "X-Token-Count": "100,10",
+    "X-Prompt-Prefix": "aa:50,bb:40",
+}
+
+
+def executed(rig):
+    return [r for target in rig.targets.values() for r in target.executed]
+
+
+async def test_an_earlier_refusal_written_again_is_not_taken_for_the_answer():
+    async with gateway(engines=0, plain=1) as rig:
+        rig.targets["p0"].script = ["shed", "refused-again"]
+        status, _, _ = await rig.fetch("/unsafe/", method="POST", data=b"first")
+        assert status == 503
+        status, body, _ = await rig.fetch("/unsafe/", method="POST", data=b"mine")
+        assert (status, body) == (200, b"p0:mine")
+        assert len(executed(rig)) == 1
+
+
+async def test_a_request_tried_again_at_its_target_is_not_answered_by_its_refusal():
+    routes = [route("unsafe", "/unsafe/", "unsafe", attempts=3)]
+    payload = configuration(routes=routes)
+    async with gateway(engines=0, plain=1, payload=payload) as rig:
+        rig.targets["p0"].script = ["shed", "refused-again", "refused-again"]
+        status, body, _ = await rig.fetch("/unsafe/", method="POST", data=b"mine")
+        assert (status, body) == (200, b"p0:mine")
+        assert len(executed(rig)) == 1
+
+
+async def test_a_refusal_of_no_known_request_does_not_say_that_work_has_not_run():
+    async with gateway(engines=0, plain=2) as rig:
+        while not all(target.executed for target in rig.targets.values()):
+            assert (await rig.fetch("/safe/"))[0] == 200
+        before = len(executed(rig))
+        for target in rig.targets.values():
+            target.script = ["refused-unnamed"]
+        status, _, _ = await rig.fetch("/unsafe/", method="POST", data=b"mine")
+        assert status == 502
+        assert len(executed(rig)) == before + 1
+
+
+@pytest.mark.parametrize("method", ["GET", "POST"])
+async def test_an_answer_that_ends_inside_its_head_is_not_passed_on(method):
+    path = "/safe/" if method == "GET" else "/unsafe/"
+    async with gateway(engines=0, plain=1) as rig:
+        rig.targets["p0"].script = ["half-head"] * 50
+        status, _, headers = await rig.fetch(path, method=method)
+        assert status == 502
+        assert "X-Server-Stamp" not in headers
+
+
+async def test_a_stream_that_ends_inside_its_head_does_not_look_complete():
+    async with gateway(engines=1, plain=0) as rig:
+        assert (await stream(rig, "/stream/"))[0] == 200
+        rig.targets["e0"].script = ["half-head"] * 3
+        assert (await stream(rig, "/stream/"))[0] == 502
+
+
+async def stream(rig, path):
+    return await rig.fetch(path, method="POST", headers=ADAPTER)
