Resume a stream only with a stream that goes on

Cause: whatever the next target answered with a success was joined to the stream. Its status and type of content must be those of the first answer now, and its events must follow.

--- a/skylarkpost/gateway/event_buffer.py
+++ b/skylarkpost/gateway/event_buffer.py
@@ -13,6 +13,9 @@
     ----------
     last_id : str or None
         Id of the last complete event returned by `add`.
+    is_repeating : bool
+        Whether a later part of the stream has an event that an earlier one had. The
+        events of that part are not returned.
 
     Examples
     --------
@@ -25,6 +28,8 @@
 
     def __init__(self):
         self.last_id = None
+        self.is_repeating = False
+        self._resumed_after = None
         self._remainder = b""
 
     def add(self, chunk):
@@ -47,10 +52,21 @@
         )
         complete, self._remainder = data[:end], data[end:]
         for line in complete.splitlines():
-            if line.startswith(ID_FIELD):
-                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+            if not line.startswith(ID_FIELD):
+                continue
+            event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+            if _is_not_later(event_id, self._resumed_after):
+                self.is_repeating = True
+                return b""
+            self.last_id = event_id
         return complete
 
+    def begin_anew(self):
+        """Expect another answer, which goes on after the last complete event."""
+        self.take_remainder()
+        self.is_repeating = False
+        self._resumed_after = self.last_id
+
     @property
     def pending_bytes(self):
         """Number of bytes after the last complete event."""
@@ -65,3 +81,9 @@
         """
         remainder, self._remainder = self._remainder, b""
         return remainder
+
+
+def _is_not_later(event_id, other):
+    if other is None or not event_id.isdecimal() or not other.isdecimal():
+        return False
+    return int(event_id) <= int(other)
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -192,7 +192,7 @@
             and head.status < FIRST_NON_SUCCESS_STATUS
         )
         if is_stream:
-            body = self._stream_body(exchange, ticket, connection)
+            body = self._stream_body(exchange, ticket, connection, head)
             return _relayed(head, body)
         chunks, size = [], 0
         while True:
@@ -279,7 +279,7 @@
         finally:
             self._end_connection(exchange, ticket, connection)
 
-    async def _stream_body(self, exchange, ticket, connection):
+    async def _stream_body(self, exchange, ticket, connection, head):
         is_resumable = exchange.route.is_resumable
         event_buffer = EventBuffer()
         try:
@@ -289,10 +289,13 @@
                     complete = event_buffer.add(event)
                     if complete and exchange.first_byte_at is None:
                         self._note_first_event(exchange)
-                    if event_buffer.pending_bytes <= MAX_EVENT_BYTES:
+                    if event_buffer.is_repeating:
+                        event = ResponseBroken("the events begin anew", True)
+                    elif event_buffer.pending_bytes > MAX_EVENT_BYTES:
+                        event = ResponseBroken("an event is too long", True)
+                    else:
                         yield complete if is_resumable else event
                         continue
-                    event = ResponseBroken("an event is too long", True)
                 stream_break = _stream_break(exchange, event, event_buffer)
                 if stream_break is None:
                     return
@@ -302,7 +305,9 @@
                 resumed = None
                 if is_resumable:
                     self._end_connection(exchange, ticket, connection)
-                    resumed = await self._resume(exchange, event_buffer, stream_break)
+                    resumed = await self._resume(
+                        exchange, event_buffer, stream_break, head
+                    )
                 if resumed is None:
                     raise BodyBrokenError(stream_break.detail)
                 ticket, connection = resumed
@@ -320,10 +325,13 @@
             controller = self.services.controllers["stewardship"]
             controller.note_first_token(exchange, now)
 
-    async def _resume(self, exchange, event_buffer, stream_break):
-        """Resume a stream at another target after its last complete event."""
+    async def _resume(self, exchange, event_buffer, stream_break, head):
+        """Resume a stream at another target after its last complete event.
+
+        `head` is that of the first answer, which the caller has received.
+        """
         failure = AttemptFailure(FailureKind.UNKNOWN, stream_break.detail)
-        event_buffer.take_remainder()
+        event_buffer.begin_anew()
         exchange.last_event_id = event_buffer.last_id or exchange.metadata.last_event_id
         avoid = {exchange.ticket.target}
         while self._may_retry(exchange, failure):
@@ -337,7 +345,7 @@
                 head_result = await self._read_head(exchange, ticket, connection)
                 failure = head_result
                 if not isinstance(head_result, AttemptFailure):
-                    if head_result[0].status < FIRST_NON_SUCCESS_STATUS:
+                    if _continues(head, head_result[0]):
                         log_event(
                             logger,
                             "stream-resumed",
@@ -449,6 +457,16 @@
     return Relayed(status=head.status, headers=headers, body=body)
 
 
+def _continues(first, later):
+    """Return whether an answer may go on where the body of another one ended."""
+    is_same_type = _content_type(first) == _content_type(later)
+    return later.status == first.status and is_same_type
+
+
+def _content_type(head):
+    return dict(head.headers).get("content-type", "").partition(";")[0].lower()
+
+
 def _stream_break(exchange, event, event_buffer):
     """Return how a stream broke off, or None if it is complete.
 
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -1,5 +1,6 @@
 """Answers of faulty targets, as other operators have seen them."""
 
+import aiohttp
 import pytest
 
 from tests.gateway.rig import MODEL, configuration, gateway, route
@@ -64,5 +65,24 @@
         assert (await stream(rig, "/stream/"))[0] == 502
 
 
+@pytest.mark.parametrize("action", ["fail", "error-page", "from-start", "half-head"])
+async def test_what_is_no_continuation_never_gets_into_a_stream_that_broke(action):
+    async with gateway(engines=2, plain=0) as rig:
+        await stream(rig, "/stream/")
+        [first] = [each for each in rig.targets.values() if each.executed]
+        [other] = [each for each in rig.targets.values() if not each.executed]
+        first.script, other.script = ["break"], [action] * 3
+        received = b""
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with rig.request(
+                "/resumable/", method="POST", headers=ADAPTER
+            ) as response:
+                assert response.status == 200
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        assert received == b"id: 1\ndata: 1\n\n"
+        assert other.executed
+
+
 async def stream(rig, path):
     return await rig.fetch(path, method="POST", headers=ADAPTER)
