Act on targets that leave or ask for a pause in their answers

A target that says Server-Leaving in any answer (requests, refusals, errors, streams, reports, replies to orders) gets no new request, ticket or load; the run is told to all instances with heartbeats and stays so until another run is announced. A target that answers 503 with Retry-After gets no request from that instance for so long: not by retries, resumed streams nor tickets that were granted before. Seconds and dates are read, at most five minutes are taken, anything else is logged and asks for nothing. If all targets of a service pause, callers are refused at once with the time that is left. Neither counts against a target's health. Requests are counted at the stand-in targets. Before: both headers were ignored; the stand-ins did not send them. Ruled out: pausing reports and orders as well. They are no requests, and other instances' tickets depend on them.

--- a/skylarkpost/discovery/directory.py
+++ b/skylarkpost/discovery/directory.py
@@ -38,6 +38,9 @@
         usable.
     gone : dict of str to int
         Start of the runs whose announcement has been removed, by target.
+    leaving_runs : dict of str to None
+        Boots of the runs that have said in an answer that they leave, in the order
+        in which that was heard.
     held_back : dict of str to tuple
         Announcements of gone runs that a restored store offers again, and the time
         at which they are believed, since the store still has them then.
@@ -52,6 +55,7 @@
         self.gone_before_restore = {}
         self.believed_from = -math.inf
         self.held_back = {}
+        self.leaving_runs = {}
         self.entries = {}
         self.expired = {}
         self.version = 0
@@ -114,6 +118,44 @@
         is_restored = now < self.believed_from
         return is_restored and was_leaving and entry.state is TargetState.READY
 
+    def note_leaving(self, boot):
+        """Record that a run of a target has said that it leaves.
+
+        Parameters
+        ----------
+        boot : str
+            The run.
+
+        Returns
+        -------
+        bool
+            Whether it was not known.
+        """
+        if boot in self.leaving_runs:
+            return False
+        self.leaving_runs[boot] = None
+        self.version += 1
+        if len(self.leaving_runs) > MAX_GONE:
+            forgotten = next(iter(self.leaving_runs))
+            del self.leaving_runs[forgotten]
+            log_event(logger, "leaving-run-forgotten", boot=forgotten)
+        return True
+
+    def has_run(self, boot):
+        """Return whether a run of a target is announced.
+
+        Parameters
+        ----------
+        boot : str
+            The run.
+
+        Returns
+        -------
+        bool
+        """
+        entry = self.entries.get(boot.rpartition("/")[0])
+        return entry is not None and entry.boot == boot
+
     def note_restore(self, now):
         """Prepare for announcements from a store that was restored from a copy.
 
@@ -180,7 +222,9 @@
         """
         entry = self.entries.get(name)
         if entry is not None:
-            return entry if entry.state is TargetState.READY else None
+            is_usable = entry.state is TargetState.READY
+            is_usable = is_usable and entry.boot not in self.leaving_runs
+            return entry if is_usable else None
         held_back = self.held_back.get(name)
         if held_back is not None and now >= held_back[1]:
             del self.held_back[name]
@@ -193,7 +237,7 @@
         if now >= expired[1]:
             del self.expired[name]
             return None
-        return expired[0]
+        return None if expired[0].boot in self.leaving_runs else expired[0]
 
     def usable(self, now):
         """Return all usable targets.
--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -51,6 +51,8 @@
         Service that it is routed to; set by the route filter.
     quota_receipt : object or None
         Receipt of the charge to the team's limit.
+    is_target_paused : bool
+        Whether the target of the last attempt wants nothing from this instance now.
     used_connections : set of TargetConnection
         Connections that the request was sent on.
     targets_tried : set of str
@@ -86,6 +88,7 @@
         self.quota_receipt = None
         self.targets_tried = set()
         self.used_connections = set()
+        self.is_target_paused = False
         self.table = None
         self.connection = None
         self.timer = None
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -43,6 +43,8 @@
 # Targets refuse connections immediately, so retries without a delay would spin.
 NOT_SENT_RETRY_S = 0.02
 FIRST_NON_SUCCESS_STATUS = 300
+# Kinds of failures after which the target has not received the request.
+UNSENT = (FailureKind.NOT_SENT, FailureKind.HELD_BACK)
 
 
 class BufferedAnswer(NamedTuple):
@@ -102,6 +104,8 @@
         if exchange.cancelled is not None:
             return
         kind = result.kind if isinstance(result, AttemptFailure) else None
+        if kind is FailureKind.HELD_BACK:
+            return
         if kind is FailureKind.TIMED_OUT and exchange.dispatched:
             reached, failed = True, True
         else:
@@ -109,13 +113,15 @@
             failed = kind is FailureKind.FAILED or (
                 kind is None and result.status >= FIRST_SERVER_ERROR_STATUS
             )
+        # A target that asks for a pause is busy, not sick.
+        failed = failed and not exchange.is_target_paused
         controller = self.services.controllers["stewardship"]
         controller.note_result(ticket, reached=reached, failed=failed)
 
     async def _next_ticket(self, exchange, avoid):
         controller = self.services.controllers["stewardship"]
         ticket, exchange.ticket = exchange.ticket, None
-        controller.release(ticket, succeeded=False)
+        controller.release(ticket, succeeded=exchange.is_target_paused)
         return await controller.acquire(
             exchange, avoid=avoid, now=self.services.clock()
         )
@@ -135,6 +141,12 @@
     async def _send(self, exchange, ticket):
         """Send the request; return its connection, or the failure."""
         services = self.services
+        # The target may have said so while the request waited for its ticket.
+        signals = services.controllers["target-signals"]
+        reason = signals.wants_nothing(ticket.boot, services.clock())
+        exchange.is_target_paused = reason is not None
+        if reason is not None:
+            return AttemptFailure(FailureKind.HELD_BACK, reason)
         connection = await services.connect(ticket, exchange.service)
         while connection in exchange.used_connections:
             # An answer to the first attempt could be taken for one to the next.
@@ -228,6 +240,14 @@
                 continue
             metadata = HeaderCodec.read_answer(event.status, event.headers)
             expected = exchange.metadata.attempt_id
+            signals = self.services.controllers["target-signals"]
+            if metadata.attempt_id not in (None, expected):
+                # What it turned away before asks for no pause from now on.
+                metadata = metadata._replace(pause=None)
+            signals.note_answer(
+                ticket.target, ticket.boot, metadata, self.services.clock()
+            )
+            exchange.is_target_paused = metadata.pause is not None
             if metadata.attempt_id is None and connection.names_requests:
                 # Another answer that was written again may lack what would tell it.
                 return AttemptFailure(
@@ -364,7 +384,7 @@
 
     def _may_retry(self, exchange, failure):
         route = exchange.route
-        exchange.unsent_attempts += failure.kind is FailureKind.NOT_SENT
+        exchange.unsent_attempts += failure.kind in UNSENT
         controller = self.services.controllers["crash-suspects"]
         verdict = controller.verdict(exchange, self.services.clock())
         if exchange.cancelled is not None or not isinstance(verdict, Clear):
@@ -420,14 +440,14 @@
         )
 
     def _outcome_without_ticket(self, exchange, failure, refused):
-        if failure.kind in (FailureKind.NOT_SENT, FailureKind.NOT_EXECUTED):
+        if failure.kind in (*UNSENT, FailureKind.NOT_EXECUTED):
             return refused
         return self._final_outcome(exchange, failure)
 
     def _final_outcome(self, exchange, failure):
         if failure.kind is FailureKind.FAILED:
             return self._buffered_answer(failure.answer)
-        if failure.kind in (FailureKind.NOT_SENT, FailureKind.NOT_EXECUTED):
+        if failure.kind in (*UNSENT, FailureKind.NOT_EXECUTED):
             if exchange.deadline <= self.services.clock():
                 return _refused(Reason.DEADLINE_PASSED, failure, RunState.NOT_RUN)
             return _refused(
--- a/skylarkpost/gateway/metadata.py
+++ b/skylarkpost/gateway/metadata.py
@@ -66,9 +66,16 @@
     request_limit : float or None
         Requests a second that the target accepts from all instances together; None
         if it names no limit.
+    is_leaving : bool
+        Whether the target says that it leaves.
+    pause : float or None
+        Seconds for which the target wants nothing from this instance; None if it
+        turns nothing away or names no time. Not finite if the time can't be read.
     """
 
     attempt_id: str | None
     not_executed: bool
     is_stamped: bool
     request_limit: float | None = None
+    is_leaving: bool = False
+    pause: str | None = None
--- a/skylarkpost/gateway/retries.py
+++ b/skylarkpost/gateway/retries.py
@@ -16,6 +16,7 @@
     """What a failed attempt says about whether the request was executed."""
 
     NOT_SENT = "not-sent"
+    HELD_BACK = "held-back"
     NOT_EXECUTED = "not-executed"
     UNKNOWN = "may-have-run"
     FAILED = "target-failed"
@@ -89,7 +90,7 @@
     """
     if time_left <= 0 or failure.kind is FailureKind.TIMED_OUT:
         return False
-    if failure.kind is FailureKind.NOT_SENT:
+    if failure.kind in (FailureKind.NOT_SENT, FailureKind.HELD_BACK):
         return unsent_attempts <= MAX_UNSENT_ATTEMPTS
     repeatable = policy.kind is RouteKind.SAFE or policy.is_resumable
     if failure.kind is not FailureKind.NOT_EXECUTED and not repeatable:
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -210,6 +210,7 @@
             payload=encode_request(method, path, headers, body),
             timeout=timeout,
             is_foreign=self._is_request_answer,
+            on_head=lambda head: self._note_signals(entry, head),
         )
 
     def connection_share_of(self, entry):
@@ -234,6 +235,13 @@
         await self.store.close()
         await super().close()
 
+    def _note_signals(self, entry, head):
+        metadata = HeaderCodec.read_answer(head.status, head.headers)
+        # Reports and orders are not requests: what turns them away is no pause.
+        metadata = metadata._replace(pause=None)
+        signals = self.controllers["target-signals"]
+        signals.note_answer(entry.name, entry.boot, metadata, self.clock())
+
     def _is_request_answer(self, head):
         # Reports and orders carry no attempt id, so an answer with one is a late
         # copy of the answer to a request that used the connection before.
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -368,7 +368,10 @@
                 PROMPT_CACHE_FRACTION * exchange.service.engine.cache_tokens
             )
             avoided = avoid | self._targets_to_avoid(known, now) | tried
-            ranked = self.placer.rank(request, known.targets, now, avoid=avoided)
+            targets, pause = self._without_paused(known, now)
+            if pause and not targets:
+                return _all_paused(pause)
+            ranked = self.placer.rank(request, targets, now, avoid=avoided)
             if not ranked:
                 return _no_target("No engine of this model is there.")
             name, view = ranked[0]
@@ -463,6 +466,19 @@
             avoided.update(self.locator.without_steward(known.by_name, now))
         return frozenset(avoided)
 
+    def _without_paused(self, known, now):
+        """Return the targets that take requests, and the shortest pause of others."""
+        pauses = self.services.controllers["target-signals"].pauses
+        left = {
+            name: seconds
+            for boot, name in known.names_by_boot.items()
+            if (seconds := pauses.left(boot, now))
+        }
+        if not left:
+            return known.targets, 0.0
+        targets = [target for target in known.targets if target.name not in left]
+        return targets, min(left.values())
+
     async def _acquire_service(self, exchange, avoid, now):
         """Choose a plain target, and wait for room within its limit if it names one."""
         give_up_at = exchange.received_at + min(
@@ -485,7 +501,10 @@
         avoid = avoid | self._targets_to_avoid(known, now)
         limits = self.services.controllers["target-limits"]
         directory = self.services.controllers["directory"]
-        targets, waits = known.targets, []
+        targets, pause = self._without_paused(known, now)
+        if pause and not targets:
+            return _all_paused(pause)
+        waits = []
         while True:
             ticket = self.service_placer.choose(
                 targets, request_id=exchange.request_id, avoid=avoid, now=now
@@ -607,6 +626,15 @@
     )
 
 
+def _all_paused(seconds):
+    return Refused(
+        reason=Reason.TARGETS_PAUSED,
+        message="All targets have asked for a pause.",
+        run_state=RunState.NOT_RUN,
+        retry_after=seconds,
+    )
+
+
 def _too_busy(retry_after):
     return Refused(
         reason=Reason.QUEUE_FULL,
--- a/skylarkpost/outcomes/reasons.py
+++ b/skylarkpost/outcomes/reasons.py
@@ -36,6 +36,7 @@
     NO_TARGET = "no-target"
     QUEUE_FULL = "queue-full"
     QUEUE_TIMEOUT = "queue-timeout"
+    TARGETS_PAUSED = "targets-paused"
     LOAD_FAILED = "load-failed"
     RETRIES_EXHAUSTED = "retries-exhausted"
     TARGET_FAILED = "target-failed"
--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -20,6 +20,8 @@
 STAMP = "x-server-stamp"
 # Requests a second that a target accepts from all instances together.
 REQUEST_LIMIT = "server-limit"
+LEAVING = "server-leaving"
+RETRY_AFTER = "retry-after"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "bearer "
 MS_PER_S = 1000.0
@@ -153,6 +155,8 @@
             not_executed=NOT_EXECUTED in values or misdirected or unread,
             is_stamped=STAMP in values,
             request_limit=_parse_rate(values.get(REQUEST_LIMIT)),
+            is_leaving=values.get(LEAVING, "").strip() == "1",
+            pause=values.get(RETRY_AFTER) if status == 503 else None,
         )
 
 
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -65,7 +65,9 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-async def call_target(pool, *, name, address, limit, payload, timeout, is_foreign=None):
+async def call_target(
+    pool, *, name, address, limit, payload, timeout, is_foreign=None, on_head=None
+):
     """Send a request and read the complete response.
 
     Parameters
@@ -84,6 +86,9 @@
         Takes a `ResponseHead` and returns whether it answers an earlier request on
         the same connection; such a response is skipped.
 
+    on_head : callable or None
+        Takes the `ResponseHead` of each answer, foreign ones as well.
+
     Returns
     -------
     CallResponse or CallIncomplete
@@ -97,7 +102,7 @@
                 return CallIncomplete(connection.detail, was_sent=False)
             connection.send(payload)
             was_sent = True
-            response = await _read_response(connection, is_foreign)
+            response = await _read_response(connection, is_foreign, on_head)
     except TimeoutError:
         if was_sent:
             connection.abort()
@@ -113,13 +118,15 @@
     return response
 
 
-async def _read_response(connection, is_foreign):
+async def _read_response(connection, is_foreign, on_head):
     status, body = None, bytearray()
     while True:
         event = await connection.receive()
         if isinstance(event, ResponseBroken):
             return CallIncomplete(event.detail, was_sent=True)
         if isinstance(event, ResponseHead):
+            if on_head is not None:
+                on_head(event)
             if is_foreign is not None and is_foreign(event):
                 await connection.skip_response()
                 continue
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -95,6 +95,10 @@
         Number of crashes so far.
     request_limit : float or str or None
         Requests a second that the target names in its answers.
+    is_leaving : bool
+        Whether all answers say that the target leaves.
+    pause : str or None
+        Value of ``Retry-After`` with which the target turns all requests away.
     endless_bytes : int
         Bytes sent in streams without the end of an event.
     started_at : list of float
@@ -121,6 +125,8 @@
         self.deadly_parts = set()
         self.crashes = 0
         self.request_limit = None
+        self.is_leaving = False
+        self.pause = None
         self.started_at = []
         self.endless_bytes = 0
         self.on_restart = None
@@ -163,6 +169,8 @@
         """Clear all state, as a restarted process would."""
         self.adapters, self.loading, self.accepted_orders = {}, {}, 0
         self.start_time_ms += 1000
+        self.is_leaving = False
+        self.pause = None
 
     def entry(self, service, zone, **changes):
         """Return the JSON entry that the target writes to the store."""
@@ -222,6 +230,9 @@
         attempt = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
         if self.request_limit is not None:
             attempt["Server-Limit"] = str(self.request_limit)
+        if self.pause is not None:
+            attempt["Retry-After"] = self.pause
+            action = "shed"
         if action == "shed" or self._lacks_adapter(request):
             status = 503 if action == "shed" else 421
             refusal = self.refusals[writer] = attempt | {"X-Not-Executed": "1"}
@@ -378,4 +389,6 @@
     def _format_head(self, status, headers):
         lines = [f"HTTP/1.1 {status} Status"]
         lines += [f"{name}: {value}" for name, value in headers.items()]
+        if self.is_leaving:
+            lines.append("Server-Leaving: 1")
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
