Start the controller of what targets say in a real process

What callers saw, in the soak: 502 for every request. The list of modules that a started process imports lacked the new controller; tests in one process had imported it themselves. A test compares the list with the modules that register themselves; it failed before.

--- a/skylarkpost/gateway/run.py
+++ b/skylarkpost/gateway/run.py
@@ -28,6 +28,7 @@
     "skylarkpost.gateway.quota",
     "skylarkpost.gateway.stewardship",
     "skylarkpost.gateway.target_limits",
+    "skylarkpost.gateway.target_signals",
     "skylarkpost.membership.controller",
     "skylarkpost.placement.filter",
 )
--- a/tests/gateway/test_run.py
+++ b/tests/gateway/test_run.py
@@ -1,11 +1,14 @@
 """Start of a gateway's process."""
 
 import os
+import pathlib
+import re
 import subprocess
 import sys
 
 import pytest
 
+from skylarkpost.gateway import run as gateway_run
 from skylarkpost.runtime import EXIT_BAD_SETTINGS
 
 pytestmark = pytest.mark.processes
@@ -45,3 +48,14 @@
     ended = run("-m", "skylarkpost.gateway", SKYLARKPOST_SETTINGS=str(path))
     assert ended.returncode == EXIT_BAD_SETTINGS
     assert "instance.id" in ended.stderr
+
+
+def test_a_started_process_imports_every_part_that_registers_itself():
+    folder = pathlib.Path(gateway_run.__file__).parent
+    registering = {
+        f"skylarkpost.gateway.{path.stem}"
+        for path in folder.glob("*.py")
+        if re.search(r"^@register_(controller|filter)\(", path.read_text(), re.M)
+    }
+    assert registering
+    assert registering <= set(gateway_run.PARTS)
