Soak: targets that leave or pause, counted at the targets

Targets say that they leave and serve on, ask for pauses alone and all at once, at random moments beside all other faults. Requests against a target's word are counted by the times at which the target got them, for each instance that had its answer. Two directed plans run with the tests.

--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -16,6 +16,9 @@
 WRITTEN_AGAIN_S = 1.0
 # Requests a second; a fraction of what callers send to each target.
 REQUEST_LIMIT = 3.0
+# Pause that a target, or all targets of the fleet, ask for.
+PAUSE_S = 1.5
+ALL_PAUSE_S = 1.0
 # Script entries of a target that make consecutive requests fail in different ways.
 FAULTY_ANSWERS = ("drop", "fail", "shed", "break", "late", "unsigned")
 
@@ -161,6 +164,32 @@
     run.targets[number].request_limit = None
 
 
+@fault_kind("target-leaving", subjects="targets")
+async def let_target_leave(run, number, duration):
+    """Make a target say that it leaves, but not in the store; it serves on."""
+    run.targets[number].is_leaving = True
+    await asyncio.sleep(duration)
+    await run.restart_target(number)
+
+
+@fault_kind("target-pausing", subjects="targets")
+async def pause_target(run, number, duration):
+    """Make a target turn all requests away and ask for a pause."""
+    run.targets[number].pause = str(PAUSE_S)
+    await asyncio.sleep(duration)
+    run.targets[number].pause = None
+
+
+@fault_kind("all-targets-pausing", subjects="one")
+async def pause_all_targets(run, number, duration):
+    """Make all targets of all services ask for a pause at once."""
+    for target in run.targets:
+        target.pause = str(ALL_PAUSE_S)
+    await asyncio.sleep(ALL_PAUSE_S)
+    for target in run.targets:
+        target.pause = None
+
+
 @fault_kind("deadly-part", subjects="one")
 async def send_deadly_part(run, number, duration):
     """Add a prompt part that crashes engines to some requests."""
--- a/lab/soak/promises.py
+++ b/lab/soak/promises.py
@@ -10,6 +10,7 @@
     "check_attempts",
     "check_orders",
     "check_shutdowns",
+    "check_signals",
 ]
 
 # Statuses that guarantee that the request has not run and will not run.
@@ -17,6 +18,11 @@
 # Minimum gap between orders of two stewards, less the delay of a slow link.
 MIN_STEWARD_GAP_S = 3.0 - 0.3
 TEAM = "depot"
+# From an answer that says that the target leaves until its last request.
+DRAIN_S = 2.0
+# From a refusal that names a pause until it holds, and the requests tolerated in it.
+PAUSE_GRACE_S = 0.5
+TOLERATED_IN_PAUSE = 2
 # Prefix of the ids of requests that only probe the active configuration version.
 PROBE_PREFIX = "probe-"
 
@@ -193,3 +199,63 @@
             yield Violation("fencing numbers rise", detail)
         elif order.fencing_number > highest:
             highest, holder = order.fencing_number, order.holder
+
+
+def check_signals(targets, attempts, *, disturbed_instances=(), disturbed_targets=()):
+    """Check that targets got nothing against what they had said of themselves.
+
+    Parameters
+    ----------
+    targets : list of standins.gateway_target.GatewayTargetStandIn
+        Targets with the requests that they received and what they said.
+    attempts : list of Attempt
+        All completed attempts, which tell the instance of a request.
+    disturbed_instances : collection of int
+        Instances that were stopped or frozen, which may not remember.
+    disturbed_targets : collection of str
+        Targets whose answers may have been lost, and whose requests held up.
+
+    Returns
+    -------
+    list of Violation
+    """
+    instance_of = {
+        attempt.attempt_id: attempt.instance
+        for attempt in attempts
+        if attempt.instance not in disturbed_instances
+    }
+    violations = []
+    for target in targets:
+        if target.name not in disturbed_targets:
+            violations += _check_leaving(target, instance_of)
+            violations += _check_pauses(target, instance_of)
+    return violations
+
+
+def _check_leaving(target, instance_of):
+    told = {}
+    for signal in target.said:
+        if signal.pause is None and signal.attempt_id in instance_of:
+            told.setdefault((instance_of[signal.attempt_id], signal.boot), signal.at)
+    for at, attempt_id, boot in target.received:
+        since = told.get((instance_of.get(attempt_id), boot))
+        if since is not None and at > since + DRAIN_S:
+            detail = f"{target.name}: {attempt_id} {at - since:.2f} s after its word"
+            yield Violation("a leaving target gets nothing new", detail)
+
+
+def _check_pauses(target, instance_of):
+    for signal in target.said:
+        instance = instance_of.get(signal.attempt_id)
+        if signal.pause is None or instance is None:
+            continue
+        against = [
+            attempt_id
+            for at, attempt_id, boot in target.received
+            if boot == signal.boot
+            and instance_of.get(attempt_id) == instance
+            and signal.at + PAUSE_GRACE_S < at <= signal.at + signal.pause
+        ]
+        if len(against) > TOLERATED_IN_PAUSE:
+            detail = f"{target.name}: {len(against)} requests from entry-{instance}"
+            yield Violation("a pause is kept", detail)
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -22,6 +22,7 @@
     check_attempts,
     check_orders,
     check_shutdowns,
+    check_signals,
 )
 from lab.soak.proxy import FaultyLink
 from skylarkpost.platform import TARGETS_TOPIC
@@ -138,6 +139,7 @@
                 raise task.exception()
         self.violations += check_attempts(callers.attempts, self.targets)
         self.violations += check_orders(self.targets)
+        self.violations += self._check_signals(callers.attempts)
         logs = [path.read_text() for path in self.directory.glob("entry-*.log")]
         self.violations += check_shutdowns(callers.interrupted, logs)
         answers = collections.Counter((a.kind, a.status) for a in callers.attempts)
@@ -183,6 +185,20 @@
         entry = target.entry(service, data_centre, address=address)
         await self.store.put(TARGETS_TOPIC, target.name, entry)
 
+    def _check_signals(self, attempts):
+        instances = {f.subject for f in self.plan if f.kind.startswith("instance")}
+        targets = {
+            self.targets[f.subject].name
+            for f in self.plan
+            if f.kind.startswith(("target-link", "target-answers"))
+        }
+        return check_signals(
+            self.targets,
+            attempts,
+            disturbed_instances=instances,
+            disturbed_targets=targets,
+        )
+
     async def write_again(self):
         """Write what a restored store has lost, for the operator and the targets."""
         await self.operator.write_again()
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -9,7 +9,7 @@
 import json
 from typing import NamedTuple
 
-__all__ = ["GatewayTargetStandIn", "ReceivedOrder", "ReceivedRequest"]
+__all__ = ["GatewayTargetStandIn", "ReceivedOrder", "ReceivedRequest", "SaidSignal"]
 
 LOAD_S = 0.05
 EVENT_INTERVAL_S = 0.005
@@ -54,6 +54,25 @@
     fencing_number: int
 
 
+class SaidSignal(NamedTuple):
+    """What the answer to a request said about the target.
+
+    Attributes
+    ----------
+    at : float
+        Time of the answer on the event loop's clock, in seconds.
+    attempt_id, boot : str
+        Attempt that was answered, and the target's run.
+    pause : float or None
+        Seconds for which the target wants nothing; None if it said that it leaves.
+    """
+
+    at: float
+    attempt_id: str
+    boot: str
+    pause: float | None
+
+
 class GatewayTargetStandIn:
     """Serves requests, load reports and orders.
 
@@ -103,6 +122,10 @@
         Bytes sent in streams without the end of an event.
     started_at : list of float
         When each request was received, on the event loop's clock, in seconds.
+    received : list of tuple of (float, str, str)
+        The same times, with the attempt and the target's run.
+    said : list of SaidSignal
+        What answers to requests have said about the target.
     on_restart : callable or None
         Async; called when the target is back after a crash.
     """
@@ -127,6 +150,8 @@
         self.request_limit = None
         self.is_leaving = False
         self.pause = None
+        self.received = []
+        self.said = []
         self.started_at = []
         self.endless_bytes = 0
         self.on_restart = None
@@ -226,13 +251,22 @@
 
     async def _run(self, request, writer):
         action = self.script.pop(0) if self.script else "ok"
-        self.started_at.append(asyncio.get_running_loop().time())
-        attempt = {"X-Attempt-Id": request.headers.get("x-attempt-id", "")}
+        now = asyncio.get_running_loop().time()
+        self.started_at.append(now)
+        attempt_id = request.headers.get("x-attempt-id", "")
+        boot = f"{self.name}/{self.start_time_ms}"
+        self.received.append((now, attempt_id, boot))
+        attempt = {"X-Attempt-Id": attempt_id}
+        if self.is_leaving:
+            self.said.append(SaidSignal(now, attempt_id, boot, None))
         if self.request_limit is not None:
             attempt["Server-Limit"] = str(self.request_limit)
         if self.pause is not None:
             attempt["Retry-After"] = self.pause
             action = "shed"
+            with contextlib.suppress(ValueError):
+                seconds = float(self.pause)
+                self.said.append(SaidSignal(now, attempt_id, boot, seconds))
         if action == "shed" or self._lacks_adapter(request):
             status = 503 if action == "shed" else 421
             refusal = self.refusals[writer] = attempt | {"X-Not-Executed": "1"}
--- a/tests/lab/soak/test_promises.py
+++ b/tests/lab/soak/test_promises.py
@@ -8,11 +8,13 @@
     check_attempts,
     check_orders,
     check_shutdowns,
+    check_signals,
 )
 from standins.gateway_target import (
     GatewayTargetStandIn,
     ReceivedOrder,
     ReceivedRequest,
+    SaidSignal,
 )
 
 EVENTS = b"id: 1\n\nid: 2\n\n"
@@ -91,6 +93,33 @@
     assert violation.promise == "fencing numbers rise"
 
 
+def signalling(pause, *received):
+    target = GatewayTargetStandIn(name="p0")
+    target.said = [SaidSignal(10.0, "a-1", "p0/1", pause)]
+    target.received = [(10.0, "a-1", "p0/1"), *received]
+    return target
+
+
+def attempt_of(number, instance):
+    return attempt(attempt_id=f"a-{number}", instance=instance)
+
+
+def test_requests_against_the_word_of_a_target_are_found():
+    attempts = [attempt_of(n, instance=0) for n in range(1, 6)]
+    attempts.append(attempt_of(9, instance=1))
+    leaving = signalling(None, (11.9, "a-2", "p0/1"), (12.5, "a-3", "p0/1"))
+    [violation] = check_signals([leaving], attempts)
+    assert violation.promise == "a leaving target gets nothing new"
+    late = [(11.0 + number, f"a-{number}", "p0/1") for number in range(2, 5)]
+    [violation] = check_signals([signalling(9.0, *late)], attempts)
+    assert violation.promise == "a pause is kept"
+    assert check_signals([signalling(9.0, *late[:2])], attempts) == []
+    # Another instance, another run, and an instance that was restarted.
+    others = [(15.0, "a-9", "p0/1"), (15.0, "a-2", "p0/2")]
+    assert check_signals([signalling(None, *others)], attempts) == []
+    assert check_signals([leaving], attempts, disturbed_instances={0}) == []
+
+
 def test_a_request_that_was_read_may_not_be_cut_by_a_shutdown():
     # Seed 30: four requests crossed the close of idle connections and were never read.
     interrupted = [attempt("safe", status=None, is_complete=False)]
--- a/tests/lab/soak/test_run.py
+++ b/tests/lab/soak/test_run.py
@@ -25,6 +25,32 @@
     ],
 }
 
+# Plans for what random ones combine only at times.
+DIRECTED_PLANS = {
+    "restores-in-series": [
+        Fault(0.5, "store-restored", 0, 2.5),
+        Fault(1.0, "instance-killed", 1, 0.3),
+        Fault(2.0, "target-reborn", 0, 0.3),
+        Fault(5.5, "store-restored", 0, 1.0),
+        Fault(6.0, "instance-restarted", 0, 0.3),
+        Fault(7.0, "store-restored", 0, 0.3),
+    ],
+    "targets-that-leave-and-pause": [
+        Fault(0.5, "target-leaving", 0, 6.0),
+        Fault(0.7, "target-pausing", 3, 2.5),
+        Fault(3.0, "target-pausing", 1, 2.5),
+        Fault(4.0, "target-leaving", 2, 6.0),
+        Fault(7.0, "all-targets-pausing", 0, 1.0),
+    ],
+}
+
+
+@pytest.mark.parametrize("name", DIRECTED_PLANS)
+async def test_a_directed_plan_holds(name, tmp_path):
+    result = await soak(4, tmp_path, plan=DIRECTED_PLANS[name])
+    assert result.violations == []
+    assert sum(result.answers.values()) > SoakShape().callers
+
 
 @pytest.mark.parametrize("name", REGRESSION_PLANS)
 async def test_what_failed_once_holds(name, tmp_path):
