Write known leases of holders out of reach again after a restore

An instance of a cut data centre came back to find its leases missing, and waited as a new holder does: the instance that wrote the leases again had left out those of holders and engines that it did not hear.

--- a/skylarkpost/stewardship/leases.py
+++ b/skylarkpost/stewardship/leases.py
@@ -382,8 +382,11 @@
             for lease in self.leases.values()
             if not self.is_confirmed(lease.target)
             and not lease.is_released
-            and lease.target in targets
-            and lease.holder in live
+            and (
+                # Holder and target may be cut off from this instance alone.
+                self._is_continuous(lease.target, self.era_seen_at)
+                or (lease.target in targets and lease.holder in live)
+            )
         ]
         if not found:
             return []
--- a/tests/stewardship/test_restored_leases.py
+++ b/tests/stewardship/test_restored_leases.py
@@ -291,6 +291,15 @@
     assert lease_table.leases["t"].number == make_position(1, 0)
 
 
+def test_the_lease_of_a_holder_out_of_reach_is_written_again_while_it_is_known():
+    for seen_at, count in ((3.0, 1), (9.0, 0)):
+        lease_table = table(t="b")
+        lease_table.note_restore(1, known_at=1.0, now=seen_at)
+        for targets in ({"t"}, set()):
+            found = lease_table.due_restatements(targets, ["a"], now=seen_at)
+            assert len(found) == count
+
+
 def test_after_a_long_outage_a_confirmed_lease_waits_for_claims_that_were_lost():
     lease_table = table(t="a")
     lease_table.note_restore(1, known_at=1.0, now=9.0)
