--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -32,6 +32,8 @@
 # After a restore, instances that could not be reached at first are asked again.
 RECALL_INTERVAL_S = 1.0
 RECALL_WINDOW_S = 10.0
+# Lost keys that are named in the log.
+MAX_LOGGED_KEYS = 20
 
 
 class KeyedFollower:
@@ -307,6 +309,7 @@
         if self.reached >= 0 and era_of(end) <= era_of(self.reached):
             return
         if self.reached >= 0:
+            lost = sorted(self.records.keys() - present)
             log_event(
                 logger,
                 "topic-restored",
@@ -314,7 +317,8 @@
                 topic=self.topic,
                 reached=describe_position(self.reached),
                 end=describe_position(end),
-                lost=",".join(sorted(self.records.keys() - present)) or None,
+                lost=len(lost),
+                keys=",".join(lost[:MAX_LOGGED_KEYS]) or None,
             )
         if self.on_restore is not None:
             self.on_restore(era_of(end), self.fresh_at, now)
