--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -149,7 +149,7 @@
             return AttemptFailure(FailureKind.HELD_BACK, reason)
         connection = await services.connect(ticket, exchange.service)
         while connection in exchange.used_connections:
-            # An answer to the first attempt could be taken for one to the next.
+            # Both attempts have the same id, so their answers look alike.
             connection.abort()
             connection = await services.connect(ticket, exchange.service)
         if isinstance(connection, ConnectFailed | PoolExhausted):
@@ -242,14 +242,14 @@
             expected = exchange.metadata.attempt_id
             signals = self.services.controllers["target-signals"]
             if metadata.attempt_id not in (None, expected):
-                # What it turned away before asks for no pause from now on.
+                # The pause of an earlier refusal does not begin anew.
                 metadata = metadata._replace(pause=None)
             signals.note_answer(
                 ticket.target, ticket.boot, metadata, self.services.clock()
             )
             exchange.is_target_paused = metadata.pause is not None
             if metadata.attempt_id is None and connection.names_requests:
-                # Another answer that was written again may lack what would tell it.
+                # It may be a second copy of the answer to an earlier request.
                 return AttemptFailure(
                     FailureKind.UNKNOWN, "an answer without the id of its request"
                 )
--- a/skylarkpost/stewardship/leases.py
+++ b/skylarkpost/stewardship/leases.py
@@ -250,7 +250,7 @@
         return True
 
     def _apply_unconfirmed(self, target, record, number):
-        # The writer's claim may be void, but it tells who to expect as the holder.
+        # It gives no authority, but names the instance to expect as the holder.
         before = self.leases.get(target)
         if before is not None and before.number >= number:
             return False
