--- a/review/3/case.py
+++ b/review/3/case.py
@@ -5,6 +5,7 @@
 import time
 from pathlib import Path
 
+from review.lib.gateways import REPOSITORY
 from review.lib.http import KeptConnection, ask, format_head
 from review.lib.rig import HOST_NAME, KEY, MODEL, configuration, main, route
 from review.lib.servers import Engine, Server
@@ -230,7 +231,7 @@
     rig.note(f"requests without an answer: {answered.count(False)}")
     await asyncio.sleep(1.0)
     if status is not None:
-        log = rig.gateways[0].log.read_text()
+        log = rig.gateways[0].log.read_text().replace(f"{REPOSITORY}/", "")
         rig.lines += log.splitlines()[-16:]
     rig.note(f"run by a sound server, on kept connections, unanswered: {len(lost)}")
     return len(lost) <= LOST_ALLOWED
--- a/review/lib/gateways.py
+++ b/review/lib/gateways.py
@@ -15,7 +15,7 @@
 
 from review.lib.http import ask
 
-__all__ = ["Gateway", "loopback_ip"]
+__all__ = ["REPOSITORY", "Gateway", "loopback_ip"]
 
 REPOSITORY = Path(__file__).resolve().parents[2]
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
