--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,6 +15,11 @@
 GRACE_S = 0.5
 DEADLINE_MS = 3000
 WORK_S = 0.02
+# One of this many answers of the faulty server is bad.
+BAD_SHARE = 0.02
+STREAMS = 200
+STREAM_CALLERS = 8
+LAST_STREAMS = 6
 BODY = b"roster\n" * 20
 # A chunk of 16 bytes, many times.
 PIECES = b"10\r\n0123456789abcdef\r\n" * 2000
@@ -34,19 +39,26 @@
 class FaultyEngine(Engine):
     """Answers a stream with bytes that are no event, until the caller closes."""
 
+    is_odd = False
+    is_due = False
+    answers = 0
+
     async def execute(self, request, attempt, writer):
         """Send a stream."""
+        self.answers += 1
         headers = self.stamp(attempt) | {"Content-Type": "text/event-stream"}
         headers |= {"Transfer-Encoding": "chunked"}
         writer.write(format_head(200, headers))
-        if not self.rig.trouble:
+        is_bad = self.is_odd and self.is_due and self.answers * BAD_SHARE >= 1
+        if not (self.rig.trouble and is_bad):
             for number in range(1, 14):
                 event = b"id: %d\ndata: piece %d\n\n" % (number, number)
                 writer.write(b"%x\r\n%b\r\n" % (len(event), event))
                 await writer.drain()
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(0.01)
             writer.write(b"0\r\n\r\n")
             return True
+        self.is_due = False
         sent = 0
         try:
             while not writer.transport.is_closing():
@@ -99,36 +111,54 @@
     return count
 
 
-async def case(rig):
-    """Return whether requests got an answer soon after their route's time."""
-    engine = FaultyEngine("i-engine")
-    await rig.start(configuration(ROUTES), [engine, Desk("i-desk-1"), Desk("i-desk-2")])
-    await asyncio.sleep(2.0)
-    until = time.monotonic() + TRAFFIC_S
-    late = []
-    readers = [
-        asyncio.create_task(read_roster(rig, number, until, late))
-        for number in range(CLIENTS)
-    ]
-    await asyncio.sleep(TROUBLE_AT_S)
+async def send_stream(rig, attempt):
+    """Send one stream's request."""
     headers = {
         "Host": HOST_NAME,
-        "X-Attempt-Id": "plan-1",
+        "X-Attempt-Id": attempt,
         "X-Deadline-Ms": 15000,
         "Authorization": f"Bearer {KEY}",
         "X-Model": MODEL,
         "X-Token-Count": "100,52",
-        "X-Prompt-Prefix": "5c1e07a2:80,91bd3f06:20",
+        "X-Prompt-Prefix": f"5c1e07a2:80,{attempt.encode().hex()}:20",
     }
-    rig.note("client sends plan-1, one stream")
+    rig.note(f"client sends {attempt}")
     began = time.monotonic()
     answer = await ask(rig.gateways[0].front, "POST", "/plan/x", headers, timeout=16.0)
     rig.note(
-        f"client gets {answer.status} for plan-1, {len(answer.body)} bytes, "
+        f"client gets {answer.status} for {attempt}, {len(answer.body)} bytes, "
         f"{'whole' if answer.is_complete else 'cut'}, "
         f"after {time.monotonic() - began:.2f} s"
     )
+
+
+async def send_streams(rig, first):
+    """Send streams' requests, one after the other."""
+    for number in range(first, STREAMS, STREAM_CALLERS):
+        await send_stream(rig, f"plan-{number}")
+
+
+async def case(rig):
+    """Return whether requests got an answer soon after their route's time."""
+    engines = [FaultyEngine("i-engine-1"), FaultyEngine("i-engine-2")]
+    engines[0].is_odd = True
+    desks = [Desk("i-desk-1"), Desk("i-desk-2")]
+    await rig.start(configuration(ROUTES), [*engines, *desks])
+    await asyncio.sleep(2.0)
+    await asyncio.gather(*(send_streams(rig, each) for each in range(STREAM_CALLERS)))
+    until = time.monotonic() + TRAFFIC_S
+    late = []
+    readers = [
+        asyncio.create_task(read_roster(rig, number, until, late))
+        for number in range(CLIENTS)
+    ]
+    await asyncio.sleep(TROUBLE_AT_S)
+    engines[0].is_due = True
+    last = [send_stream(rig, f"last-{number}") for number in range(LAST_STREAMS)]
+    await asyncio.gather(*last)
     counts = await asyncio.gather(*readers)
+    for engine in engines:
+        rig.note(f"{engine.name}: {engine.answers} answers")
     unanswered = late.count(False)
     rig.note(
         f"{sum(counts)} requests to the sound service; unanswered at {TIMEOUT_MS} ms: "
--- a/review/lib/gateways.py
+++ b/review/lib/gateways.py
@@ -21,12 +21,18 @@
 SECTION = re.compile(r"\{\{#([\w.]+)\}\}(.*?)\{\{/\1\}\}", re.DOTALL)
 FIELD = re.compile(r"\{\{([\w.]+)(\|json)?\}\}")
 START_S = 40.0
+# Named in the settings template.
+METRICS_PORT = 7615
 
 
 def loopback_ip():
-    """Return a loopback address that nothing else is likely to use."""
-    parts = [random.randrange(2, 250) for _ in range(3)]
-    return "127." + ".".join(str(each) for each in parts)
+    """Return a loopback address on which the port of the metrics is free."""
+    while True:
+        parts = [random.randrange(2, 250) for _ in range(3)]
+        ip = "127." + ".".join(str(each) for each in parts)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((ip, METRICS_PORT))
+            return ip
 
 
 def free_port(ip):
--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import signal
 import sys
 import tempfile
 import time
@@ -173,6 +174,9 @@
 
 async def run(rig, case):
     """Return the exit status of a case."""
+    # So that the gateways end as well if the script is terminated.
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(LIMIT_S):
             held = await case(rig)
