--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -114,7 +114,7 @@
         """Cancel the request, also at its target. See `Exchange.cancel`."""
         super().cancel(refusal)
         if self.connection is not None:
-            self.connection.abort()
+            self.connection.abort(f"cancelled: {refusal.reason}")
 
     def start_timer(self, seconds):
         """Start the deadline timer, unless an earlier attempt has started it.
@@ -137,4 +137,4 @@
         """Abort the attempt, since the deadline has passed."""
         self.timed_out = True
         if self.connection is not None:
-            self.connection.abort()
+            self.connection.abort("the deadline has passed")
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -150,7 +150,7 @@
         connection = await services.connect(ticket, exchange.service)
         while connection in exchange.used_connections:
             # Both attempts have the same id, so their answers look alike.
-            connection.abort()
+            connection.abort("used for the same request before")
             connection = await services.connect(ticket, exchange.service)
         if isinstance(connection, ConnectFailed | PoolExhausted):
             return AttemptFailure(FailureKind.NOT_SENT, connection.detail)
@@ -416,7 +416,7 @@
             return
         exchange.connection = None
         if connection.is_busy:
-            connection.abort()
+            connection.abort("the answer is no longer wanted")
         else:
             self.services.pool.release_connection(ticket.boot, connection)
 
--- a/skylarkpost/targets/calls.py
+++ b/skylarkpost/targets/calls.py
@@ -33,6 +33,7 @@
         "upgrade",
     }
 )
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 AUTOMATIC_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
 
 
@@ -124,6 +125,7 @@
     try:
         async with request(session, call, timeout=timeout) as response:
             body = await _read_bounded(response)
+            is_framed = call.method == "HEAD" or _is_framed(response)
     except NOT_SENT_ERRORS as error:
         return NotRun(code="not-connected", detail=str(error))
     except TimeoutError:
@@ -132,6 +134,9 @@
         return MayHaveRun(detail=f"connection lost: {error!r}")
     if body is None:
         return MayHaveRun(detail="the answer is too long")
+    if not is_framed:
+        # aiohttp reports a reset, or a close on this side, as the end of such a body.
+        return MayHaveRun(detail="the answer has neither a length nor chunks")
     return Answered(
         status=response.status, headers=end_to_end_headers(response.headers), body=body
     )
@@ -182,6 +187,16 @@
         return ""
 
 
+def _is_framed(response):
+    """Return whether the end of an answer can be told from that of its connection."""
+    coding = response.headers.get("Transfer-Encoding", "").lower()
+    return (
+        "Content-Length" in response.headers
+        or coding.rpartition(",")[2].strip() == "chunked"
+        or response.status in STATUSES_WITHOUT_BODY
+    )
+
+
 async def _read_bounded(response):
     pieces = []
     size = 0
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -105,16 +105,16 @@
             response = await _read_response(connection, is_foreign, on_head)
     except TimeoutError:
         if was_sent:
-            connection.abort()
+            connection.abort("no answer in time")
         return CallIncomplete("no answer in time", was_sent)
     except asyncio.CancelledError:
         if was_sent:
-            connection.abort()
+            connection.abort("the call was cancelled")
         raise
     if isinstance(response, CallResponse):
         pool.release_connection(name, connection)
     else:
-        connection.abort()
+        connection.abort(response.detail)
     return response
 
 
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -103,6 +103,8 @@
         Whether the last answer on this connection named its request.
     is_open : bool
         Whether the connection is established and not closed.
+    closed_because : str or None
+        Why the connection was closed, by whichever side closed it first.
     """
 
     def __init__(self, *, clock):
@@ -113,6 +115,7 @@
         self.request_count = 0
         self.names_requests = False
         self.is_open = False
+        self.closed_because = None
         self.closes_after_response = False
         self.events = deque()
         self.waiter = None
@@ -121,6 +124,7 @@
         self.on_lost = None
         self._buffered = 0
         self._writing_paused = False
+        self._target_ended = False
         self._reset_parser()
 
     def connection_made(self, transport):
@@ -130,20 +134,24 @@
 
     def connection_lost(self, exc):
         """End the response in progress. See `asyncio.BaseProtocol`."""
+        reason = "closed by the target" if exc is None else repr(exc)
         if self.is_busy:
-            ended_cleanly = exc is None and self._body_ends_at_close and self._in_body
-            if ended_cleanly:
+            # asyncio also reports no error after a close on this side, so only the
+            # end that the target sent completes a body without length.
+            ended_cleanly = exc is None and self._target_ended
+            if ended_cleanly and self._body_ends_at_close and self._in_body:
                 self._push(ResponseEnd(is_by_close=True))
             else:
                 self._push(
                     ResponseBroken(
-                        repr(exc) if exc else "closed", self.has_received_bytes
+                        self.closed_because or reason, self.has_received_bytes
                     )
                 )
-        self._mark_closed()
+        self._mark_closed(reason)
 
     def eof_received(self):
         """Close the connection; `connection_lost` follows. See `asyncio.Protocol`."""
+        self._target_ended = True
         return False
 
     def pause_writing(self):
@@ -158,7 +166,7 @@
         """Parse received bytes. See `asyncio.Protocol`."""
         if not self.is_busy:
             # Unsolicited bytes would be taken for the response to the next request.
-            self.abort()
+            self.abort("bytes without a request")
             return
         self.has_received_bytes = True
         self._head_bytes += len(data)
@@ -166,11 +174,11 @@
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._push(ResponseBroken(f"no answer in HTTP: {error}", True))
-            self.abort()
+            self.abort("no answer in HTTP")
             return
         if self._head_bytes > MAX_HEAD_BYTES and self.is_open:
             self._push(ResponseBroken("the head is too long", True))
-            self.abort()
+            self.abort("the head is too long")
 
     def on_message_begin(self):
         """See `httptools.HttpResponseParser`."""
@@ -258,7 +266,9 @@
     async def _next_event(self):
         while not self.events:
             if not self.is_open:
-                return ResponseBroken("closed", self.has_received_bytes)
+                return ResponseBroken(
+                    self.closed_because or "closed", self.has_received_bytes
+                )
             self.waiter = asyncio.get_running_loop().create_future()
             try:
                 await self.waiter
@@ -284,20 +294,28 @@
             and self.transport.get_write_buffer_size() == 0
         )
 
-    def abort(self):
-        """Close at once, aborting a request in progress."""
+    def abort(self, reason):
+        """Close at once, aborting a request in progress.
+
+        Parameters
+        ----------
+        reason : str
+            Why; the response in progress is broken for this reason.
+        """
+        self._mark_closed(reason)
         if self.transport is not None:
             self.transport.abort()
-        self._mark_closed()
 
     def close(self):
         """Close an idle connection."""
+        self._mark_closed("closed while idle")
         if self.transport is not None:
             self.transport.close()
-        self._mark_closed()
 
-    def _mark_closed(self):
+    def _mark_closed(self, reason):
         self.is_open = False
+        if self.closed_because is None:
+            self.closed_because = reason
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
         if self.on_lost is not None:
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from skylarkpost.transport.sockets import configure_socket, reset
+from skylarkpost.transport.sockets import configure_socket, set_reset_on_close
 
 __all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainResponse"]
 
@@ -372,8 +372,13 @@
             request.method != "HEAD" and response.status not in STATUSES_WITHOUT_BODY
         )
         chunked = has_body and not lengths and request.supports_chunked
-        if has_body and not lengths and not chunked:
+        ends_at_close = has_body and not lengths and not chunked
+        if ends_at_close:
             closes = True
+            # Whatever ends the answer early, the end of the process included, must
+            # not look like its end. Without a buffer here all of it is sent by then.
+            set_reset_on_close(self.transport, True)
+            self.transport.set_write_buffer_limits(high=0)
         if chunked:
             headers.append(("transfer-encoding", "chunked"))
         body = response.body
@@ -392,11 +397,9 @@
                     await self.writable.wait()
             if chunked and not self.is_lost:
                 self.transport.write(b"0\r\n\r\n")
+            if ends_at_close and not self.is_lost:
+                set_reset_on_close(self.transport, False)
         except BodyBrokenError:
-            # A body without length ends with the connection: only a reset shows
-            # that it is incomplete.
-            if has_body and not lengths and not chunked:
-                reset(self.transport)
             return False
         finally:
             await body.aclose()
--- a/skylarkpost/transport/sockets.py
+++ b/skylarkpost/transport/sockets.py
@@ -3,28 +3,31 @@
 import socket
 import struct
 
-__all__ = ["configure_socket", "reset"]
+__all__ = ["configure_socket", "set_reset_on_close"]
 
 # SO_LINGER on with timeout 0: close sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
+DEFAULT_LINGER = struct.pack("ii", 0, 0)
 # Keep-alive probes end a dead connection after about five seconds without traffic.
 KEEP_ALIVE_IDLE_S = 2
 KEEP_ALIVE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 3
 
 
-def reset(transport):
-    """Close a connection with a TCP reset.
+def set_reset_on_close(transport, resets):
+    """Select how the kernel closes a connection, also if the process ends.
 
     Parameters
     ----------
     transport : asyncio.Transport
         Transport of a TCP connection.
+    resets : bool
+        Whether a close discards unsent bytes and sends a reset.
     """
     sock = transport.get_extra_info("socket")
-    if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
-    transport.abort()
+    if sock is not None and sock.fileno() >= 0:
+        linger = NO_LINGER if resets else DEFAULT_LINGER
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
 def configure_socket(sock, *, user_timeout, idle=KEEP_ALIVE_IDLE_S):
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -96,6 +96,7 @@
         comes first), ``"unsigned"`` (no server stamp), ``"unframed"`` (a body
         without length or chunks, ended by its connection), ``"unframed-break"``
         (the same, cut inside an event), ``"unframed-empty"`` (cut after the head),
+        ``"unframed-slow"`` (half of the answer, then nothing until the gateway closes),
         ``"endless"`` (a stream without the end of an event), ``"refused-again"``
         (the last refusal on the connection is written once more before the answer),
         ``"refused-unnamed"`` (the same, without the id of its attempt),
@@ -247,9 +248,9 @@
         if path == "/-/order":
             status, answer = self._order(json.loads(body))
             return self._send_response(writer, status, answer, {})
-        return await self._run(request, writer)
+        return await self._run(request, reader, writer)
 
-    async def _run(self, request, writer):
+    async def _run(self, request, reader, writer):
         action = self.script.pop(0) if self.script else "ok"
         now = asyncio.get_running_loop().time()
         self.started_at.append(now)
@@ -304,6 +305,10 @@
                 stamped | {"Content-Type": "text/html"},
             )
         if self.model is None:
+            if action == "unframed-slow":
+                writer.write(self._format_head(200, stamped) + b"half of the bo")
+                await reader.read()
+                return False
             if action == "break":
                 writer.write(
                     self._format_head(200, stamped | {"Content-Length": "9"}) + b"ab"
@@ -312,9 +317,9 @@
             return self._send_response(
                 writer, 200, f"{self.name}:".encode() + request.body, stamped
             )
-        return await self._stream(request, writer, stamped, action)
+        return await self._stream(request, reader, writer, stamped, action)
 
-    async def _stream(self, request, writer, headers, action):
+    async def _stream(self, request, reader, writer, headers, action):
         is_framed = not action.startswith("unframed")
         headers = headers | {"Content-Type": "text/event-stream"}
         if is_framed:
@@ -352,6 +357,9 @@
                 raise
             if is_cut:
                 return False
+            if action == "unframed-slow" and number == first + 1:
+                await reader.read()
+                return False
             await asyncio.sleep(EVENT_INTERVAL_S)
             if writer.transport.is_closing():
                 self.cancelled.append(request)
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -84,5 +84,35 @@
         assert other.executed
 
 
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_half_an_answer_without_length_is_no_answer_after_its_routes_time(kind):
+    """Guards against a cut by the gateway that is taken for the end of the answer."""
+    routes = [route(kind, f"/{kind}/", kind, timeoutMs=300)]
+    payload = configuration(routes=routes)
+    async with gateway(engines=0, plain=1, payload=payload) as rig:
+        rig.targets["p0"].script = ["unframed-slow"]
+        method = "GET" if kind == "safe" else "POST"
+        status, body, headers = await rig.fetch(f"/{kind}/", method=method)
+        assert status == 504
+        assert b"half" not in body
+        assert "X-Server-Stamp" not in headers
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/resumable/"])
+async def test_half_a_stream_without_length_is_visibly_cut_after_its_routes_time(path):
+    """Guards against a cut by the gateway that is taken for the end of the stream."""
+    kind = path.strip("/")
+    is_resumable = kind == "resumable"
+    routes = [
+        route(kind, path, "streaming", timeoutMs=600, resumable=is_resumable),
+        route("warm", "/warm/", "streaming"),
+    ]
+    async with gateway(engines=1, plain=0, payload=configuration(routes=routes)) as rig:
+        assert (await stream(rig, "/warm/"))[0] == 200
+        rig.targets["e0"].script = ["unframed-slow"]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await stream(rig, path)
+
+
 async def stream(rig, path):
     return await rig.fetch(path, method="POST", headers=ADAPTER)
--- a/tests/targets/test_service_client.py
+++ b/tests/targets/test_service_client.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import aiohttp
@@ -13,6 +14,7 @@
 )
 from standins.common import serving
 from standins.service import ServiceStandIn
+from tests.transport.rig import target
 
 
 @contextlib.asynccontextmanager
@@ -86,3 +88,24 @@
         unavailable = await client.health(address, timeout=0.1)
         assert isinstance(unavailable, TargetUnavailable)
         assert stand_in.counts == {}
+
+
+async def test_an_answer_without_length_that_a_close_here_cuts_is_no_answer():
+    """Guards against a local close that is taken for the end of the answer."""
+    half = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+
+    async def script(reader, writer, seen):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(half)
+        await reader.read()
+
+    async with target(script) as (address, _), aiohttp.ClientSession() as session:
+        client = ServiceClient(session_source=lambda: session)
+        sending = asyncio.create_task(
+            client.send(
+                address, method="GET", path="/", headers={}, body=None, timeout=5.0
+            )
+        )
+        await asyncio.sleep(0.1)
+        await client.close()
+        assert isinstance(await sending, MayHaveRun)
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -77,6 +77,30 @@
     assert isinstance(events[-1], ResponseBroken)
 
 
+@pytest.mark.parametrize("is_read", [True, False])
+async def test_an_answer_without_length_that_is_aborted_here_is_not_complete(is_read):
+    """Guards against a local close that is taken for the end of the answer."""
+
+    async def script(reader, writer, seen):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        await reader.read()
+
+    async with target(script) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST)
+        if is_read:
+            assert isinstance(await connection.receive(), ResponseHead)
+            assert await connection.receive() == b"half"
+        else:
+            await asyncio.sleep(0.1)
+        reading = asyncio.create_task(collect(connection))
+        await asyncio.sleep(0.05 if is_read else 0)
+        connection.abort("the deadline has passed")
+        events = await reading
+        assert events[-1] == ResponseBroken("the deadline has passed", True)
+
+
 async def test_a_second_answer_belongs_to_no_request():
     connection, events = await receive_response_to(
         respond_with(OK + OK.replace(b"ok", b"no"))
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -181,6 +181,30 @@
             await send_and_read(port, b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
 
 
+async def test_an_answer_without_length_of_a_process_that_ends_is_reset():
+    """Guards against the end of a process that looks like the end of an answer."""
+    started = asyncio.Event()
+
+    async def handler(request):
+        async def body():
+            yield b"half"
+            started.set()
+            await asyncio.sleep(30)
+
+        return Relayed(status=200, headers=[], body=body())
+
+    async with caller_server(handler) as (port, connections):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /a HTTP/1.0\r\nHost: h\r\n\r\n")
+        await asyncio.wait_for(started.wait(), 3)
+        [connection] = connections
+        # The kernel closes the sockets of a process that ends.
+        connection.transport.close()
+        with pytest.raises(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 3)
+        writer.close()
+
+
 async def test_a_disconnect_is_reported_to_the_request_in_progress():
     notified = asyncio.Event()
 
