Derive from its usability whether an adapter's requests are ready

Cause: an unload that was refused after a lost one made its adapter's requests ready although the adapter was barred, and the grant asserts that it is usable. Evidence: test_an_unload_refused_after_a_lost_one_leaves_its_adapter_barred breaks the same assertion without a network; the random histories found the same after a handover of bars. Readiness now follows usability in one place. Both tests failed before.

--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -98,6 +98,19 @@
             return False
         return lora_name == self.base_model or self.residency.is_usable(lora_name)
 
+    def bar(self, lora_name, until):
+        """Keep an adapter from being used while an order may still remove it.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter.
+        until : float
+            Until when, in seconds.
+        """
+        self.barred[lora_name] = until
+        self._note_usability(lora_name)
+
     def holds(self, lora_name):
         """Return whether an adapter is on the engine and not being unloaded.
 
@@ -225,8 +238,7 @@
         if self.residency.state(lora_name) is AdapterState.LOADING:
             self.residency.withdraw_load(lora_name)
         elif self.residency.state(lora_name) is AdapterState.UNLOADING:
-            self.residency.set_state(lora_name, AdapterState.RESIDENT, now=now)
-            self.queue.set_ready(lora_name, ready=True)
+            self._unload_ended(lora_name, succeeded=False, certain=True, now=now)
 
     def apply_report(self, report, now):
         """Apply a load report.
@@ -252,7 +264,7 @@
         if change.restarted:
             self._restart(before, now)
         for name in change.lost:
-            self.queue.set_ready(name, ready=False)
+            self._note_usability(name)
             self.victims.adopted.discard(name)
         for name in change.gained:
             self._adopt(name, now)
@@ -379,7 +391,7 @@
         assert not self.ledger.in_use(name), f"unload of {name}, which is in use"
         assert name not in self.victims.pinned
         self.residency.set_state(name, AdapterState.UNLOADING, now=now, pending=True)
-        self.queue.set_ready(name, ready=False)
+        self._note_usability(name)
         self.evictions += 1
         return UnloadAdapter(
             self._next_order_number(name),
@@ -446,13 +458,13 @@
                 names, key=lambda n: self.victims.eviction_key(n, self.load_cost, now)
             )
             self.residency.set_state(name, AdapterState.DRAINING, now=now)
-            self.queue.set_ready(name, ready=False)
+            self._note_usability(name)
 
     def _undrain(self, now):
         for name, adapter in self.residency.adapters.items():
             if adapter.state is AdapterState.DRAINING:
                 self.residency.set_state(name, AdapterState.RESIDENT, now=now)
-                self.queue.set_ready(name, ready=True)
+                self._note_usability(name)
 
     def _load_ended(self, name, succeeded, certain, now):
         if succeeded:
@@ -461,7 +473,7 @@
             self.residency.set_state(name, AdapterState.RESIDENT, now=now)
             self.backoff.succeeded(name)
             self.ledger.drop_adapter(name)
-            self.queue.set_ready(name, ready=True)
+            self._note_usability(name)
             return []
         if not certain:
             self.residency.set_state(name, AdapterState.LOADING, now=now)
@@ -476,11 +488,11 @@
             return
         if certain and name not in self.barred:
             self.residency.set_state(name, AdapterState.RESIDENT, now=now)
-            self.queue.set_ready(name, ready=True)
+            self._note_usability(name)
             return
-        if not certain:
-            self.barred[name] = now + self.policy.order_linger
         self.residency.set_state(name, AdapterState.UNLOADING, now=now)
+        if not certain:
+            self.bar(name, now + self.policy.order_linger)
 
     def _refuse_waiters(self, name, now):
         until = self.backoff.failed(name, now)
@@ -499,13 +511,17 @@
         self.victims.adopted.add(name)
         if name in self.barred:
             self.residency.set_state(name, AdapterState.UNLOADING, now=now)
-        else:
-            self.queue.set_ready(name, ready=True)
+        self._note_usability(name)
+
+    def _note_usability(self, name):
+        """Make the requests for an adapter ready exactly while it is usable."""
+        self.queue.set_ready(name, ready=self.is_usable(name))
 
     def _expire_bars(self, now):
         for name, until in list(self.barred.items()):
             if until <= now:
                 del self.barred[name]
+                self._note_usability(name)
 
     def _repeat_unloads(self, now):
         failed_unloads, self._failed_unloads = self._failed_unloads, set()
@@ -523,7 +539,7 @@
         self._failed_unloads = set()
         self.barred = {}
         for name in before:
-            self.queue.set_ready(name, ready=False)
+            self._note_usability(name)
         known = [name for name in self.demand.counts if name != self.base_model]
         self.prefetch(sorted(known, key=lambda name: -self.demand.value(name, now)))
 
--- a/skylarkpost/stewardship/steward_executor.py
+++ b/skylarkpost/stewardship/steward_executor.py
@@ -192,7 +192,7 @@
         tickets = [ticket_from_wire(each, now) for each in handover.tickets]
         self.steward.adopt_tickets(tickets, handover.boot, now)
         for each in handover.barred:
-            self.steward.slots.barred[each.lora_name] = now + each.remaining
+            self.steward.slots.bar(each.lora_name, now + each.remaining)
 
     def summary(self, now):
         """Return the steward's summary; the previous object if nothing changed.
--- a/tests/stewardship/test_steward.py
+++ b/tests/stewardship/test_steward.py
@@ -1,5 +1,6 @@
 import pytest
 
+from skylarkpost.gateway.stewardship import POLICY
 from skylarkpost.outcomes import Reason
 from skylarkpost.stewardship import (
     Authority,
@@ -328,3 +329,47 @@
     assert isinstance(load, LoadAdapter)
     load_cost = bench.steward.slots.load_cost
     assert bench.steward.summary(1.1).load_wait <= 2 * load_cost
+
+
+def test_an_unload_refused_after_a_lost_one_leaves_its_adapter_barred():
+    """Guards against a late order whose conflict makes a barred adapter usable."""
+    bench = Bench(target=FakeTarget(slots=1), policy=POLICY)
+    bench.submit("r1", "a@1", 1.0)
+    bench.release("r1", 1.1)
+    bench.report(2.0)
+    commands = bench.steward.request(_request("r2", "b@1", 2.0), 2.0)
+    commands = bench.steward.permit_granted(2.0)
+    [unload] = [each for each in commands if isinstance(each, UnloadAdapter)]
+    assert bench.steward.request(_request("r3", "a@1", 2.1), 2.1) == []
+    bench.steward.order_ended(unload, 2.9, succeeded=False, certain=False)
+    commands = bench.steward.report(bench.engine.report(3.5), 3.5)
+    [repeated] = [each for each in commands if isinstance(each, UnloadAdapter)]
+    bench.engine.resident.clear()
+    commands = bench.steward.order_withdrawn(repeated, 3.6)
+    assert not any(isinstance(each, GrantTicket) for each in commands)
+    bench.execute(commands, 3.6)
+    bench.report(4.5)
+    assert bench.granted["r2"].lora_name == "b@1"
+    assert not bench.steward.slots.is_usable("a@1")
+
+
+def test_an_adapter_barred_by_a_predecessor_is_not_granted():
+    """Guards against a handover that leaves requests ready for a barred adapter."""
+    bench = Bench(target=FakeTarget(batch_limit=1), policy=POLICY)
+    bench.submit("r1", "a@1", 1.0)
+    bench.submit("r2", "a@1", 1.0)
+    bench.submit("r3", "a@1", 1.0)
+    assert "r3" not in bench.granted
+    bench.steward.slots.bar("a@1", 6.0)
+    bench.release("r1", 1.1)
+    bench.release("r2", 1.1)
+    assert "r3" not in bench.granted
+    bench.report(5.0)
+    bench.tick(6.1)
+    assert bench.granted["r3"].lora_name == "a@1"
+
+
+def _request(ticket_id, lora_name, now):
+    values = {"team": "t", "weight": 1.0, "urgency": 5, "tokens": 100}
+    values |= {"holder": "i-1", "deadline": now + 60.0}
+    return TicketRequest(ticket_id=ticket_id, lora_name=lora_name, **values)
