Bound the work for a byte, and what one connection does in a turn

Causes: the buffer of events searched all pending bytes with each piece, and neither reads nor received events gave the event loop a turn.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 RUNS ?= 1
 JOBS ?= 1
 
-.PHONY: setup test check demo prove measure slopes soak bench proto requirements
+.PHONY: setup test check demo prove measure slopes soak bench pieces proto requirements
 
 setup: $(VENV)/.installed
 
@@ -41,6 +41,9 @@
 bench: setup
 	$(BIN)/python -m lab.bench
 
+pieces: setup
+	$(BIN)/python -m lab.pieces
+
 proto: setup
 	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
 		--grpc_python_out=. skylarkpost/rpc/*.proto
--- a/skylarkpost/targets/engine_stream.py
+++ b/skylarkpost/targets/engine_stream.py
@@ -1,5 +1,7 @@
 """Stream of one answer on one connection to an engine."""
 
+import asyncio
+
 import aiohttp
 
 from skylarkpost.targets.outcomes import (
@@ -12,6 +14,8 @@
 __all__ = ["EngineStream"]
 
 DONE = b"[DONE]"
+# Bytes that are parsed before other tasks get a turn.
+MAX_BYTES_A_TURN = 16_384
 
 
 class EngineStream:
@@ -57,14 +61,17 @@
                 if isinstance(piece, StreamBroken):
                     yield piece
                     return
-                for item in parser.feed(piece):
-                    yield item
-                    if isinstance(item, StreamEvent) and item.data == DONE:
-                        yield StreamEnded()
+                for start in range(0, len(piece), MAX_BYTES_A_TURN):
+                    for item in parser.feed(piece[start : start + MAX_BYTES_A_TURN]):
+                        yield item
+                        if isinstance(item, StreamEvent) and item.data == DONE:
+                            yield StreamEnded()
+                            return
+                    if parser.oversized:
+                        yield StreamBroken(detail="an event is too long")
                         return
-                if parser.oversized:
-                    yield StreamBroken(detail="an event is too long")
-                    return
+                    # Reading what has already arrived doesn't wait.
+                    await asyncio.sleep(0)
         finally:
             self.close()
 
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -7,7 +7,7 @@
 
 import httptools
 
-from skylarkpost.transport.sockets import configure_socket
+from skylarkpost.transport.sockets import READ_BYTES, BoundedReads, configure_socket
 
 __all__ = [
     "ConnectFailed",
@@ -23,6 +23,10 @@
 MAX_BUFFERED_BYTES = 262_144
 # A target may send without end what is neither a complete head nor part of a body.
 MAX_HEAD_BYTES = 65_536
+# Answers to one request, late ones to earlier requests included.
+MAX_ANSWERS = 8
+# Processing an event costs about as much as this many bytes of a body.
+EVENT_COST_BYTES = 1024
 CLOSE = "close"
 
 
@@ -83,7 +87,7 @@
     is_by_close: bool = False
 
 
-class TargetConnection(asyncio.Protocol):
+class TargetConnection(BoundedReads):
     """A connection to one target.
 
     Parameters
@@ -123,6 +127,7 @@
         self.has_received_bytes = False
         self.on_lost = None
         self._buffered = 0
+        self._bytes_without_turn = 0
         self._writing_paused = False
         self._target_ended = False
         self._reset_parser()
@@ -163,7 +168,7 @@
         self._writing_paused = False
 
     def data_received(self, data):
-        """Parse received bytes. See `asyncio.Protocol`."""
+        """Parse received bytes. See `BoundedReads`."""
         if not self.is_busy:
             # Unsolicited bytes would be taken for the response to the next request.
             self.abort("bytes without a request")
@@ -176,9 +181,14 @@
             self._push(ResponseBroken(f"no answer in HTTP: {error}", True))
             self.abort("no answer in HTTP")
             return
-        if self._head_bytes > MAX_HEAD_BYTES and self.is_open:
-            self._push(ResponseBroken("the head is too long", True))
-            self.abort("the head is too long")
+        fault = None
+        if self._answers > MAX_ANSWERS:
+            fault = "too many answers"
+        elif self._head_bytes > MAX_HEAD_BYTES:
+            fault = "the head is too long"
+        if fault is not None and self.is_open:
+            self._push(ResponseBroken(fault, True))
+            self.abort(fault)
 
     def on_message_begin(self):
         """See `httptools.HttpResponseParser`."""
@@ -198,21 +208,29 @@
         if status < 200:
             self._informational = True
             return
+        self._answers += 1
         names = {name for name, _ in self._headers}
         framed = "content-length" in names or "transfer-encoding" in names
         self._body_ends_at_close = not framed and status not in (204, 304)
         self._in_body = True
         self._head_bytes = 0
         self._note_persistence(self._headers)
-        self._push(ResponseHead(status, self._headers))
+        if self._answers <= MAX_ANSWERS:
+            self._push(ResponseHead(status, self._headers))
 
     def on_body(self, body):
         """Queue a piece of the body. See `httptools.HttpResponseParser`."""
         self._head_bytes = 0
+        if self._answers > MAX_ANSWERS:
+            return
         self._buffered += len(body)
         if self._buffered > MAX_BUFFERED_BYTES:
             self.transport.pause_reading()
-        self._push(bytes(body))
+        last = self.events[-1] if self.events else None
+        if isinstance(last, bytearray) and len(last) < READ_BYTES:
+            last += body
+        else:
+            self._push(bytearray(body))
 
     def on_message_complete(self):
         """Queue the end of the response. See `httptools.HttpResponseParser`."""
@@ -223,7 +241,8 @@
         self._is_complete = True
         if not self.parser.should_keep_alive():
             self.closes_after_response = True
-        self._push(ResponseEnd())
+        if self._answers <= MAX_ANSWERS:
+            self._push(ResponseEnd())
 
     def send(self, payload):
         """Send a request.
@@ -264,7 +283,12 @@
         return event
 
     async def _next_event(self):
+        if self._bytes_without_turn >= READ_BYTES:
+            # What has already arrived must not keep the event loop.
+            self._bytes_without_turn = 0
+            await asyncio.sleep(0)
         while not self.events:
+            self._bytes_without_turn = 0
             if not self.is_open:
                 return ResponseBroken(
                     self.closed_because or "closed", self.has_received_bytes
@@ -275,7 +299,10 @@
             finally:
                 self.waiter = None
         event = self.events.popleft()
-        if isinstance(event, bytes):
+        self._bytes_without_turn += EVENT_COST_BYTES
+        if isinstance(event, bytearray):
+            event = bytes(event)
+            self._bytes_without_turn += len(event)
             self._buffered -= len(event)
             if self._buffered <= MAX_BUFFERED_BYTES // 2 and self.is_open:
                 self.transport.resume_reading()
@@ -335,6 +362,7 @@
         self._is_complete = False
         self._informational = False
         self._head_bytes = 0
+        self._answers = 0
 
     def _note_persistence(self, headers):
         for name, value in headers:
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -8,7 +8,11 @@
 
 import httptools
 
-from skylarkpost.transport.sockets import configure_socket, set_reset_on_close
+from skylarkpost.transport.sockets import (
+    BoundedReads,
+    configure_socket,
+    set_reset_on_close,
+)
 
 __all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainResponse"]
 
@@ -117,7 +121,7 @@
         return next((v for n, v in self.headers if n == name), default)
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(BoundedReads):
     """Serves the requests of one connection sequentially.
 
     Parameters
@@ -198,7 +202,7 @@
         self.writable.set()
 
     def data_received(self, data):
-        """Parse received bytes. See `asyncio.Protocol`."""
+        """Parse received bytes. See `BoundedReads`."""
         if self.refusal is not None:
             return
         self._last_byte_at = self.clock()
@@ -326,13 +330,17 @@
             while self.requests and not self.is_lost:
                 self.current = self.requests.popleft()
                 self.current.is_half_closed = self.half_closed
-                self.transport.resume_reading()
+                if len(self.requests) < MAX_PIPELINED:
+                    self.transport.resume_reading()
                 response = await self.handler(self.current)
                 keeps_open = await self._respond(self.current, response)
                 self.current = None
                 if not keeps_open:
                     self._close()
                     return
+                if self.requests:
+                    # Requests that are answered at once must not keep the event loop.
+                    await asyncio.sleep(0)
             if self.refusal is not None and not self.is_lost:
                 await self._respond(None, self.refusal)
                 self._close()
--- a/skylarkpost/transport/sockets.py
+++ b/skylarkpost/transport/sockets.py
@@ -1,9 +1,21 @@
 """TCP socket options and connection resets."""
 
+import asyncio
 import socket
 import struct
 
-__all__ = ["configure_socket", "set_reset_on_close"]
+__all__ = [
+    "READ_BYTES",
+    "BoundedReads",
+    "configure_socket",
+    "reset",
+    "set_reset_on_close",
+]
+
+# Bytes that a connection processes before other tasks get a turn.
+READ_BYTES = 65_536
+# Shared, since bytes are processed before the next read of any connection.
+READ_BUFFER = memoryview(bytearray(READ_BYTES))
 
 # SO_LINGER on with timeout 0: close sends a reset.
 NO_LINGER = struct.pack("ii", 1, 0)
@@ -14,6 +26,40 @@
 KEEP_ALIVE_PROBES = 3
 
 
+class BoundedReads(asyncio.BufferedProtocol):
+    """A protocol that receives a bounded number of bytes a turn of the event loop."""
+
+    def get_buffer(self, sizehint):
+        """Return the buffer to read into. See `asyncio.BufferedProtocol`."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes):
+        """Process what was read. See `asyncio.BufferedProtocol`."""
+        self.data_received(READ_BUFFER[:nbytes])
+
+    def data_received(self, data):
+        """Process received bytes.
+
+        Parameters
+        ----------
+        data : memoryview
+            The bytes; valid only during the call.
+        """
+        raise NotImplementedError
+
+
+def reset(transport):
+    """Close a connection with a TCP reset.
+
+    Parameters
+    ----------
+    transport : asyncio.Transport
+        Transport of a TCP connection.
+    """
+    set_reset_on_close(transport, True)
+    transport.abort()
+
+
 def set_reset_on_close(transport, resets):
     """Select how the kernel closes a connection, also if the process ends.
 
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -14,6 +14,7 @@
 LOAD_S = 0.05
 EVENT_INTERVAL_S = 0.005
 ENDLESS_CHUNK_BYTES = 65_536
+SMALL_CHUNK = b"10\r\n0123456789abcdef\r\n"
 # How long a crashed target refuses connections.
 DOWNTIME_S = 0.2
 
@@ -97,7 +98,8 @@
         without length or chunks, ended by its connection), ``"unframed-break"``
         (the same, cut inside an event), ``"unframed-empty"`` (cut after the head),
         ``"unframed-slow"`` (half of the answer, then nothing until the gateway closes),
-        ``"endless"`` (a stream without the end of an event), ``"refused-again"``
+        ``"endless"`` (a stream without the end of an event), ``"endless-small"`` (the
+        same, in chunks of a few bytes), ``"refused-again"``
         (the last refusal on the connection is written once more before the answer),
         ``"refused-unnamed"`` (the same, without the id of its attempt),
         ``"half-head"`` (closed inside the head), ``"error-page"`` (a success that is
@@ -331,8 +333,10 @@
             await writer.drain()
             self.crash()
             return False
-        if action == "endless":
+        if action in ("endless", "endless-small"):
             chunk = b"%x\r\n%b\r\n" % (ENDLESS_CHUNK_BYTES, b"x" * ENDLESS_CHUNK_BYTES)
+            if action == "endless-small":
+                chunk = SMALL_CHUNK * (ENDLESS_CHUNK_BYTES // len(SMALL_CHUNK))
             with contextlib.suppress(ConnectionError):
                 while not writer.transport.is_closing():
                     writer.write(chunk)
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -1,9 +1,11 @@
 """Answers of faulty targets, as other operators have seen them."""
 
+import asyncio
+
 import aiohttp
 import pytest
 
-from tests.gateway.rig import MODEL, configuration, gateway, route
+from tests.gateway.rig import MODEL, configuration, gateway, route, wait_until
 
 ADAPTER = {
     "X-Model": f"{MODEL}/a1",
@@ -114,5 +116,22 @@
             await stream(rig, path)
 
 
+async def test_endless_small_pieces_of_one_target_delay_no_other_request():
+    """Guards against a stream without events that keeps the event loop.
+
+    How often each byte is looked at is counted in test_event_buffer.py, the turns of
+    the event loop in tests/transport/test_client.py.
+    """
+    async with gateway(engines=1, plain=1) as rig:
+        assert (await stream(rig, "/stream/"))[0] == 200
+        rig.targets["e0"].script = ["endless-small"]
+        reading = asyncio.create_task(stream(rig, "/stream/"))
+        await wait_until(lambda: rig.targets["e0"].endless_bytes > 0)
+        for _ in range(20):
+            assert (await rig.fetch("/safe/"))[0] == 200
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await reading
+
+
 async def stream(rig, path):
     return await rig.fetch(path, method="POST", headers=ADAPTER)
--- a/tests/transport/rig.py
+++ b/tests/transport/rig.py
@@ -6,7 +6,7 @@
 
 from skylarkpost.routing import CallerBounds
 from skylarkpost.transport import CallerConnection
-from skylarkpost.transport.sockets import set_reset_on_close
+from skylarkpost.transport.sockets import reset as reset_transport
 
 BOUNDS = CallerBounds(
     header_bytes=2000, body_bytes=5000, header_timeout=0.3, idle_timeout=0.6
@@ -76,7 +76,6 @@
             writer.write(payload)
             await writer.drain()
         if reset:
-            set_reset_on_close(writer.transport, True)
-            writer.transport.abort()
+            reset_transport(writer.transport)
 
     return script
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -20,7 +20,8 @@
     encode_request,
     open_connection,
 )
-from skylarkpost.transport.client import ResponseEnd
+from skylarkpost.transport.client import MAX_ANSWERS, ResponseEnd
+from skylarkpost.transport.sockets import READ_BYTES
 from tests.transport.rig import respond_with, target
 
 REQUEST = encode_request("GET", "/a", [("host", "h")], b"")
@@ -101,6 +102,57 @@
         assert events[-1] == ResponseBroken("the deadline has passed", True)
 
 
+@pytest.mark.parametrize("size", [1, 16, 1000])
+async def test_an_answer_in_small_pieces_leaves_the_event_loop_to_others(size):
+    """Guards against one target that keeps all other requests waiting."""
+    piece = b"%x\r\n%b\r\n" % (size, b"x" * size)
+    count = 400_000 // len(piece)
+    payload = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    payload += piece * count + b"0\r\n\r\n"
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            await asyncio.sleep(0)
+            turns += 1
+
+    async with target(respond_with(payload)) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST)
+        await asyncio.sleep(0.2)
+        counting = asyncio.create_task(count_turns())
+        await asyncio.sleep(0)
+        events, largest_step = [], 0
+        while not isinstance(events and events[-1], ResponseEnd):
+            before = turns
+            events.append(await asyncio.wait_for(connection.receive(), 3))
+            largest_step = max(largest_step, len(events) if turns == before else 0)
+        counting.cancel()
+    body = [event for event in events if isinstance(event, bytes)]
+    assert sum(map(len, body)) == size * count
+    # Small pieces arrive together, and no more than a read's bytes without a turn.
+    assert len(body) <= 2 + 2 * len(payload) // READ_BYTES
+    assert turns >= len(payload) // (2 * READ_BYTES)
+
+
+async def test_a_target_that_answers_again_and_again_is_closed():
+    """Guards against endless answers to one request, each of which is looked at."""
+    other = OK.replace(b"\r\n\r\n", b"\r\nX-Of: other\r\n\r\n")
+    async with target(respond_with(other * 1000)) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST)
+        heads = 0
+        while True:
+            event = await asyncio.wait_for(connection.receive(), 3)
+            if isinstance(event, ResponseBroken):
+                break
+            heads += isinstance(event, ResponseHead)
+            connection.is_busy = True
+    assert heads <= MAX_ANSWERS
+    assert not connection.is_open
+
+
 async def test_a_second_answer_belongs_to_no_request():
     connection, events = await receive_response_to(
         respond_with(OK + OK.replace(b"ok", b"no"))
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -6,6 +6,8 @@
 
 from skylarkpost.outcomes import Relayed
 from skylarkpost.transport import BodyBrokenError, PlainResponse
+from skylarkpost.transport.server import MAX_PIPELINED
+from skylarkpost.transport.sockets import READ_BYTES
 from tests.transport.rig import BOUNDS, caller_server, send_and_read
 
 GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
@@ -205,6 +207,36 @@
         writer.close()
 
 
+async def test_pipelined_requests_leave_the_event_loop_to_others():
+    """Guards against one caller that keeps all other requests waiting."""
+    served, turns, longest = 0, 0, 0
+
+    async def handler(request):
+        nonlocal served, longest
+        served += 1
+        longest = max(longest, len(next(iter(connections)).requests))
+        return PlainResponse(204)
+
+    async def count_turns():
+        nonlocal turns
+        while served < count:
+            turns += 1
+            await asyncio.sleep(0)
+
+    count = 20_000
+    async with caller_server(handler) as (port, connections):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        reading = asyncio.create_task(reader.read())
+        counting = asyncio.create_task(count_turns())
+        writer.write(GET * count)
+        await asyncio.wait_for(counting, 20)
+        writer.close()
+        reading.cancel()
+    assert turns >= count
+    # What one read may hold, beside what was queued before it.
+    assert longest <= READ_BYTES // len(GET) + MAX_PIPELINED + 1
+
+
 async def test_a_disconnect_is_reported_to_the_request_in_progress():
     notified = asyncio.Event()
 
