Look once more whether a target is announced before a request is sent

One way for it on this code: a request waits for its ticket up to its deadline, the target leaves meanwhile, and a steward that hears less (cut off from the store) still grants. The directory was only asked before the wait. Four forms of test_a_ticket_from_before_a_target_left_is_not_used failed before.

--- a/skylarkpost/gateway/target_signals.py
+++ b/skylarkpost/gateway/target_signals.py
@@ -100,13 +100,13 @@
                 logger, "target-paused", target=target, boot=boot, seconds=seconds
             )
 
-    def wants_nothing(self, boot, now):
+    def wants_nothing(self, target, boot, now):
         """Return why a run of a target gets no request now.
 
         Parameters
         ----------
-        boot : str
-            Boot of the target.
+        target, boot : str
+            The target and its boot.
         now : float
             The present time, in seconds.
 
@@ -119,6 +119,10 @@
             return "the target leaves"
         if self.pauses.left(boot, now):
             return "the target has asked for a pause"
+        entry = self.directory.find(target, now)
+        if entry is None or entry.boot != boot:
+            # A steward that hears less may have granted the ticket.
+            return "the target leaves or has gone"
         return None
 
     def receive_digest(self, member, payload, now):
--- a/tests/gateway/test_target_signals.py
+++ b/tests/gateway/test_target_signals.py
@@ -10,6 +10,7 @@
 import pytest
 
 from skylarkpost.gateway.target_signals import MAX_TOLD
+from skylarkpost.platform import TARGETS_TOPIC
 from tests.gateway.rig import MODEL, gateway, wait_until
 
 # Rounds in which both targets would get requests.
@@ -151,3 +152,35 @@
         assert (await rig.fetch("/safe/"))[0] == 503
         rig.targets["p0"].pause = None
         assert (await rig.fetch("/safe/"))[0] == 200
+
+
+@pytest.mark.parametrize("is_model", [False, True])
+@pytest.mark.parametrize("change", [{"state": "draining"}, None])
+async def test_a_ticket_from_before_a_target_left_is_not_used(is_model, change):
+    """Guards against requests that waited for their ticket while the target left."""
+    count = {"engines": 2, "plain": 0} if is_model else {"engines": 0, "plain": 2}
+    async with gateway(**count) as rig:
+        for number in range(ROUNDS):
+            await send(rig, number, is_model)
+        controllers = rig.instance.services.controllers
+        acquire = controllers["stewardship"].acquire
+        leaving = []
+
+        async def acquire_late(exchange, **kwargs):
+            ticket = await acquire(exchange, **kwargs)
+            if not leaving:
+                target = rig.targets[ticket.target]
+                leaving.append((target, len(target.started_at)))
+                if change is None:
+                    await rig.store.put(TARGETS_TOPIC, target.name, b"")
+                else:
+                    await rig.announce(target, **change)
+                directory = controllers["directory"].targets
+                now = rig.instance.services.clock()
+                await wait_until(lambda: directory.find(target.name, now) is None)
+            return ticket
+
+        controllers["stewardship"].acquire = acquire_late
+        assert (await send(rig, 0, is_model))[0] == 200
+        [(target, before)] = leaving
+        assert len(target.started_at) == before
