--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -17,7 +17,7 @@
 from skylarkpost.rpc import CallFailed, call_peer, fleet_pb2, fleet_pb2_grpc
 from skylarkpost.runtime import BackgroundTask
 
-__all__ = ["FleetController"]
+__all__ = ["FleetController", "peer_records", "topic_answer"]
 
 logger = logging.getLogger(__name__)
 
@@ -211,14 +211,14 @@
         if isinstance(answer, CallFailed) or len(answer.topics) != len(starts):
             return None
         return {
-            topic: _peer_records(each)
+            topic: peer_records(each)
             for topic, each in zip(starts, answer.topics, strict=True)
         }
 
     async def _query(self, address, request):
         stub = fleet_pb2_grpc.FleetStub(self.services.peers.get(address))
         answer = await call_peer(stub.ReadTopic, request, timeout=PEER_TIMEOUT_S)
-        return None if isinstance(answer, CallFailed) else _peer_records(answer)
+        return None if isinstance(answer, CallFailed) else peer_records(answer)
 
     def _peer_addresses(self):
         own = self.services.peer_address
@@ -299,7 +299,7 @@
     async def ReadTopic(self, request, context):  # noqa: N802
         """Return the known records of a topic. See ``fleet.proto``."""
         follower = self.services.followers.get(request.topic)
-        return _topic_answer(follower, request.start, self.services.clock())
+        return topic_answer(follower, request.start, self.services.clock())
 
     async def ReadTopics(self, request, context):  # noqa: N802
         """Return the new records of several topics. See ``fleet.proto``."""
@@ -313,7 +313,7 @@
         for follower, start in asked:
             # The requester may be able to reach the store itself.
             usable = follower if follower is not None and follower.available else None
-            answer.topics.append(_topic_answer(usable, start, received_at))
+            answer.topics.append(topic_answer(usable, start, received_at))
         return answer
 
 
@@ -337,22 +337,51 @@
             each.cancel()
 
 
-def _topic_answer(follower, start, received_at):
+def topic_answer(follower, start, received_at):
+    """Encode what a follower knows of its topic from a position on.
+
+    Parameters
+    ----------
+    follower : KeyedFollower or None
+        The follower; None if the topic is not followed.
+    start : int
+        First position wanted; -1 for everything.
+    received_at : float
+        When the question arrived, in seconds.
+
+    Returns
+    -------
+    TopicAnswer
+    """
     if follower is None or follower.next_offset is None:
         return fleet_pb2.TopicAnswer(known=False)
     answer = fleet_pb2.TopicAnswer(
         known=True,
         end=follower.next_offset,
         age=received_at - follower.fresh_at,
+        # What was deleted before this instance's snapshot shows in no record.
+        has_all_keys=start < follower.deletions_from,
     )
     for record in follower.records.values():
-        if record.offset >= start:
+        if answer.has_all_keys or record.offset >= start:
             answer.records.add(key=record.key, value=record.value, offset=record.offset)
     return answer
 
 
-def _peer_records(answer):
+def peer_records(answer):
+    """Decode the answer of another instance.
+
+    Parameters
+    ----------
+    answer : TopicAnswer
+        The answer.
+
+    Returns
+    -------
+    PeerRecords or None
+        None if the instance doesn't know the topic.
+    """
     if not answer.known:
         return None
     records = tuple(KeyedRecord(r.key, r.value, r.offset) for r in answer.records)
-    return PeerRecords(records, answer.end, answer.age)
+    return PeerRecords(records, answer.end, answer.age, answer.has_all_keys)
--- a/skylarkpost/gateway/reader_queries.py
+++ b/skylarkpost/gateway/reader_queries.py
@@ -139,7 +139,7 @@
         if answer is not None:
             # The age counts from the follower's question, which was sent later.
             delay = sent_at - query.asked_at
-            answer = PeerRecords(answer.records, answer.end, answer.age - delay)
+            answer = answer._replace(age=answer.age - delay)
         query.answer.set_result(answer)
 
     def _note_failed(self, reader, topic, age):
--- a/skylarkpost/log/keyed.py
+++ b/skylarkpost/log/keyed.py
@@ -76,11 +76,14 @@
         Seconds between the last moment at which the other instance was up to date
         with the topic and the arrival of the request; negative if that moment is
         later than the request.
+    has_all_keys : bool
+        Whether each key that is missing in `records` has been deleted.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     age: float
+    has_all_keys: bool = False
 
 
 class RecordsTrimmed(NamedTuple):
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -89,6 +89,9 @@
         Position of the next record to read; None before a snapshot.
     reached : int
         Highest value of `next_offset` so far, or -1.
+    deletions_from : float
+        Position from which on all deletions are known: a snapshot doesn't show those
+        before it.
     records : dict of str to KeyedRecord
         Newest record of each key, including deleted keys.
     fresh_at : float
@@ -135,6 +138,7 @@
         self.recalled_at = -math.inf
         self.next_offset = None
         self.reached = -1
+        self.deletions_from = math.inf
         self.fresh_at = -math.inf
         self.available = False
         self.reconnected_at = -math.inf
@@ -281,16 +285,20 @@
         now = self.clock()
         present = {record.key for record in answer.records}
         self._enter_era(answer.end, present, now)
-        for key, known in list(self.records.items()):
-            is_of_era = era_of(known.offset) == era_of(answer.end)
-            if known.value and is_of_era and key not in present:
-                self._deliver(KeyedRecord(key, b"", answer.end - 1), now)
+        self._delete_missing(present, answer.end, now)
         self._apply_newest(answer.records, now)
         self._reach(answer.end)
+        self.deletions_from = answer.end
         self.fresh_at = max(self.fresh_at, began)
         self._note_advanced()
         return True
 
+    def _delete_missing(self, present, end, now):
+        for key, known in list(self.records.items()):
+            is_of_era = era_of(known.offset) == era_of(end)
+            if known.value and is_of_era and key not in present:
+                self._deliver(KeyedRecord(key, b"", end - 1), now)
+
     def _apply_newest(self, records, now):
         for record in sorted(records, key=lambda each: each.offset):
             known = self.records.get(record.key)
@@ -390,6 +398,9 @@
         era = era_of(answer.end)
         present = {each.key for each in answer.records if era_of(each.offset) == era}
         self._enter_era(answer.end, present, now)
+        if answer.has_all_keys:
+            self._delete_missing(present, answer.end, now)
+            self.deletions_from = answer.end
         self._apply_newest(answer.records, now)
         self._reach(answer.end)
         self.fresh_at = max(self.fresh_at, requested_at - answer.age)
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from skylarkpost.gateway.fleet import peer_records, topic_answer
 from skylarkpost.log.keyed import (
     KeyedRecord,
     KeyedRecords,
@@ -352,3 +353,25 @@
             assert lost == ["b"]
             assert restores == [0, 1]
             assert follower.next_offset == make_position(1, 5)
+
+
+async def test_a_younger_peer_tells_of_a_key_that_was_deleted_before_it_started():
+    """Guards against targets that stay in use where only younger peers are reached."""
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "gone", b"1")
+        await stand_in.put(TOPIC, "kept", b"1")
+        async with following(client) as (elder, seen):
+            await wait_until(lambda: len(seen) == 2)
+            await elder.stop()
+            await stand_in.put(TOPIC, "gone", b"")
+            await stand_in.put(TOPIC, "new", b"1")
+            async with following(client) as (younger, seen_there):
+                await wait_until(lambda: len(seen_there) == 2)
+
+                async def ask_younger(topic, start):
+                    answer = topic_answer(younger, start, time.monotonic())
+                    return peer_records(answer)
+
+                elder.peers = ask_younger
+                await elder.query_peers()
+            assert seen == {"gone": b"", "kept": b"1", "new": b"1"}
