--- a/skylarkpost/gateway/reader_queries.py
+++ b/skylarkpost/gateway/reader_queries.py
@@ -6,7 +6,6 @@
 from typing import NamedTuple
 
 from skylarkpost.eventlog import log_event
-from skylarkpost.log.keyed import PeerRecords
 
 __all__ = ["ReaderQueries", "TopicQuery"]
 
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -108,6 +108,8 @@
         Number of events of a complete stream.
     orders : list of ReceivedOrder
         All orders received, including refused ones.
+    conflicts : int
+        Orders refused for their count.
     start_time_ms : int
         Time of the last start, in Unix milliseconds.
     deadly_parts : set of str
@@ -131,6 +133,9 @@
         What answers to requests have said about the target.
     on_restart : callable or None
         Async; called when the target is back after a crash.
+    repeats_calls : bool
+        Whether the answer to each report or order is written once more, before the
+        next answer on its connection.
     """
 
     def __init__(self, *, name, slots=0, model=None):
@@ -146,6 +151,7 @@
         self.events = 4
         self.overloads = 0
         self.orders = []
+        self.conflicts = 0
         self.start_time_ms = 1_700_000_000_000
         self.port = None
         self.deadly_parts = set()
@@ -158,6 +164,8 @@
         self.started_at = []
         self.endless_bytes = 0
         self.on_restart = None
+        self.repeats_calls = False
+        self.call_answers = {}
         self.refusals = {}
         self.listener = None
         self.writers = set()
@@ -244,14 +252,21 @@
         request = ReceivedRequest(line, headers, body)
         if headers.get("x-expect-instance", self.name) != self.name:
             return self._send_response(writer, 421, b"", {})
+        copied = self.call_answers.pop(writer, None)
+        if copied is not None:
+            self._send_response(writer, *copied, {})
         path = line.split()[1]
         if path == "/-/report":
-            return self._send_response(writer, 200, self._report(), {})
+            return self._answer_call(writer, 200, self._report())
         if path == "/-/order":
-            status, answer = self._order(json.loads(body))
-            return self._send_response(writer, status, answer, {})
+            return self._answer_call(writer, *self._order(json.loads(body)))
         return await self._run(request, reader, writer)
 
+    def _answer_call(self, writer, status, body):
+        if self.repeats_calls:
+            self.call_answers[writer] = (status, body)
+        return self._send_response(writer, status, body, {})
+
     async def _run(self, request, reader, writer):
         action = self.script.pop(0) if self.script else "ok"
         now = asyncio.get_running_loop().time()
@@ -411,6 +426,7 @@
         if order["op"] == "load" and name in self.loading:
             return 202, b""
         if order["precondition"] != self.accepted_orders:
+            self.conflicts += 1
             return 409, b""
         if order["op"] == "unload":
             if name not in self.adapters:
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -132,6 +132,35 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await reading
 
+async def test_a_second_answer_to_a_report_or_order_reaches_nobody():
+    """Guards against copies of answers without an id on connections in use again."""
+    async with gateway(engines=2, plain=0) as rig:
+        for engine in rig.targets.values():
+            engine.repeats_calls = True
+        for turn in range(12):
+            answers = await asyncio.gather(
+                *(
+                    rig.fetch(
+                        "/stream/",
+                        method="POST",
+                        headers=ADAPTER | {"X-Model": f"{MODEL}/a{(turn + n) % 6}"},
+                    )
+                    for n in range(4)
+                )
+            )
+            for status, body, headers in answers:
+                assert status in (200, 503)
+                if status == 200:
+                    assert body.endswith(b"id: 4\ndata: 4\n\n")
+                else:
+                    assert "X-Server-Stamp" not in headers
+                    assert "Retry-After" in headers
+        refused = sum(each[0] != 200 for each in answers)
+        assert refused < len(answers)
+        assert [engine.overloads for engine in rig.targets.values()] == [0, 0]
+        conflicts = sum(engine.conflicts for engine in rig.targets.values())
+        assert conflicts == 0
+
 
 async def stream(rig, path):
     return await rig.fetch(path, method="POST", headers=ADAPTER)
