Give reports and orders connections of their own

Users saw (MIXED): a caller got an answer that was not its own; targets that stutter answer twice, the second time late. Reports and orders carry no id and shared connections with requests, so a copy of a 409 could be taken for the answer to a stream, and a copy of a report for that to an order. Now each order has its own connection, reports have one that nothing else uses (a later answer on it counts as no newer than the question before), and an answer without an id is taken only as the first of its connection. test_a_second_answer_to_a_report_or_order_reaches_nobody failed before (502).

--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -248,13 +248,15 @@
                 ticket.target, ticket.boot, metadata, self.services.clock()
             )
             exchange.is_target_paused = metadata.pause is not None
-            if metadata.attempt_id is None and connection.names_requests:
+            if metadata.attempt_id is None and connection.request_count > 1:
                 # It may be a second copy of the answer to an earlier request.
                 return AttemptFailure(
                     FailureKind.UNKNOWN, "an answer without the id of its request"
                 )
             if metadata.attempt_id in (None, expected):
-                connection.names_requests = metadata.attempt_id is not None
+                if metadata.attempt_id is None:
+                    # A copy of this answer couldn't be told from a later one.
+                    connection.closes_after_response = True
                 limits = self.services.controllers["target-limits"]
                 limits.note_answer(
                     ticket, metadata.request_limit, sent_at=exchange.sent_at
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -17,8 +17,10 @@
 
 logger = logging.getLogger(__name__)
 
-# Leaves connections for reports and orders besides those for requests.
 MIN_CONNECTIONS = 4
+# Connections to an engine for reports and orders: one is kept for reports, the others
+# are for a load, an unload and an order without an answer.
+CALL_CONNECTIONS = 4
 # Fraction of the retries that the deployment allows: within one of its accounting
 # spans the reserve may be spent and, once refilled, spent again.
 RETRY_FRACTION = 0.5
@@ -159,6 +161,8 @@
         int
         """
         share = service.max_connections // self.fleet_size()
+        if service.engine is not None:
+            share -= CALL_CONNECTIONS
         return max(MIN_CONNECTIONS, share)
 
     async def connect(self, ticket, service):
@@ -178,9 +182,13 @@
         limit = self.connection_share(service)
         return await self.pool.get(ticket.boot, ticket.address, limit=limit)
 
-    async def call_target(self, entry, method, path, body, timeout):
+    async def call_target(self, entry, method, path, body, timeout, *, is_fresh=False):
         """Make a report or order call to a target.
 
+        The answers name no call, so a second copy of one looks like the answer to
+        whatever its connection carries next. Calls therefore share no connection with
+        requests, and each order has one of its own.
+
         Parameters
         ----------
         entry : TargetEntry
@@ -191,44 +199,33 @@
             The request's body.
         timeout : float
             Maximum duration, in seconds.
+        is_fresh : bool
+            Whether the answer must not be a copy of an earlier one.
 
         Returns
         -------
         CallResponse or CallIncomplete
         """
+        is_order = bool(body)
         headers = [
             ("host", entry.address),
             (EngineCodec.instance_header, entry.name),
         ]
-        if body:
+        if is_order:
             headers.append(("content-type", "application/json"))
         return await call_target(
             self.pool,
-            name=entry.boot,
+            name=f"{entry.boot} calls",
             address=entry.address,
-            limit=self.connection_share_of(entry),
+            limit=CALL_CONNECTIONS,
+            is_fresh=is_fresh or is_order,
+            is_kept=not is_order,
             payload=encode_request(method, path, headers, body),
             timeout=timeout,
             is_foreign=self._is_request_answer,
             on_head=lambda head: self._note_signals(entry, head),
         )
 
-    def connection_share_of(self, entry):
-        """Return how many connections this instance may open to a target.
-
-        Parameters
-        ----------
-        entry : TargetEntry
-            The target.
-
-        Returns
-        -------
-        int
-        """
-        known = self.controllers["config"].state.configuration
-        service = None if known is None else known.services.get(entry.service)
-        return MIN_CONNECTIONS if service is None else self.connection_share(service)
-
     async def close(self):
         """Close all clients."""
         await self.pool.close()
--- a/skylarkpost/targets/sequenced_engine_client.py
+++ b/skylarkpost/targets/sequenced_engine_client.py
@@ -60,7 +60,8 @@
         This instance, the sender of the orders.
     call : callable
         Coroutine function of the engine's entry, an HTTP method and path, a
-        body and a timeout; returns a `CallResponse` or `CallIncomplete`.
+        body, a timeout and whether the answer must be the first on its connection;
+        returns a `CallResponse` or `CallIncomplete`.
     codec : object
         Codec with the interface of `skylarkpost.platform.EngineCodec`.
     clock : callable
@@ -100,6 +101,7 @@
         self.fencing_number = 0
         self.model_ordered_at = None
         self.last_order_at = -math.inf
+        self.last_report_at = -math.inf
         self._lock = asyncio.Lock()
 
     async def load_report(self, address):
@@ -116,9 +118,13 @@
         """
         requested_at = self.clock()
         last_order_at = self.last_order_at
-        state = await self._read_state()
+        answer, state = await self._read_state()
         if not isinstance(state, EngineState):
             return TargetUnavailable(detail=str(state))
+        earlier, self.last_report_at = self.last_report_at, requested_at
+        if not answer.is_first:
+            # It may be a second copy of the report before.
+            requested_at = min(requested_at, earlier)
         is_idle = self.last_order_at == last_order_at
         if is_idle and requested_at >= last_order_at + REPORT_SETTLE_S:
             # Count and loaded adapters are a consistent snapshot: an order
@@ -371,11 +377,19 @@
 
     async def _read_state(self):
         method, path = self.codec.report_request
-        answer = await self.call(self.entry, method, path, b"", REPORT_TIMEOUT_S)
+        # What sets the count must not be older than it seems.
+        answer = await self.call(
+            self.entry,
+            method,
+            path,
+            b"",
+            REPORT_TIMEOUT_S,
+            is_fresh=self.orders_accepted is None,
+        )
         status = getattr(answer, "status", None)
         if status != 200:
-            return f"no report: {answer}"
-        return self.codec.decode_report(answer.body)
+            return answer, f"no report: {answer}"
+        return answer, self.codec.decode_report(answer.body)
 
     async def _load_model(self, state):
         now = self.clock()
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -21,10 +21,14 @@
         HTTP status.
     body : bytes
         Response body.
+    is_first : bool
+        Whether it is the first response on its connection; a later one may be a
+        second copy of an earlier one.
     """
 
     status: int
     body: bytes
+    is_first: bool = True
 
 
 class CallIncomplete(NamedTuple):
@@ -66,7 +70,17 @@
 
 
 async def call_target(
-    pool, *, name, address, limit, payload, timeout, is_foreign=None, on_head=None
+    pool,
+    *,
+    name,
+    address,
+    limit,
+    payload,
+    timeout,
+    is_foreign=None,
+    on_head=None,
+    is_fresh=False,
+    is_kept=True,
 ):
     """Send a request and read the complete response.
 
@@ -85,9 +99,12 @@
     is_foreign : callable or None
         Takes a `ResponseHead` and returns whether it answers an earlier request on
         the same connection; such a response is skipped.
-
     on_head : callable or None
         Takes the `ResponseHead` of each answer, foreign ones as well.
+    is_fresh : bool
+        Whether the call needs a connection that nothing was sent on before.
+    is_kept : bool
+        Whether the connection may be used again.
 
     Returns
     -------
@@ -97,7 +114,7 @@
     was_sent = False
     try:
         async with asyncio.timeout(timeout):
-            connection = await pool.get(name, address, limit=limit)
+            connection = await pool.get(name, address, limit=limit, is_fresh=is_fresh)
             if isinstance(connection, ConnectFailed | PoolExhausted):
                 return CallIncomplete(connection.detail, was_sent=False)
             connection.send(payload)
@@ -111,8 +128,10 @@
         if was_sent:
             connection.abort("the call was cancelled")
         raise
-    if isinstance(response, CallResponse):
+    if isinstance(response, CallResponse) and is_kept:
         pool.release_connection(name, connection)
+    elif isinstance(response, CallResponse):
+        connection.close()
     else:
         connection.abort(response.detail)
     return response
@@ -136,4 +155,5 @@
             if len(body) > MAX_RESPONSE_BYTES:
                 return CallIncomplete("the answer is too long", was_sent=True)
         else:
-            return CallResponse(status, bytes(body))
+            is_first = connection.request_count == 1
+            return CallResponse(status, bytes(body), is_first)
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -103,8 +103,8 @@
         Idle timeout in seconds that the target announced in ``Keep-Alive``.
     request_count : int
         Number of requests sent on this connection.
-    names_requests : bool
-        Whether the last answer on this connection named its request.
+    closes_after_response : bool
+        Whether the connection is not used again.
     is_open : bool
         Whether the connection is established and not closed.
     closed_because : str or None
@@ -117,7 +117,6 @@
         self.idle_since = clock()
         self.idle_timeout = None
         self.request_count = 0
-        self.names_requests = False
         self.is_open = False
         self.closed_because = None
         self.closes_after_response = False
--- a/skylarkpost/transport/pool.py
+++ b/skylarkpost/transport/pool.py
@@ -67,7 +67,7 @@
         self.on_opened = on_opened
         self.targets = {}
 
-    async def get(self, name, address, *, limit):
+    async def get(self, name, address, *, limit, is_fresh=False):
         """Return an idle connection to a target, or open one.
 
         Parameters
@@ -78,15 +78,20 @@
             ``IP:PORT``.
         limit : int
             Maximum number of connections of this instance to the target.
+        is_fresh : bool
+            Whether a connection is opened even if an idle one could be used; an idle
+            one gives way to it.
 
         Returns
         -------
         TargetConnection, ConnectFailed or PoolExhausted
         """
         target = self.targets.setdefault(name, _TargetConnections())
-        kept = self._take_idle(target)
+        kept = None if is_fresh else self._take_idle(target)
         if kept is not None:
             return kept
+        if target.open >= limit and target.idle:
+            target.idle[0].close()
         if target.open >= limit:
             return PoolExhausted()
         target.open += 1
--- a/tests/gateway/test_faulty_targets.py
+++ b/tests/gateway/test_faulty_targets.py
@@ -132,6 +132,7 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await reading
 
+
 async def test_a_second_answer_to_a_report_or_order_reaches_nobody():
     """Guards against copies of answers without an id on connections in use again."""
     async with gateway(engines=2, plain=0) as rig:
