Decode what other processes write in one place, with the range of each field

Operators of similar systems saw processes that read the list of servers end, or stop following it, after one odd entry. Here nothing ended, but each follower of the topic stopped for good: the decoder raises RecursionError for deep nesting, also in fields that nobody asks for, and each caller of it caught a list of errors of its own. The log of the API front end is read one by one where an answer can't be decoded, and that record skipped.

--- a/skylarkpost/config/peers.py
+++ b/skylarkpost/config/peers.py
@@ -8,6 +8,7 @@
 from skylarkpost.config.recent import StreamRecord
 from skylarkpost.config.snapshot import decode_snapshot, encode_snapshot
 from skylarkpost.config.store import ConfigStore
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.rpc import CallFailed, config_pb2, config_pb2_grpc
 
 __all__ = ["ConfigService", "PeerConfig", "read_from_peer"]
@@ -91,9 +92,7 @@
         if error.code() == grpc.StatusCode.DEADLINE_EXCEEDED:
             channels.renew(address)
         return CallFailed(code=error.code().name, maybe_executed=False)
-    except msgspec.DecodeError:
-        return CallFailed(code="DATA_LOSS", maybe_executed=False)
-    if not last:
+    if not last or any(isinstance(each, Malformed) for each in records):
         return CallFailed(code="DATA_LOSS", maybe_executed=False)
     store = decode_snapshot(bytes(data)) if data else None
     return PeerConfig(records=records, snapshot=store)
@@ -119,5 +118,8 @@
 
 
 def _decode_record(message):
-    data = msgspec.json.decode(message.data, type=dict)
+    """Return the record, or `Malformed`."""
+    data = decode_json(message.data, dict)
+    if isinstance(data, Malformed):
+        return data
     return StreamRecord(message.offset, message.time, data)
--- a/skylarkpost/config/snapshot.py
+++ b/skylarkpost/config/snapshot.py
@@ -4,6 +4,7 @@
 
 from skylarkpost.config.kinds import KINDS
 from skylarkpost.config.store import ConfigStore
+from skylarkpost.decoding import Malformed, decode_msgpack
 
 __all__ = ["decode_snapshot", "encode_snapshot"]
 
@@ -66,9 +67,8 @@
     ConfigStore or None
         None if the data is not a snapshot.
     """
-    try:
-        snapshot = msgspec.msgpack.decode(data, type=SnapshotOnWire)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    snapshot = decode_msgpack(data, SnapshotOnWire)
+    if isinstance(snapshot, Malformed):
         return None
     store = ConfigStore()
     store.applied_offset = snapshot.applied_offset
--- a/skylarkpost/gateway/fleet.py
+++ b/skylarkpost/gateway/fleet.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.decoding import Malformed, decode_json, is_address
 from skylarkpost.eventlog import log_event
 from skylarkpost.gateway.reader_queries import ReaderQueries
 from skylarkpost.listing import InstanceList, ListedInstance
@@ -263,10 +264,11 @@
         if not record.value:
             self.instances.pop(record.key, None)
             return
-        try:
-            entry = msgspec.json.decode(record.value, type=InstanceRecord)
-        except msgspec.DecodeError as error:
-            log_event(logger, "entry-malformed", key=record.key, detail=str(error))
+        entry = decode_json(record.value, InstanceRecord)
+        if not isinstance(entry, Malformed) and not is_address(entry.address):
+            entry = Malformed("no address")
+        if isinstance(entry, Malformed):
+            log_event(logger, "entry-malformed", key=record.key, detail=entry.detail)
             return
         for name, known in list(self.instances.items()):
             # Another instance has taken over the address.
--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.decoding import Malformed, decode_msgpack
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
 from skylarkpost.outcomes import Reason, Refused
@@ -59,9 +60,8 @@
         return self.shares.admit(team, units, instances=instances, now=now)
 
     def _receive_usage(self, member, payload, now):
-        try:
-            usage = msgspec.msgpack.decode(payload, type=dict[str, TeamUsage])
-        except msgspec.DecodeError:
+        usage = decode_msgpack(payload, dict[str, TeamUsage])
+        if isinstance(usage, Malformed):
             self.services.metrics.count_event("malformed-digest")
             return
         self.shares.receive(member.instance, usage, now)
--- a/skylarkpost/gateway/target_limits.py
+++ b/skylarkpost/gateway/target_limits.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.decoding import Malformed, decode_msgpack
 from skylarkpost.eventlog import log_event
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
 from skylarkpost.limits.target_limits import TargetLimits, TargetLimitsDigest
@@ -177,9 +178,8 @@
         return outcome if isinstance(outcome, float) else 0.0
 
     def _receive_digest(self, member, payload, now):
-        try:
-            digest = msgspec.msgpack.decode(payload, type=TargetLimitsDigest)
-        except msgspec.DecodeError:
+        digest = decode_msgpack(payload, TargetLimitsDigest)
+        if isinstance(digest, Malformed):
             self.services.metrics.count_event("malformed-digest")
             return
         for boot, (limit, age) in digest.limits.items():
--- a/skylarkpost/gateway/target_signals.py
+++ b/skylarkpost/gateway/target_signals.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
+from skylarkpost.decoding import Malformed, decode_msgpack
 from skylarkpost.eventlog import log_event
 from skylarkpost.placement.target_pauses import TargetPauses
 from skylarkpost.runtime import BackgroundTask
@@ -137,9 +138,8 @@
         now : float
             The present time, in seconds.
         """
-        try:
-            boots = msgspec.msgpack.decode(payload, type=list[str])
-        except msgspec.DecodeError:
+        boots = decode_msgpack(payload, list[str])
+        if isinstance(boots, Malformed):
             self.services.metrics.count_event("malformed-digest")
             return
         for boot in boots:
--- a/skylarkpost/listing/instance_list.py
+++ b/skylarkpost/listing/instance_list.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.eventlog import log_event
 from skylarkpost.runtime.sessions import HttpSessions
 from skylarkpost.runtime.tasks import BackgroundTask
@@ -211,10 +212,11 @@
 
 
 def _decode(body):
-    try:
-        decoded = msgspec.json.decode(body, type=ListOnWire)
-    except msgspec.DecodeError as error:
-        return InstanceListUnavailable(detail=f"answer not understood: {error}")
+    decoded = decode_json(body, ListOnWire)
+    if isinstance(decoded, Malformed):
+        return InstanceListUnavailable(
+            detail=f"answer not understood: {decoded.detail}"
+        )
     entries = [
         ListedInstance(e.id, e.role, e.address, e.data_centre, e.state)
         for e in decoded.instances
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -306,7 +306,22 @@
                 self._deliver(record, now)
 
     def _deliver(self, record, now):
-        is_taken = self.on_record(record, now) is not False
+        try:
+            is_taken = self.on_record(record, now) is not False
+        except AssertionError:
+            raise
+        except Exception as error:
+            # One record must not hide those that come after it.
+            log_event(
+                logger,
+                "record-failed",
+                level=logging.ERROR,
+                topic=self.topic,
+                key=record.key,
+                offset=describe_position(record.offset),
+                error=repr(error),
+            )
+            is_taken = True
         known = self.records.get(record.key)
         if not is_taken and known is not None and known.value:
             record = record._replace(value=known.value)
--- a/skylarkpost/log/log_client.py
+++ b/skylarkpost/log/log_client.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.log.outcomes import (
     Appended,
     AppendRefused,
@@ -133,10 +134,9 @@
             return AppendRefused(detail=f"status {status}")
         if status != STATUS_OK:
             return AppendUnknown(detail=f"status {status}")
-        try:
-            decoded = msgspec.json.decode(answer, type=AppendAnswer)
-        except msgspec.DecodeError as error:
-            return AppendUnknown(detail=f"answer not understood: {error}")
+        decoded = decode_json(answer, AppendAnswer)
+        if isinstance(decoded, Malformed):
+            return AppendUnknown(detail=f"answer not understood: {decoded.detail}")
         return Appended(first_offset=decoded.first_offset)
 
     async def read(self, stream, *, from_offset, limit=READ_LIMIT, wait=0.0):
@@ -174,8 +174,10 @@
             return LogUnavailable(detail=f"status {status}")
         try:
             decoded = _decode_read(answer)
-        except ValueError as error:
-            return LogUnavailable(detail=f"answer not understood: {error}")
+        except (ValueError, RecursionError) as error:
+            return LogUnavailable(
+                detail=f"answer not understood: {error}", is_malformed=True
+            )
         records = [_record(on_wire) for on_wire in decoded.records]
         self.extra_read_timeout = max(
             0.0, self.extra_read_timeout - EXTRA_READ_TIMEOUT_STEP_S
--- a/skylarkpost/log/log_follower.py
+++ b/skylarkpost/log/log_follower.py
@@ -86,6 +86,7 @@
         self.available = False
         self.failures = 0
         self.malformed = 0
+        self.reads_singly = False
         self.handlers = {}
         self.background = BackgroundTask(name=f"follow-{stream}")
 
@@ -146,11 +147,20 @@
         """
         started_at = self.clock()
         wanted = self.applied_offset
+        limit = 1 if self.reads_singly else READ_LIMIT
         answer = await self.log.read(
-            self.stream, from_offset=wanted, limit=READ_LIMIT, wait=self.long_poll
+            self.stream, from_offset=wanted, limit=limit, wait=self.long_poll
         )
         if isinstance(answer, LogUnavailable):
-            return self._back_off(answer.detail)
+            if not answer.is_malformed or self.applied_offset != wanted:
+                return self._back_off(answer.detail)
+            if self.reads_singly:
+                # Every instance skips the same record.
+                self._note_malformed(wanted, answer.detail)
+                self.applied_offset = wanted + 1
+            self.reads_singly = not self.reads_singly
+            return PAUSE_AFTER_RECORDS_S
+        self.reads_singly = self.reads_singly and bool(answer.records)
         self._note_answered()
         if self.applied_offset != wanted:
             return 0.0
@@ -181,18 +191,18 @@
             try:
                 handler(record.data, record.offset, record.time, now)
             except MALFORMED_RECORD_ERRORS as error:
-                self._note_malformed(record, error)
+                # Every instance skips the same record and continues with the next one.
+                self._note_malformed(record.offset, repr(error))
 
-    def _note_malformed(self, record, error):
-        # Every instance skips the same record and continues with the next one.
+    def _note_malformed(self, offset, error):
         self.malformed += 1
         log_event(
             logger,
             "log-record-malformed",
             level=logging.ERROR,
             stream=self.stream,
-            offset=record.offset,
-            error=repr(error),
+            offset=offset,
+            error=error,
         )
 
     def _skip_gap(self, wanted, first_offset):
--- a/skylarkpost/log/outcomes.py
+++ b/skylarkpost/log/outcomes.py
@@ -97,6 +97,9 @@
     ----------
     detail : str
         What happened.
+    is_malformed : bool
+        Whether an answer came that can't be decoded.
     """
 
     detail: str
+    is_malformed: bool = False
--- a/skylarkpost/membership/listing.py
+++ b/skylarkpost/membership/listing.py
@@ -1,14 +1,19 @@
 """The platform's instance list, merged with newer changes seen by peers."""
 
+import logging
 from typing import NamedTuple
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
+from skylarkpost.eventlog import log_event
 from skylarkpost.listing.instance_list import ListedInstance
 from skylarkpost.membership.member import TargetState
 
 __all__ = ["TargetListing"]
 
+logger = logging.getLogger(__name__)
+
 CHANGE_RETENTION_S = 60.0
 MAX_CHANGES = 500
 ROLE_ENTRY = "entry"
@@ -84,7 +89,11 @@
         payload : bytes
             Result of the peer's `encode_changes`.
         """
-        for change in msgspec.json.decode(payload, type=list[Change]):
+        changes = decode_json(payload, list[Change])
+        if isinstance(changes, Malformed):
+            log_event(logger, "changes-malformed", detail=changes.detail)
+            return
+        for change in changes:
             known = self.changes.get(change.id)
             known_as_of = known.as_of if known is not None else self.as_of
             if known_as_of is not None and change.as_of <= known_as_of:
--- a/skylarkpost/platform/configuration.py
+++ b/skylarkpost/platform/configuration.py
@@ -1,10 +1,8 @@
 """Decoder of the operators' configuration."""
 
-from typing import Annotated
-
 import msgspec
 
-from skylarkpost.platform.malformed import Malformed
+from skylarkpost.decoding import Count, Malformed, decode_json
 from skylarkpost.routing import (
     AdapterModel,
     CallerBounds,
@@ -28,8 +26,6 @@
 TOKENS_UNIT = "tokens"
 MS_PER_S = 1000.0
 
-Count = Annotated[int, msgspec.Meta(ge=0)]
-
 
 class SplitOnWire(msgspec.Struct):
     service: str
@@ -101,7 +97,7 @@
 
 
 class ConfigurationOnWire(msgspec.Struct, rename="camel"):
-    version: int
+    version: Count
     routes: list[RouteOnWire]
     services: list[ServiceOnWire]
     limits: BoundsOnWire
@@ -111,7 +107,7 @@
 class AdapterVersionOnWire(msgspec.Struct):
     model: str
     adapter: str
-    version: int
+    version: Count
 
 
 def decode_configuration(payload):
@@ -126,11 +122,13 @@
     -------
     Configuration or Malformed
     """
-    try:
-        wire = msgspec.json.decode(payload, type=ConfigurationOnWire)
-        routes = tuple(_route(each) for each in wire.routes)
-    except (msgspec.DecodeError, KeyError, UnicodeDecodeError) as error:
-        return Malformed(f"configuration: {error}")
+    wire = decode_json(payload, ConfigurationOnWire)
+    if isinstance(wire, Malformed):
+        return Malformed(f"configuration: {wire.detail}")
+    unknown = {each.route_kind for each in wire.routes} - ROUTE_KINDS.keys()
+    if unknown:
+        return Malformed(f"configuration: unknown kind {min(unknown)!r}")
+    routes = tuple(_route(each) for each in wire.routes)
     return Configuration(
         version=wire.version,
         routes=routes,
@@ -158,10 +156,9 @@
     tuple of (str, str, int) or Malformed
         Base model, adapter and version.
     """
-    try:
-        wire = msgspec.json.decode(payload, type=AdapterVersionOnWire)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Malformed(f"adapter version: {error}")
+    wire = decode_json(payload, AdapterVersionOnWire)
+    if isinstance(wire, Malformed):
+        return Malformed(f"adapter version: {wire.detail}")
     return wire.model, wire.adapter, wire.version
 
 
--- a/skylarkpost/platform/engines.py
+++ b/skylarkpost/platform/engines.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from skylarkpost.platform.malformed import Malformed
+from skylarkpost.decoding import Count, Malformed, decode_json
 from skylarkpost.platform.targets import ModelOnWire, loaded_models
 from skylarkpost.targets.state import EngineState, OrderReply, OrderVerdict
 
@@ -28,11 +28,11 @@
     # Whether a model is being loaded or unloaded; adapters don't count.
     busy: bool
     # Number of orders accepted by this run of the engine.
-    seq: int
-    waiting: int
-    running: int
-    kv_used: int = 0
-    kv_total: int = 0
+    seq: Count
+    waiting: Count
+    running: Count
+    kv_used: Count = 0
+    kv_total: Count = 0
     # Adapters that are being loaded, as MODEL/NAME@VERSION.
     pending: list[str] = []
 
@@ -57,11 +57,12 @@
         -------
         EngineState or Malformed
         """
-        try:
-            wire = msgspec.json.decode(payload, type=ReportOnWire)
-            models = loaded_models(wire.models)
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
-            return Malformed(f"report: {error}")
+        wire = decode_json(payload, ReportOnWire)
+        if isinstance(wire, Malformed):
+            return Malformed(f"report: {wire.detail}")
+        models = loaded_models(wire.models)
+        if models is None:
+            return Malformed("report: a version that is not a number")
         pending = {}
         for each in wire.pending:
             model, _, adapter = each.partition("/")
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -10,6 +10,7 @@
 import aiohttp
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.eventlog import log_event
 from skylarkpost.log.keyed import (
     KeyedRecord,
@@ -127,10 +128,9 @@
             return answer
         if answer.status not in (200, 412):
             return StoreUnavailable(f"append: status {answer.status}")
-        try:
-            ends = msgspec.json.decode(answer.payload, type=TopicEnds)
-        except msgspec.DecodeError as error:
-            return StoreUnknown(f"append: {error}")
+        ends = decode_json(answer.payload, TopicEnds)
+        if isinstance(ends, Malformed):
+            return StoreUnknown(f"append: {ends.detail}")
         end = make_position(answer.era, ends.end_offset)
         if answer.status == 412:
             return StoreConflict(end)
@@ -209,15 +209,17 @@
             era = answer.era if era is None else era
             if answer.era != era:
                 return StoreUnavailable("newest: restored between two pages")
+            page = decode_json(answer.payload, NewestPage)
+            if isinstance(page, Malformed):
+                return StoreUnavailable(f"newest: {page.detail}")
             try:
-                page = msgspec.json.decode(answer.payload, type=NewestPage)
                 records += [
                     KeyedRecord(
                         i.key, base64.b64decode(i.value), make_position(era, i.offset)
                     )
                     for i in page.items
                 ]
-            except (msgspec.DecodeError, ValueError) as error:
+            except ValueError as error:
                 return StoreUnavailable(f"newest: {error}")
             if end is None:
                 end = make_position(era, page.end_offset)
--- a/skylarkpost/platform/targets.py
+++ b/skylarkpost/platform/targets.py
@@ -1,22 +1,27 @@
 """Decoder of the announcements of servers in the store."""
 
+import re
+
 import msgspec
 
+from skylarkpost.decoding import Count, Malformed, Seconds, decode_json, is_address
 from skylarkpost.discovery import LoadedModel, TargetEntry, TargetState
-from skylarkpost.platform.malformed import Malformed
 
 __all__ = ["ModelOnWire", "decode_target", "loaded_models"]
 
 STATES = {"ready": TargetState.READY, "draining": TargetState.LEAVING}
 MS_PER_S = 1000.0
 VERSION_MARK = "@"
+# Ids travel in headers.
+TARGET_NAME = re.compile(r"[!-~]{1,200}")
+VERSION = re.compile(r"[0-9]{1,15}")
 
 
 class ModelOnWire(msgspec.Struct):
     """A loaded base model in a server's announcement or report."""
 
     name: str
-    version: int
+    version: Count
     # Each as NAME@VERSION.
     adapters: list[str] = []
 
@@ -25,13 +30,13 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Count
     state: str
-    born: int
+    born: Count
     # Orders accepted, on engines; other servers count announcements here.
-    seq: int = 0
+    seq: Count = 0
     models: list[ModelOnWire] = []
-    remaining_ms: float | None = None
+    remaining_ms: Seconds | None = None
 
 
 def decode_target(name, payload):
@@ -48,17 +53,17 @@
     -------
     TargetEntry or Malformed
     """
-    try:
-        wire = msgspec.json.decode(payload, type=ServerOnWire)
-        state = STATES[wire.state]
-        models = loaded_models(wire.models)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return Malformed(f"target {name}: {error}")
-    except (KeyError, ValueError) as error:
-        return Malformed(f"target {name}: unknown state or version: {error}")
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit():
-        return Malformed(f"target {name}: no address in {wire.address!r}")
+    wire = decode_json(payload, ServerOnWire)
+    if isinstance(wire, Malformed):
+        return Malformed(f"target {name}: {wire.detail}")
+    if TARGET_NAME.fullmatch(name) is None:
+        return Malformed("an id that can't be sent in a header")
+    state = STATES.get(wire.state)
+    models = loaded_models(wire.models)
+    if state is None or models is None:
+        return Malformed(f"target {name}: unknown state or version")
+    if not is_address(wire.address):
+        return Malformed(f"target {name}: no address")
     return TargetEntry(
         name=name,
         service=wire.service,
@@ -85,16 +90,20 @@
 
     Returns
     -------
-    tuple of LoadedModel
+    tuple of LoadedModel or None
+        None if the version of an adapter is not a number.
     """
-    return tuple(
-        LoadedModel(each.name, each.version, dict(map(_parse_adapter, each.adapters)))
-        for each in models
-    )
+    found = []
+    for each in models:
+        adapters = dict(map(_parse_adapter, each.adapters))
+        if None in adapters.values():
+            return None
+        found.append(LoadedModel(each.name, each.version, adapters))
+    return tuple(found)
 
 
 def _parse_adapter(text):
     name, mark, version = text.rpartition(VERSION_MARK)
     if not mark:
         return text, 0
-    return name, int(version)
+    return name, int(version) if VERSION.fullmatch(version) else None
--- a/skylarkpost/quarantine/controller.py
+++ b/skylarkpost/quarantine/controller.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from skylarkpost.controllers import Controller, register_controller
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.eventlog import log_event
 from skylarkpost.log import Appended
 from skylarkpost.quarantine.suspects import (
@@ -234,7 +235,10 @@
         self.services.controllers["membership"].publish(TOPIC, payload)
 
     def _handle_digest(self, member, payload, now):
-        expiries = msgspec.json.decode(payload, type=dict[str, float])
+        expiries = decode_json(payload, dict[str, float])
+        if isinstance(expiries, Malformed):
+            self.services.metrics.count_event("malformed-digest")
+            return
         for fingerprint, expires_at in expiries.items():
             seconds = expires_at - self.services.wall_clock()
             if seconds > 0.0:
--- a/skylarkpost/quarantine/crash_news.py
+++ b/skylarkpost/quarantine/crash_news.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
+
 __all__ = ["CrashNews", "SeenCrash", "StoredCrashes", "decode", "encode"]
 
 
@@ -81,7 +83,5 @@
     CrashNews, StoredCrashes or None
         None if it is malformed.
     """
-    try:
-        return msgspec.json.decode(payload, type=kind)
-    except msgspec.DecodeError:
-        return None
+    decoded = decode_json(payload, kind)
+    return None if isinstance(decoded, Malformed) else decoded
--- a/skylarkpost/stewardship/leases.py
+++ b/skylarkpost/stewardship/leases.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.log.positions import era_of
 from skylarkpost.rendezvous import choose_members
 
@@ -146,10 +147,8 @@
     -------
     LeaseRecord or None
     """
-    try:
-        return msgspec.json.decode(payload, type=LeaseRecord)
-    except msgspec.DecodeError:
-        return None
+    record = decode_json(payload, LeaseRecord)
+    return None if isinstance(record, Malformed) else record
 
 
 class LeaseTable:
--- a/skylarkpost/stewardship/summary.py
+++ b/skylarkpost/stewardship/summary.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_msgpack
+
 __all__ = ["TargetSummary", "adapter_hash", "decode_summaries", "encode_summaries"]
 
 
@@ -113,7 +115,5 @@
     list of TargetSummary or None
         None if the payload is malformed.
     """
-    try:
-        return msgspec.msgpack.decode(payload, type=list[TargetSummary])
-    except msgspec.DecodeError:
-        return None
+    summaries = decode_msgpack(payload, list[TargetSummary])
+    return None if isinstance(summaries, Malformed) else summaries
--- a/skylarkpost/targets/calls.py
+++ b/skylarkpost/targets/calls.py
@@ -6,6 +6,7 @@
 import msgspec
 import yarl
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.targets.outcomes import Answered, MayHaveRun, NotRun
 
 __all__ = ["CONNECT_TIMEOUT_S", "NOT_SENT_ERRORS", "Call", "error_code", "perform"]
@@ -181,10 +182,8 @@
     str
         Empty if the body has no error code.
     """
-    try:
-        return msgspec.json.decode(body, type=ErrorOnWire).error.code
-    except msgspec.DecodeError:
-        return ""
+    decoded = decode_json(body, ErrorOnWire)
+    return "" if isinstance(decoded, Malformed) else decoded.error.code
 
 
 def _is_framed(response):
--- a/skylarkpost/targets/engine_orders.py
+++ b/skylarkpost/targets/engine_orders.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.targets.calls import error_code, perform
 from skylarkpost.targets.engine_calls import (
     QUERY_TIMEOUT_S,
@@ -163,7 +164,5 @@
 
 
 def _boot(answer):
-    try:
-        return msgspec.json.decode(answer, type=OrderAnswer).boot
-    except msgspec.DecodeError:
-        return None
+    decoded = decode_json(answer, OrderAnswer)
+    return None if isinstance(decoded, Malformed) else decoded.boot
--- a/skylarkpost/targets/engine_reports.py
+++ b/skylarkpost/targets/engine_reports.py
@@ -1,7 +1,6 @@
 """Queries to engines: load, cache events, health."""
 
-import msgspec
-
+from skylarkpost.decoding import Malformed
 from skylarkpost.targets.calls import perform
 from skylarkpost.targets.engine_calls import STATUS_OK, EngineCalls
 from skylarkpost.targets.outcomes import MayHaveRun, NotRun, TargetUnavailable
@@ -81,9 +80,9 @@
                 return TargetUnavailable(detail=detail)
         if outcome.status != STATUS_OK:
             return TargetUnavailable(detail=f"status {outcome.status}")
-        try:
-            return decode(
-                outcome.body, requested_at=requested_at, answered_at=answered_at
-            )
-        except msgspec.DecodeError as error:
-            return TargetUnavailable(detail=f"answer not understood: {error}")
+        decoded = decode(
+            outcome.body, requested_at=requested_at, answered_at=answered_at
+        )
+        if isinstance(decoded, Malformed):
+            return TargetUnavailable(detail=f"answer not understood: {decoded.detail}")
+        return decoded
--- a/skylarkpost/targets/reports.py
+++ b/skylarkpost/targets/reports.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from skylarkpost.decoding import Malformed, decode_json
+
 __all__ = [
     "CacheEvent",
     "CacheEvents",
@@ -184,14 +186,11 @@
 
     Returns
     -------
-    LoadReport
-
-    Raises
-    ------
-    msgspec.DecodeError
-        If the body is not a valid load report.
+    LoadReport or Malformed
     """
-    wire = msgspec.json.decode(body, type=LoadOnWire)
+    wire = decode_json(body, LoadOnWire)
+    if isinstance(wire, Malformed):
+        return wire
     resident = {r.lora_name: ResidentLoad(r.running, r.waiting) for r in wire.resident}
     return LoadReport(
         boot=wire.boot,
@@ -211,12 +210,16 @@
 
 def decode_cache_events(body, *, requested_at, answered_at):
     """Decode cache events; see `decode_load`."""
-    wire = msgspec.json.decode(body, type=CacheEventsOnWire)
+    wire = decode_json(body, CacheEventsOnWire)
+    if isinstance(wire, Malformed):
+        return wire
     events = tuple(CacheEvent(e.n, e.kind, e.prefix) for e in wire.events)
     return CacheEvents(wire.boot, wire.next, events)
 
 
 def decode_health(body, *, requested_at, answered_at):
     """Decode the health of an engine or a plain service; see `decode_load`."""
-    wire = msgspec.json.decode(body, type=HealthOnWire)
+    wire = decode_json(body, HealthOnWire)
+    if isinstance(wire, Malformed):
+        return wire
     return TargetHealth(wire.boot, wire.uptime, requested_at, answered_at)
--- a/tests/log/test_log_follower.py
+++ b/tests/log/test_log_follower.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -139,3 +140,22 @@
     log.add(1, kind="b")
     with pytest.raises(AssertionError):
         await follower.read_once()
+
+
+async def test_a_record_that_cannot_be_decoded_costs_only_itself():
+    """Guards against one odd record that stops whoever follows the log."""
+    _, log, follower, seen = build()
+    log.add(8)
+    read = log.read
+
+    async def read_strictly(stream, *, from_offset, limit, wait):
+        if from_offset <= 4 < from_offset + limit:
+            return LogUnavailable(detail="nested too deeply", is_malformed=True)
+        answer = await read(stream, from_offset=from_offset, limit=limit, wait=wait)
+        return dataclasses.replace(answer, records=answer.records[:limit])
+
+    log.read = read_strictly
+    for _ in range(12):
+        await follower.read_once()
+    assert seen == [0, 1, 2, 3, 5, 6, 7]
+    assert follower.malformed == 1
