Pass requests on in a shutdown only if they can be finished; answer what is left

Operators of similar systems saw requests that came late in the grace passed on and cut at its end. Here a request that waited for its target by then was passed on at any moment, and the process stopped with its connections open. The grace is a budget now: a route's usual duration decides until when its requests are passed on, waiting ones are refused in time, and what is still at its target at the end is answered 502.

--- a/skylarkpost/daemon/instance.py
+++ b/skylarkpost/daemon/instance.py
@@ -10,7 +10,7 @@
 
 from skylarkpost.controllers import build_controllers
 from skylarkpost.eventlog import log_event
-from skylarkpost.filters import FilterChain, build_filters
+from skylarkpost.filters import FilterChain, build_filters, refuse_all
 from skylarkpost.frontend import build_app
 from skylarkpost.frontend.protocol import BoundedHttpProtocol
 
@@ -20,6 +20,8 @@
 
 PEER_SERVER_GRACE_S = 1.0
 DRAIN_POLL_S = 0.05
+# For the answers to requests that are ended when the time to drain is over.
+LAST_ANSWERS_S = 0.2
 LISTEN_BACKLOG = 2048
 KEEP_ALIVE_S = 75
 
@@ -106,7 +108,10 @@
         deadline = services.clock() + services.settings.shutdown.drain
         while services.exchanges and services.clock() < deadline:
             await asyncio.sleep(DRAIN_POLL_S)
-        log_event(logger, "requests-ended", left_open=len(services.exchanges))
+        cut = refuse_all(services.exchanges.values())
+        if cut:
+            await asyncio.sleep(LAST_ANSWERS_S)
+        log_event(logger, "requests-ended", cut=cut, left_open=len(services.exchanges))
 
     async def _stop(self, http_task):
         self.http_server.should_exit = True
--- a/skylarkpost/filters/__init__.py
+++ b/skylarkpost/filters/__init__.py
@@ -3,6 +3,7 @@
 from skylarkpost.filters.chain import FilterChain
 from skylarkpost.filters.exchange import Answer, Decision, Exchange
 from skylarkpost.filters.registry import Filter, build_filters, register_filter
+from skylarkpost.filters.shutdown import refuse_all, shutdown_refusal
 
 __all__ = [
     "Answer",
@@ -11,5 +12,7 @@
     "Filter",
     "FilterChain",
     "build_filters",
+    "refuse_all",
     "register_filter",
+    "shutdown_refusal",
 ]
--- a/skylarkpost/gateway/app.py
+++ b/skylarkpost/gateway/app.py
@@ -128,6 +128,13 @@
         self.services.exchanges.pop(id(exchange), None)
         exchange.incoming.on_change = None
         exchange.stop_timer()
+        if (
+            isinstance(outcome, Relayed)
+            and is_complete
+            and exchange.sent_at is not None
+        ):
+            seconds = self.services.clock() - exchange.sent_at
+            self.services.grace.record(exchange.route.name, seconds)
         await exchange.finish()
         self._log_end(exchange, outcome, is_complete)
 
--- a/skylarkpost/gateway/filters.py
+++ b/skylarkpost/gateway/filters.py
@@ -3,8 +3,8 @@
 import zlib
 
 from skylarkpost.controllers import GATEWAY
-from skylarkpost.filters import Filter, register_filter
-from skylarkpost.outcomes import Reason, Refused
+from skylarkpost.filters import Filter, register_filter, shutdown_refusal
+from skylarkpost.outcomes import Reason, Refused, RunState
 from skylarkpost.routing import key_digest
 
 __all__ = [
@@ -20,8 +20,6 @@
 ROUTE_RANKS = 3
 DEFAULT_TEAM_RANK = 1
 LAST_RANK = 9
-# Another instance can serve the request immediately.
-SHUTDOWN_RETRY_AFTER_S = 0.02
 
 
 def choose_service(route, attempt_id):
@@ -88,11 +86,7 @@
         """Refuse during the last part of a shutdown. See `Filter.apply`."""
         if not self.services.leaving:
             return None
-        return Refused(
-            reason=Reason.SHUTTING_DOWN,
-            message="This instance is shutting down.",
-            retry_after=SHUTDOWN_RETRY_AFTER_S,
-        )
+        return shutdown_refusal(RunState.NOT_RUN)
 
 
 @register_filter("route", order=10, front_ends=(GATEWAY,))
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -6,7 +6,7 @@
 
 from skylarkpost.controllers import GATEWAY
 from skylarkpost.eventlog import log_event
-from skylarkpost.filters import Filter, register_filter
+from skylarkpost.filters import Filter, register_filter, shutdown_refusal
 from skylarkpost.gateway.event_buffer import EventBuffer
 from skylarkpost.gateway.retries import (
     AttemptFailure,
@@ -156,6 +156,10 @@
             return AttemptFailure(FailureKind.NOT_SENT, connection.detail)
         now = services.clock()
         left = exchange.deadline - now
+        route = exchange.route
+        if not services.grace.can_finish(route.name, route.timeout, now):
+            ran = RunState.UNKNOWN if exchange.dispatched else RunState.NOT_RUN
+            exchange.cancel(shutdown_refusal(ran))
         if left <= 0 or exchange.cancelled is not None:
             services.pool.release_connection(ticket.boot, connection)
             return AttemptFailure(FailureKind.TIMED_OUT, "no time left to send")
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -7,8 +7,9 @@
 
 from skylarkpost.controllers import GATEWAY, build_controllers
 from skylarkpost.eventlog import log_event
-from skylarkpost.filters import FilterChain, build_filters
+from skylarkpost.filters import FilterChain, build_filters, refuse_all
 from skylarkpost.gateway.app import GatewayApp
+from skylarkpost.gateway.shutdown import refuse_unfinishable
 from skylarkpost.routing import CallerBounds
 from skylarkpost.transport import CallerConnection, PlainResponse
 
@@ -23,6 +24,8 @@
 # Reserved before the process is killed, for stopping controllers and servers.
 CLOSE_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
+# For the answers to requests that are ended with the grace; a part of the margin.
+LAST_ANSWERS_S = 0.2
 PEER_SERVER_GRACE_S = 0.2
 # A fraction of the shortest time for which idle connections are kept.
 EXPIRY_CHECK_INTERVAL_S = 0.25
@@ -141,15 +144,34 @@
         services = self.services
         log_event(logger, "shutdown-started", open_requests=len(services.exchanges))
         services.draining = True
-        await asyncio.sleep(self.notice)
-        services.leaving = True
+        services.grace.stop_at = deadline
+        noticed_at = services.clock() + self.notice
+        refused = 0
         while True:
-            for connection in list(self.connections):
-                connection.close_when_idle()
-            if not self.connections or services.clock() >= deadline:
+            now = services.clock()
+            refused += refuse_unfinishable(
+                services.exchanges.values(), services.grace, now
+            )
+            services.leaving = now >= noticed_at
+            if services.leaving:
+                for connection in list(self.connections):
+                    connection.close_when_idle()
+                if not self.connections:
+                    break
+            if now >= deadline:
                 break
             await asyncio.sleep(DRAIN_POLL_S)
-        log_event(logger, "requests-ended", left_open=len(services.exchanges))
+        services.leaving = True
+        cut = refuse_all(services.exchanges.values())
+        if cut:
+            await asyncio.sleep(LAST_ANSWERS_S)
+        log_event(
+            logger,
+            "requests-ended",
+            refused=refused,
+            cut=cut,
+            left_open=len(services.exchanges),
+        )
 
     async def _stop(self):
         for controller in reversed(self.services.controllers.values()):
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -5,6 +5,7 @@
 
 from skylarkpost.daemon import Services
 from skylarkpost.eventlog import log_event
+from skylarkpost.gateway.shutdown import GraceBudget
 from skylarkpost.platform import EngineCodec, HeaderCodec
 from skylarkpost.relay.retry_budget import RetryBudget
 from skylarkpost.transport import (
@@ -62,6 +63,7 @@
         self.pool = ConnectionPool(clock=clock, on_opened=self._note_opened)
         self.followers = {}
         self.retry_budgets = {}
+        self.grace = GraceBudget(grace=settings.bounds.grace_s)
 
     async def query_peers(self, topic, start):
         """Query other instances for the records of a topic.
