Load and wait for the version of an adapter in force only

Cause: the adapters loaded without a request were all names counted, older versions too. The random histories showed the same class for waiting requests: two versions replaced each other for ever.

--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -239,6 +239,9 @@
                 limit_window=self.services.settings.bounds.limit_window_s,
             ),
             authority=authority,
+            current_lora_name=lambda name: self._current_lora_name(
+                limits.models[0].name, name
+            ),
         )
         self.executors[lease.target] = StewardExecutor(
             steward=steward,
@@ -248,9 +251,6 @@
             claim=lease,
             on_stale=lambda name: self._end_stewardship(name, "stale-fencing-number"),
             answer_timeout=self.max_ticket_wait(),
-            current_lora_name=lambda name: self._current_lora_name(
-                limits.models[0].name, name
-            ),
         )
         log_event(
             logger,
--- a/skylarkpost/stewardship/queue.py
+++ b/skylarkpost/stewardship/queue.py
@@ -188,6 +188,24 @@
                     self._insert(entry, ready=False)
             self._ready[key] = kept
 
+    def rename(self, lora_name, current, *, ready):
+        """Let the requests of an adapter wait for another version of it.
+
+        Parameters
+        ----------
+        lora_name : str
+            The adapter that they wait for.
+        current : str
+            The adapter that they wait for from now on.
+        ready : bool
+            Whether that one is usable now.
+        """
+        self.set_ready(lora_name, ready=False)
+        for entry in self._blocked.pop(lora_name, {}).values():
+            renamed = entry._replace(request=entry.request._replace(lora_name=current))
+            self.entries[entry.request.ticket_id] = renamed
+            self._insert(renamed, ready=ready)
+
     def expire(self, now):
         """Remove the requests whose deadline has passed.
 
--- a/skylarkpost/stewardship/slots.py
+++ b/skylarkpost/stewardship/slots.py
@@ -38,6 +38,8 @@
         Waiting requests.
     ledger : TicketLedger
         Granted tickets.
+    current_lora_name : callable
+        Takes an adapter's name and returns that of its version in force.
 
     Attributes
     ----------
@@ -52,7 +54,10 @@
         Number of unload orders issued.
     """
 
-    def __init__(self, *, target, fencing_number, policy, queue, ledger):
+    def __init__(
+        self, *, target, fencing_number, policy, queue, ledger, current_lora_name
+    ):
+        self.current_lora_name = current_lora_name
         self.base_model = target.pool
         self.fencing_number = fencing_number
         self.policy = policy
@@ -408,8 +413,11 @@
         if not self.residency.free_slots():
             return None
         for name in self.prefetch_names:
-            is_absent = self.residency.state(name) is None
-            if is_absent and not self.backoff.remaining(name, now):
+            is_wanted = self.residency.state(name) is None and name not in self.barred
+            is_wanted = is_wanted and not self._other_versions(name)
+            # A newer version may have been named since.
+            is_wanted = is_wanted and self.current_lora_name(name) == name
+            if is_wanted and not self.backoff.remaining(name, now):
                 return name
         return None
 
@@ -540,8 +548,14 @@
         self.barred = {}
         for name in before:
             self._note_usability(name)
-        known = [name for name in self.demand.counts if name != self.base_model]
-        self.prefetch(sorted(known, key=lambda name: -self.demand.value(name, now)))
+        wanted = {}
+        for name in self.demand.counts:
+            if name != self.base_model:
+                current = self.current_lora_name(name)
+                wanted[current] = wanted.get(current, 0.0) + self.demand.value(
+                    name, now
+                )
+        self.prefetch(sorted(wanted, key=lambda name: -wanted[name]))
 
 
 def _adapter_name(lora_name):
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -61,6 +61,9 @@
         A ``LIMITED`` steward never evicts.
     predecessor : bool
         Whether another steward may have acted on the target before.
+    current_lora_name : callable or None
+        Takes an adapter's name and returns that of its version in force, for holders
+        that don't know it yet; None if each version is an adapter of its own.
 
     Attributes
     ----------
@@ -91,7 +94,9 @@
         authority=None,
         permissions=Permissions.FULL,
         predecessor=False,
+        current_lora_name=None,
     ):
+        self.current_lora_name = current_lora_name or _unchanged
         self.target = target
         self.fencing_number = fencing_number
         self.instance = instance
@@ -120,6 +125,7 @@
             policy=self.policy,
             queue=self.queue,
             ledger=self.ledger,
+            current_lora_name=self.current_lora_name,
         )
         self.takeover = Takeover(
             policy=self.policy,
@@ -157,6 +163,7 @@
         -------
         list of Command
         """
+        request = request._replace(lora_name=self.current_lora_name(request.lora_name))
         held = self.ledger.tickets.get(request.ticket_id)
         if held is not None:
             return [self._grant_again(held, now)]
@@ -531,7 +538,14 @@
         # a ticket from a replaced steward is harmless.
         return self.policy.engine_drains_on_unload or self.authority.is_valid(now)
 
+    def _replace_old_versions(self):
+        for name in {entry.request.lora_name for entry in self.queue.entries.values()}:
+            current = self.current_lora_name(name)
+            if current != name:
+                self.queue.rename(name, current, ready=self.slots.is_usable(current))
+
     def _advance(self, now):
+        self._replace_old_versions()
         self.ledger.expire(now)
         commands = self._refuse_expired(now)
         if not self._may_act(now):
@@ -677,3 +691,7 @@
         if missing <= 0 or not in_use:
             return 0.0
         return min(MAX_SLOT_WAIT_S, missing * self.service_time / in_use)
+
+
+def _unchanged(lora_name):
+    return lora_name
--- a/skylarkpost/stewardship/steward_executor.py
+++ b/skylarkpost/stewardship/steward_executor.py
@@ -57,9 +57,6 @@
         number.
     answer_timeout : float
         Longest time that one request for a ticket waits, in seconds.
-    current_lora_name : callable or None
-        Takes an adapter's name and returns the name of its current version, for
-        holders that do not know the newest version yet.
 
     Attributes
     ----------
@@ -81,7 +78,6 @@
         claim,
         on_stale,
         answer_timeout=ANSWER_TIMEOUT_S,
-        current_lora_name=None,
     ):
         self.steward = steward
         self.engines = engines
@@ -90,7 +86,6 @@
         self.claim = claim
         self.on_stale = on_stale
         self.answer_timeout = answer_timeout
-        self.current_lora_name = current_lora_name
         self.silent_since = None
         self.last_report = None
         self.predecessor = None
@@ -127,10 +122,6 @@
         """
         if self.closed:
             return None
-        if self.current_lora_name is not None:
-            request = request._replace(
-                lora_name=self.current_lora_name(request.lora_name)
-            )
         ticket_id = request.ticket_id
         waiter = self._waiters.get(ticket_id)
         if waiter is None:
--- a/tests/stewardship/test_slot_states.py
+++ b/tests/stewardship/test_slot_states.py
@@ -71,12 +71,15 @@
         super().__init__()
         self.now = 100.0
         self.engine = OneEngine()
+        self.newest = dict.fromkeys(ADAPTERS, 1)
+        self.loaded = {}
         self.steward = TargetSteward(
             target=FakeTarget(slots=SLOTS, fencing=False),
             fencing_number=1,
             instance="i-1",
             now=0.0,
             policy=POLICY,
+            current_lora_name=self.current_lora_name,
         )
         self.count = None
         self.last_order_at = -math.inf
@@ -85,12 +88,15 @@
         self.late = []
         self.waiting = {}
         self.running = {}
-        self.newest = dict.fromkeys(ADAPTERS, 1)
         self.asked = 0
         self.states = []
         self.note_state()
         self.read_report()
 
+    def current_lora_name(self, lora_name):
+        name = lora_name.rpartition("@")[0]
+        return f"{name}@{self.newest[name]}"
+
     def note_state(self):
         self.states.append((self.now, dict(self.engine.versions), self.engine.count))
         del self.states[:-50]
@@ -106,6 +112,10 @@
                 self.permits += 1
             elif not isinstance(command, ReturnLoadPermit):
                 self.orders.append(command)
+            if isinstance(command, LoadAdapter):
+                name, _, version = command.lora_name.rpartition("@")
+                assert int(version) >= self.loaded.get(name, 0), "an older version"
+                self.loaded[name] = int(version)
 
     def read_report(self, *, age=0.0):
         due = [each for each in self.states if each[0] <= self.now - age]
@@ -166,6 +176,10 @@
         del self.running[ticket_id]
         self.execute(self.steward.return_ticket(ticket_id, self.now, certain=certain))
 
+    @rule(name=st.sampled_from(ADAPTERS))
+    def name_new_version(self, name):
+        self.newest[name] += 1
+
     @precondition(lambda self: self.permits)
     @rule(is_granted=st.sampled_from([True, True, True, False]))
     def decide_permit(self, is_granted):
@@ -243,7 +257,8 @@
             self.now += 0.2
             while self.permits:
                 self.decide_permit(True)
-            while self.orders:
+            # An order that was not given is tried again after a delay.
+            for _ in range(len(self.orders)):
                 self.answer_order()
             self.read_report()
             while self.running:
--- a/tests/stewardship/test_steward.py
+++ b/tests/stewardship/test_steward.py
@@ -369,6 +369,51 @@
     assert bench.granted["r3"].lora_name == "a@1"
 
 
+def test_after_a_restart_only_the_version_in_force_is_loaded_without_a_request():
+    """Guards against an old version that is loaded over the new one."""
+    in_force = {"a": 1, "b": 1}
+    bench = Bench(
+        target=FakeTarget(slots=3),
+        policy=POLICY,
+        current_lora_name=lambda name: f"{name[0]}@{in_force[name[0]]}",
+    )
+    for number in range(6):
+        bench.submit(f"r{number}", "a@1", 1.0)
+        bench.release(f"r{number}", 1.0)
+    bench.submit("b1", "b@1", 1.0)
+    bench.release("b1", 1.1)
+    in_force["a"] = 2
+    bench.report(2.0)
+    bench.submit("r7", "a@1", 2.0)
+    bench.release("r7", 2.1)
+    assert bench.granted["r7"].lora_name == "a@2"
+    bench.orders.clear()
+    bench.engine.restart(3.0)
+    bench.report(3.5)
+    for step in range(20):
+        bench.report(4.0 + step / 10)
+    loads = [each.lora_name for each in bench.orders if isinstance(each, LoadAdapter)]
+    assert sorted(loads) == ["a@2", "b@1"]
+
+
+def test_requests_that_wait_for_two_versions_get_the_one_in_force():
+    """Guards against versions that replace each other before any request runs."""
+    in_force = {"a": 1}
+    bench = Bench(
+        target=FakeTarget(slots=1, batch_limit=2),
+        policy=POLICY,
+        current_lora_name=lambda name: f"{name[0]}@{in_force.get(name[0], 1)}",
+    )
+    bench.submit("r1", "b@1", 1.0)
+    bench.submit("r2", "a@1", 1.0)
+    in_force["a"] = 2
+    bench.submit("r3", "a@2", 1.1)
+    bench.release("r1", 1.2)
+    bench.report(2.0)
+    bench.report(2.5)
+    assert bench.granted["r2"].lora_name == bench.granted["r3"].lora_name == "a@2"
+
+
 def _request(ticket_id, lora_name, now):
     values = {"team": "t", "weight": 1.0, "urgency": 5, "tokens": 100}
     values |= {"holder": "i-1", "deadline": now + 60.0}
