Keep one connection for an order and its polls

A copy of an answer within an order says what the answer before said, and the order's next poll corrects it.

--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -184,12 +184,14 @@
         limit = self.connection_share(service)
         return await self.pool.get(ticket.boot, ticket.address, limit=limit)
 
-    async def call_target(self, entry, method, path, body, timeout, *, is_fresh=False):
+    async def call_target(
+        self, entry, method, path, body, timeout, *, is_fresh=False, channel=None
+    ):
         """Make a report or order call to a target.
 
         The answers name no call, so a second copy of one looks like the answer to
         whatever its connection carries next. Calls therefore share no connection with
-        requests, and each order has one of its own.
+        requests, and each order with its polls has one of its own.
 
         Parameters
         ----------
@@ -203,25 +205,26 @@
             Maximum duration, in seconds.
         is_fresh : bool
             Whether the answer must not be a copy of an earlier one.
+        channel : CallChannel or None
+            Connection of an order and its polls.
 
         Returns
         -------
         CallResponse or CallIncomplete
         """
-        is_order = bool(body)
         headers = [
             ("host", entry.address),
             (EngineCodec.instance_header, entry.name),
         ]
-        if is_order:
+        if body:
             headers.append(("content-type", "application/json"))
         return await call_target(
             self.pool,
             name=f"{entry.boot} calls",
             address=entry.address,
             limit=CALL_CONNECTIONS,
-            is_fresh=is_fresh or is_order,
-            is_kept=not is_order,
+            is_fresh=is_fresh,
+            channel=channel,
             payload=encode_request(method, path, headers, body),
             timeout=timeout,
             is_foreign=self._is_request_answer,
--- a/skylarkpost/targets/sequenced_engine_client.py
+++ b/skylarkpost/targets/sequenced_engine_client.py
@@ -1,6 +1,7 @@
 """Client for an engine that counts accepted orders; sends them one by one."""
 
 import asyncio
+import contextlib
 import logging
 import math
 
@@ -15,6 +16,7 @@
 )
 from skylarkpost.targets.reports import LoadReport, ResidentLoad, TargetHealth
 from skylarkpost.targets.state import EngineOrder, EngineState, OrderVerdict
+from skylarkpost.transport import CallChannel
 
 __all__ = ["SequencedEngineClient"]
 
@@ -60,8 +62,9 @@
         This instance, the sender of the orders.
     call : callable
         Coroutine function of the engine's entry, an HTTP method and path, a
-        body, a timeout and whether the answer must be the first on its connection;
-        returns a `CallResponse` or `CallIncomplete`.
+        body and a timeout; returns a `CallResponse` or `CallIncomplete`. With
+        ``is_fresh`` the answer must be the first on its connection; ``channel`` is the
+        `CallChannel` of an order.
     codec : object
         Codec with the interface of `skylarkpost.platform.EngineCodec`.
     clock : callable
@@ -195,8 +198,12 @@
         if boot != self.entry.boot:
             return OrderRefused(code="wrong-boot")
         deadline = self.clock() + timeout
+        with contextlib.closing(CallChannel()) as channel:
+            return await self._load(weight_name, int(version), deadline, channel)
+
+    async def _load(self, weight_name, version, deadline, channel):
         was_cached = weight_name in self.cached_copies
-        verdict = await self._order_or_wait(True, weight_name, int(version))
+        verdict = await self._order_or_wait(True, weight_name, version, channel)
         poll_delay = CACHED_LOAD_POLL_DELAY_S if was_cached else LOAD_POLL_DELAY_S
         while verdict is OrderVerdict.STARTED:
             if self.clock() + poll_delay > deadline:
@@ -204,7 +211,9 @@
             await asyncio.sleep(poll_delay)
             poll_delay = POLL_INTERVAL_S
             # Repeating the order polls whether it has been executed.
-            verdict = await self._order(True, weight_name, int(version), is_poll=True)
+            verdict = await self._order(
+                True, weight_name, version, channel, is_poll=True
+            )
             if verdict in (OrderVerdict.CONFLICT, OrderVerdict.REFUSED):
                 return OrderUnknown(detail="the load cannot be followed")
         if verdict is OrderVerdict.HOLDS:
@@ -236,10 +245,14 @@
             return OrderRefused(code="wrong-boot")
         adapter = lora_name.rpartition("@")[0]
         deadline = self.clock() + timeout
-        verdict = await self._order_or_wait(False, adapter, None)
+        with contextlib.closing(CallChannel()) as channel:
+            return await self._unload(adapter, deadline, channel)
+
+    async def _unload(self, adapter, deadline, channel):
+        verdict = await self._order_or_wait(False, adapter, None, channel)
         while verdict is OrderVerdict.STARTED and self.clock() < deadline:
             await asyncio.sleep(POLL_INTERVAL_S)
-            verdict = await self._order(False, adapter, None, is_poll=True)
+            verdict = await self._order(False, adapter, None, channel, is_poll=True)
             if verdict in (OrderVerdict.CONFLICT, OrderVerdict.REFUSED):
                 return OrderUnknown(detail="the unload cannot be followed")
         if verdict is OrderVerdict.STARTED:
@@ -289,15 +302,15 @@
             return OrderUnknown(detail="no answer")
         return OrderNotGiven(code=verdict.value)
 
-    async def _order_or_wait(self, is_load, adapter, version):
-        verdict = await self._order(is_load, adapter, version)
+    async def _order_or_wait(self, is_load, adapter, version, channel):
+        verdict = await self._order(is_load, adapter, version, channel)
         is_accepted = verdict in (OrderVerdict.STARTED, OrderVerdict.HOLDS)
         if not is_accepted and verdict is not OrderVerdict.UNKNOWN:
             # The cause of the rejection does not clear at once.
             await asyncio.sleep(NOT_ACCEPTED_DELAY_S)
         return verdict
 
-    async def _order(self, is_load, adapter, version, *, is_poll=False):
+    async def _order(self, is_load, adapter, version, channel, *, is_poll=False):
         async with self._lock:
             if self.orders_accepted is None or not self.may_order():
                 return OrderVerdict.REFUSED
@@ -310,18 +323,18 @@
                 fencing_number=self.fencing_number,
                 orders_accepted=self.orders_accepted,
             )
-            return await self._send_with_retries(order, is_poll)
+            return await self._send_with_retries(order, channel, is_poll)
 
-    async def _send_with_retries(self, order, is_poll):
+    async def _send_with_retries(self, order, channel, is_poll):
         is_in_doubt = False
         for timeout in ORDER_TIMEOUTS_S:
-            verdict = await self._send(order, timeout)
+            verdict = await self._send(order, channel, timeout)
             is_settled = order.orders_accepted > self.unsettled_count
             if verdict is OrderVerdict.CONFLICT and is_in_doubt and is_settled:
                 # The unanswered transmission was accepted; poll it with the
                 # next count.
                 confirmation = order._replace(orders_accepted=order.orders_accepted + 1)
-                verdict = await self._send(confirmation, timeout)
+                verdict = await self._send(confirmation, channel, timeout)
                 if verdict in (OrderVerdict.STARTED, OrderVerdict.HOLDS):
                     # It is unknown whether the engine counts the unload of an
                     # adapter that is no longer loaded.
@@ -334,12 +347,14 @@
         self._update_count(order, verdict, is_poll)
         return verdict
 
-    async def _send(self, order, timeout):
+    async def _send(self, order, channel, timeout):
         self.last_order_at = self.clock()
         self.last_sent_count = order.orders_accepted
         method, path = self.codec.order_request
         body = self.codec.encode_order(order)
-        answer = await self.call(self.entry, method, path, body, timeout)
+        answer = await self.call(
+            self.entry, method, path, body, timeout, channel=channel
+        )
         status = getattr(answer, "status", None)
         if status is None:
             verdict = OrderVerdict.UNKNOWN if answer.was_sent else OrderVerdict.REFUSED
@@ -399,7 +414,8 @@
         if last_ordered_at is not None and now - last_ordered_at < MODEL_LOAD_RETRY_S:
             return
         self.model_ordered_at = now
-        await self._order(True, None, None)
+        with contextlib.closing(CallChannel()) as channel:
+            await self._order(True, None, None, channel)
 
     def _note_cached(self, adapter):
         self.cached_copies.pop(adapter, None)
--- a/skylarkpost/transport/__init__.py
+++ b/skylarkpost/transport/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 transport: a server for callers and a pooled client for targets."""
 
 from skylarkpost.transport.calls import (
+    CallChannel,
     CallIncomplete,
     CallResponse,
     call_target,
@@ -23,6 +24,7 @@
 
 __all__ = [
     "BodyBrokenError",
+    "CallChannel",
     "CallIncomplete",
     "CallResponse",
     "CallerConnection",
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -6,7 +6,13 @@
 from skylarkpost.transport.client import ConnectFailed, ResponseBroken, ResponseHead
 from skylarkpost.transport.pool import PoolExhausted
 
-__all__ = ["CallIncomplete", "CallResponse", "call_target", "encode_request"]
+__all__ = [
+    "CallChannel",
+    "CallIncomplete",
+    "CallResponse",
+    "call_target",
+    "encode_request",
+]
 
 # Reports and responses to orders take a few kilobytes.
 MAX_RESPONSE_BYTES = 1_048_576
@@ -46,6 +52,25 @@
     was_sent: bool
 
 
+class CallChannel:
+    """The connection of calls that belong together, for example an order and its polls.
+
+    Attributes
+    ----------
+    connection : TargetConnection or None
+        None until the first call, and after a call without a complete response.
+    """
+
+    def __init__(self):
+        self.connection = None
+
+    def close(self):
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
 def encode_request(method, target, headers, body):
     """Serialise an HTTP/1.1 request.
 
@@ -80,7 +105,7 @@
     is_foreign=None,
     on_head=None,
     is_fresh=False,
-    is_kept=True,
+    channel=None,
 ):
     """Send a request and read the complete response.
 
@@ -103,8 +128,8 @@
         Takes the `ResponseHead` of each answer, foreign ones as well.
     is_fresh : bool
         Whether the call needs a connection that nothing was sent on before.
-    is_kept : bool
-        Whether the connection may be used again.
+    channel : CallChannel or None
+        Whose connection is used, and which keeps it; None for a pooled one.
 
     Returns
     -------
@@ -114,7 +139,14 @@
     was_sent = False
     try:
         async with asyncio.timeout(timeout):
-            connection = await pool.get(name, address, limit=limit, is_fresh=is_fresh)
+            connection = _take_connection(channel)
+            if connection is None:
+                connection = await pool.get(
+                    name,
+                    address,
+                    limit=limit,
+                    is_fresh=is_fresh or channel is not None,
+                )
             if isinstance(connection, ConnectFailed | PoolExhausted):
                 return CallIncomplete(connection.detail, was_sent=False)
             connection.send(payload)
@@ -128,15 +160,25 @@
         if was_sent:
             connection.abort("the call was cancelled")
         raise
-    if isinstance(response, CallResponse) and is_kept:
-        pool.release_connection(name, connection)
+    if isinstance(response, CallResponse) and channel is not None:
+        channel.connection = connection
     elif isinstance(response, CallResponse):
-        connection.close()
+        pool.release_connection(name, connection)
     else:
         connection.abort(response.detail)
     return response
 
 
+def _take_connection(channel):
+    if channel is None or channel.connection is None:
+        return None
+    connection, channel.connection = channel.connection, None
+    if connection.is_reusable:
+        return connection
+    connection.close()
+    return None
+
+
 async def _read_response(connection, is_foreign, on_head):
     status, body = None, bytearray()
     while True:
