Serve a request that offers an upgrade with its body

Cause: the parser completes the message before it raises. The head is parsed again without the offer. A table of odd heads besides: trailers were forwarded as headers, transfer codings lost, and a request whose handler raised was never answered.

--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import http
+import logging
 from collections import deque
 from dataclasses import dataclass
 from typing import Any, NamedTuple
@@ -16,6 +17,8 @@
 
 __all__ = ["BodyBrokenError", "CallerConnection", "IncomingRequest", "PlainResponse"]
 
+logger = logging.getLogger(__name__)
+
 # A caller that acknowledges no bytes for this long is disconnected.
 USER_TIMEOUT_S = 10.0
 # Reading from a connection pauses while this many requests are queued.
@@ -24,9 +27,18 @@
 HEADER_OVERHEAD = 4
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 REASON_PHRASES = {each.value: each.phrase for each in http.HTTPStatus}
+CONNECT = "CONNECT"
 REASON_PHRASES[499] = "Client Closed Request"
 
 
+class UpgradeOffer(NamedTuple):
+    """Request line of a request that offers to switch to another protocol."""
+
+    method: str
+    target: str
+    version: str
+
+
 class BodyBrokenError(Exception):
     """The body of a response cannot be completed."""
 
@@ -160,6 +172,7 @@
         self._last_byte_at = None
         self._raw_head_bytes = 0
         self._in_head = False
+        self._offer = None
         self._reset_message()
 
     def connection_made(self, transport):
@@ -210,19 +223,47 @@
             self._first_byte_at = self._last_byte_at
         if self._in_head or self._is_between_requests():
             self._raw_head_bytes += len(data)
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._refuse(400, "Upgrades are not supported.")
-        except httptools.HttpParserError as error:
-            if self.refusal is None:
-                self._refuse(400, f"The request cannot be parsed: {error}")
+        self._parse(data)
         if self._in_head and self._raw_head_bytes > self.bounds().header_bytes:
             self._refuse(431, "The head is too large.")
         if len(self.requests) >= MAX_PIPELINED:
             self.transport.pause_reading()
         self._set_timer()
 
+    def _parse(self, data):
+        while data and self.refusal is None:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                # The parser takes what follows for another protocol.
+                if self.refusal is not None:
+                    return
+                head = self._head_without_offer()
+                self.parser = httptools.HttpRequestParser(self)
+                self._parse(head)
+                data = data[upgrade.args[0] :]
+            except httptools.HttpParserError as error:
+                if self.refusal is None:
+                    self._refuse(400, f"The request cannot be parsed: {error}")
+
+    def _head_without_offer(self):
+        """Return the head that was parsed without its offer to switch protocols.
+
+        A server may ignore the offer (RFC 9110, section 7.8).
+        """
+        lines = [
+            f"{self._offer.method} {self._offer.target} HTTP/{self._offer.version}"
+        ]
+        for name, value in self._headers:
+            if name == "connection":
+                options = (each.strip() for each in value.split(","))
+                value = ", ".join(each for each in options if each.lower() != "upgrade")
+            if name != "upgrade":
+                lines.append(f"{name}: {value}")
+        self._offer = None
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
     def on_message_begin(self):
         """See `httptools.HttpRequestParser`."""
         self._reset_message()
@@ -241,18 +282,36 @@
     def on_header(self, name, value):
         """See `httptools.HttpRequestParser`."""
         self._head_bytes += len(name) + len(value) + HEADER_OVERHEAD
+        if self._is_head_complete:
+            # Trailers may be dropped (RFC 9110, section 6.5.1); they are no headers.
+            if self._head_bytes > self.bounds().header_bytes and self.refusal is None:
+                self._refuse(431, "The trailers are too large.")
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self):
         """Validate the request head. See `httptools.HttpRequestParser`."""
         self._in_head = False
         self._raw_head_bytes = 0
+        self._is_head_complete = True
+        method = self.parser.get_method().decode("latin-1")
+        version = self.parser.get_http_version()
+        if self.parser.should_upgrade() and method != CONNECT:
+            target = self._url.decode("latin-1")
+            self._offer = UpgradeOffer(method, target, version)
+            return None
         names = [name for name, _ in self._headers]
+        values = dict(self._headers)
+        coding = values.get("transfer-encoding")
         fault = None
         if self._head_bytes + len(self._url) > self.bounds().header_bytes:
             return self._refuse(431, "The head is too large.")
         if "transfer-encoding" in names and "content-length" in names:
             fault = "Both Content-Length and Transfer-Encoding are set."
+        elif coding is not None and coding.strip().lower() != "chunked":
+            fault = "No transfer coding but chunked is supported."
+        elif coding is not None and version != "1.1":
+            fault = "Transfer-Encoding needs HTTP/1.1."
         elif names.count("content-length") > 1:
             fault = "Content-Length is set twice."
         elif names.count("host") != 1:
@@ -261,7 +320,6 @@
             fault = "The target has to be a path."
         if fault is not None:
             return self._refuse(400, fault)
-        values = dict(self._headers)
         length = values.get("content-length", "0")
         if length.isdigit() and int(length) > self.bounds().body_bytes:
             return self._refuse(413, "The body is too large.")
@@ -279,7 +337,7 @@
 
     def on_message_complete(self):
         """Queue the request. See `httptools.HttpRequestParser`."""
-        if self.refusal is not None:
+        if self.refusal is not None or self._offer is not None:
             return
         version = self.parser.get_http_version()
         request = IncomingRequest(
@@ -306,6 +364,7 @@
         self._url = b""
         self._headers = []
         self._head_bytes = 0
+        self._is_head_complete = False
         self._body = bytearray()
 
     def _is_between_requests(self):
@@ -332,7 +391,7 @@
                 self.current.is_half_closed = self.half_closed
                 if len(self.requests) < MAX_PIPELINED:
                     self.transport.resume_reading()
-                response = await self.handler(self.current)
+                response = await self._handle(self.current)
                 keeps_open = await self._respond(self.current, response)
                 self.current = None
                 if not keeps_open:
@@ -352,6 +411,16 @@
             self.task = None
             self._set_timer()
 
+    async def _handle(self, request):
+        try:
+            return await self.handler(request)
+        except AssertionError:
+            raise
+        except Exception:
+            # A fault that only this request triggers must not leave it unanswered.
+            logger.exception("event=request-crashed target=%s", request.target[:200])
+            return PlainResponse(500, closes=True)
+
     async def _respond(self, request, response):
         """Write a response and return whether the connection can be reused."""
         closes = request is None or not request.keep_alive or self.is_closing()
--- a/tests/transport/test_server.py
+++ b/tests/transport/test_server.py
@@ -258,3 +258,91 @@
     async with caller_server(handler, is_closing=lambda: True) as (port, _):
         got = await send_and_read(port, GET)
     assert b"connection: close" in got
+
+
+OFFER = (
+    b"Host: h\r\nConnection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    b"HTTP2-Settings: AAMAAABkAAQAAP__\r\n"
+)
+
+
+@pytest.mark.parametrize(
+    ("payload", "expected"),
+    [
+        (b"POST /a HTTP/1.1\r\n" + OFFER + b"Content-Length: 4\r\n\r\nbody", [b"body"]),
+        (
+            b"POST /a HTTP/1.1\r\n" + OFFER + b"Transfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nbody\r\n0\r\n\r\n",
+            [b"body"],
+        ),
+        (b"GET /a HTTP/1.1\r\n" + OFFER + b"\r\n", [b""]),
+        (
+            b"POST /a HTTP/1.1\r\n" + OFFER + b"Content-Length: 4\r\n\r\nbody" + GET,
+            [b"body", b""],
+        ),
+        (
+            GET + b"POST /a HTTP/1.1\r\n" + OFFER + b"Content-Length: 4\r\n\r\nbody",
+            [b"", b"body"],
+        ),
+        (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"4\r\nbody\r\n0\r\nX-Model: other\r\n\r\n",
+            [b"body"],
+        ),
+    ],
+)
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+async def test_an_odd_head_leaves_the_body_and_the_next_request_whole(
+    payload, expected, size
+):
+    """Guards against requests that run without their body or with foreign headers."""
+    seen, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for at in range(0, len(payload), size):
+            writer.write(payload[at : at + size])
+            await writer.drain()
+            await asyncio.sleep(0)
+        for _ in expected:
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 3)
+            assert head.startswith(b"HTTP/1.1 200")
+            await reader.readexactly(int(head.split(b"content-length: ")[1].split()[0]))
+        writer.close()
+    assert [request.body for request in seen] == expected
+    assert not any(request.header("upgrade") for request in seen)
+    assert not any(request.header("x-model") for request in seen)
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\nbytes",
+        b"POST /a HTTP/1.1\r\n" + OFFER + b"Content-Length: 4\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        b"POST /a HTTP/1.1\r\n" + OFFER + b"Transfer-Encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\nx\r\n",
+        b"POST /a HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\n0\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+        b"4\r\nbody\r\n0\r\n\r\n",
+        b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\nbody\r\n0\r\n" + b"X: y\r\n" * 1000 + b"\r\n",
+    ],
+)
+async def test_nothing_that_is_refused_runs(payload):
+    """Guards against a refusal that comes after the request has been passed on."""
+    seen, handler = recorder()
+    async with caller_server(handler) as (port, _):
+        got = await send_and_read(port, payload)
+    assert got.startswith((b"HTTP/1.1 400", b"HTTP/1.1 431"))
+    assert got.count(b"HTTP/1.1 ") == 1
+    assert seen == []
+
+
+async def test_a_handler_that_fails_does_not_leave_its_request_unanswered():
+    async def handler(request):
+        raise ValueError("a header that no one expected")
+
+    async with caller_server(handler) as (port, _):
+        got = await send_and_read(port, GET)
+    assert got.startswith(b"HTTP/1.1 500")
