--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -1,6 +1,7 @@
 """Codec for the platform's request and response headers."""
 
 import math
+import re
 
 from skylarkpost.gateway.metadata import AnswerMetadata, PromptPart, RequestMetadata
 
@@ -24,6 +25,7 @@
 RETRY_AFTER = "retry-after"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "bearer "
+TOKEN_COUNT = re.compile(r"[0-9]{1,15}")
 MS_PER_S = 1000.0
 
 # Headers that only this system sets; a caller's values are dropped.
@@ -149,10 +151,9 @@
         values = dict(headers)
         attempt = values.get(ATTEMPT)
         misdirected = status == 421
-        unread = status == 400 and attempt is None
         return AnswerMetadata(
             attempt_id=attempt,
-            not_executed=NOT_EXECUTED in values or misdirected or unread,
+            not_executed=NOT_EXECUTED in values or misdirected,
             is_stamped=STAMP in values,
             request_limit=_parse_rate(values.get(REQUEST_LIMIT)),
             is_leaving=values.get(LEAVING, "").strip() == "1",
@@ -179,11 +180,11 @@
 def _parse_token_counts(text):
     if text is None:
         return None, None
-    prompt, _, output = text.partition(",")
-    try:
-        return int(prompt), int(output or 0)
-    except ValueError:
+    prompt, _, output = (each.strip() for each in text.partition(","))
+    counts = [prompt, output or "0"]
+    if not all(TOKEN_COUNT.fullmatch(each) for each in counts):
         return None, None
+    return int(counts[0]), int(counts[1])
 
 
 def _parse_prompt_parts(text):
@@ -192,7 +193,7 @@
     parts = []
     for each in text.split(","):
         part_id, _, tokens = each.strip().rpartition(":")
-        if not part_id or not tokens.isdigit():
+        if not part_id or TOKEN_COUNT.fullmatch(tokens) is None:
             return ()
         parts.append(PromptPart(part_id, int(tokens)))
     return tuple(parts)
