--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -181,7 +181,10 @@
             waited=now - exchange.received_at,
             reused=connection.request_count > 0,
         )
-        connection.send(self._payload(exchange, ticket, left))
+        connection.send(
+            self._payload(exchange, ticket, left),
+            is_head=exchange.incoming.method == "HEAD",
+        )
         return connection
 
     def _payload(self, exchange, ticket, left):
--- a/skylarkpost/transport/client.py
+++ b/skylarkpost/transport/client.py
@@ -216,11 +216,18 @@
         self._note_persistence(self._headers)
         if self._answers <= MAX_ANSWERS:
             self._push(ResponseHead(status, self._headers))
+        if self._is_head:
+            # The parser expects the body that the length is of.
+            self._in_body = False
+            self._is_complete = True
+            self._push(ResponseEnd())
 
     def on_body(self, body):
         """Queue a piece of the body. See `httptools.HttpResponseParser`."""
         self._head_bytes = 0
-        if self._answers > MAX_ANSWERS:
+        if self._is_head:
+            self.closes_after_response = True
+        if self._answers > MAX_ANSWERS or self._is_head:
             return
         self._buffered += len(body)
         if self._buffered > MAX_BUFFERED_BYTES:
@@ -236,6 +243,8 @@
         if self._informational:
             self._informational = False
             return
+        if self._is_head:
+            return
         self._in_body = False
         self._is_complete = True
         if not self.parser.should_keep_alive():
@@ -243,13 +252,15 @@
         if self._answers <= MAX_ANSWERS:
             self._push(ResponseEnd())
 
-    def send(self, payload):
+    def send(self, payload, *, is_head=False):
         """Send a request.
 
         Parameters
         ----------
         payload : bytes
             Serialised request, see `encode_request`.
+        is_head : bool
+            Whether the method is HEAD, whose answer has no body whatever it says.
         """
         assert not self.is_busy, "the previous response is not complete"
         self._reset_parser()
@@ -257,6 +268,7 @@
         self.is_busy = True
         self.has_received_bytes = False
         self.request_count += 1
+        self._is_head = is_head
         self.transport.write(payload)
 
     async def skip_response(self):
@@ -362,6 +374,7 @@
         self._informational = False
         self._head_bytes = 0
         self._answers = 0
+        self._is_head = False
 
     def _note_persistence(self, headers):
         for name, value in headers:
--- a/tests/transport/test_client.py
+++ b/tests/transport/test_client.py
@@ -309,3 +309,16 @@
         events = await asyncio.wait_for(collect(connection), 3)
         assert isinstance(events[-1], ResponseBroken)
         assert not connection.is_open
+
+
+async def test_the_answer_to_a_head_request_ends_with_its_head():
+    """Guards against a wait for the body that the length of a HEAD answer names."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"
+    async with target(respond_with(head, OK)) as (address, _):
+        connection = await connect(address)
+        connection.send(REQUEST, is_head=True)
+        events = await collect(connection)
+        assert [type(event) for event in events] == [ResponseHead, ResponseEnd]
+        assert connection.is_reusable
+        connection.send(REQUEST)
+        assert b"ok" in await collect(connection)
