--- a/skylarkpost/gateway/event_buffer.py
+++ b/skylarkpost/gateway/event_buffer.py
@@ -4,7 +4,7 @@
 
 __all__ = ["EventBuffer"]
 
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 LONGEST_END = max(map(len, EVENT_ENDS))
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
--- a/tests/gateway/test_event_buffer.py
+++ b/tests/gateway/test_event_buffer.py
@@ -19,6 +19,16 @@
     assert buffer.take_remainder() == b""
 
 
+@pytest.mark.parametrize("size", [1, 2, 5, 64])
+def test_lines_may_end_with_a_carriage_return_alone(size):
+    """Guards against a whole stream that is taken for an endless event."""
+    buffer = EventBuffer()
+    events = b"id: 1\rdata: a\r\rid: 2\rdata: b\r\r"
+    assert b"".join(buffer.add(piece) for piece in pieces_of(events, size)) == events
+    assert buffer.last_id == "2"
+    assert buffer.take_remainder() == b""
+
+
 @pytest.mark.parametrize("size", [1, 3, 16, 1024])
 def test_each_byte_is_searched_a_fixed_number_of_times(size, monkeypatch):
     """Guards against work that grows with the square of an event's bytes."""
