Keep the digest before if a new one is too large

An assertion ended the process for a size that follows from what targets and callers do; twenty crashes within 300 s, each with 65 requests waiting, reach it by calculation. Not shown with processes.

--- a/tests/membership/test_digests.py
+++ b/tests/membership/test_digests.py
@@ -1,6 +1,10 @@
 """Bounds of the digests that an instance relays."""
 
-from skylarkpost.membership.digests import MAX_RELAYED_ORIGINS, DigestExchange
+from skylarkpost.membership.digests import (
+    MAX_PAYLOAD_BYTES,
+    MAX_RELAYED_ORIGINS,
+    DigestExchange,
+)
 from skylarkpost.membership.messages import Digest
 
 
@@ -23,3 +27,12 @@
     assert digests.relays_dropped == 0
     relayed = digests.pending_relays(("e", "boot"))
     assert [r.digest.payload for r in relayed if r.instance == "i-0"] == [b"2"]
+
+
+def test_a_payload_beyond_the_bound_leaves_the_one_before():
+    """Guards against a process that ends for what targets and callers do."""
+    digests = DigestExchange()
+    assert digests.publish("crashes", b"1")
+    assert not digests.publish("crashes", b"x" * (MAX_PAYLOAD_BYTES + 1))
+    assert digests.published["crashes"].payload == b"1"
+    assert digests.publish("crashes", b"2")
