--- a/lab/soak/faults.py
+++ b/lab/soak/faults.py
@@ -20,7 +20,21 @@
 PAUSE_S = 1.5
 ALL_PAUSE_S = 1.0
 # Script entries of a target that make consecutive requests fail in different ways.
-FAULTY_ANSWERS = ("drop", "fail", "shed", "break", "late", "unsigned")
+FAULTY_ANSWERS = (
+    "drop",
+    "fail",
+    "shed",
+    "break",
+    "late",
+    "unsigned",
+    "half-head",
+    "unframed-slow",
+    "endless-small",
+)
+# Three transmissions of an order, and those of another one.
+LOST_ORDERS = 4
+# Another writer's entry, nested deeper than any decoder descends.
+ODD_ENTRY = b'{"unasked": ' + b"[" * 20_000 + b"]" * 20_000 + b"}"
 
 
 @fault_kind("instance-killed", subjects="instances")
@@ -156,6 +170,29 @@
     run.targets[number].script += run.random.sample(FAULTY_ANSWERS, 3)
 
 
+@fault_kind("target-stutters", subjects="targets")
+async def repeat_call_answers(run, number, duration):
+    """Make a target write the answers to reports and orders twice."""
+    run.targets[number].repeats_calls = True
+    await asyncio.sleep(duration)
+    run.targets[number].repeats_calls = False
+
+
+@fault_kind("orders-late", subjects="engines")
+async def carry_out_orders_late(run, number, duration):
+    """Make an engine leave orders unanswered and carry them out seconds later."""
+    run.targets[number].orders_to_lose = LOST_ORDERS
+    await asyncio.sleep(duration)
+    run.targets[number].orders_to_lose = 0
+
+
+@fault_kind("odd-entries", subjects="one")
+async def write_odd_entries(run, number, duration):
+    """Leave an entry that can't be decoded in each topic."""
+    for topic in list(run.store.topics):
+        await run.store.put(topic, "odd", ODD_ENTRY)
+
+
 @fault_kind("target-limited", subjects="targets")
 async def limit_target(run, number, duration):
     """Make a target name a limit on its requests."""
--- a/lab/soak/run.py
+++ b/lab/soak/run.py
@@ -288,6 +288,8 @@
         self.operator.is_stopped = True
         for target in self.targets:
             target.script.clear()
+            target.repeats_calls = False
+            target.orders_to_lose = 0
         for process in self.gateways.values():
             if not process.is_running():
                 detail = f"{process.name} ended with {process.child.returncode}"
--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -17,6 +17,8 @@
 SMALL_CHUNK = b"10\r\n0123456789abcdef\r\n"
 # How long a crashed target refuses connections.
 DOWNTIME_S = 0.2
+# From the receipt of an order that gets no answer until it is carried out.
+LATE_ORDER_S = 2.4
 
 
 class ReceivedRequest(NamedTuple):
@@ -136,6 +138,8 @@
     repeats_calls : bool
         Whether the answer to each report or order is written once more, before the
         next answer on its connection.
+    orders_to_lose : int
+        How many of the next orders get no answer and are carried out late.
     """
 
     def __init__(self, *, name, slots=0, model=None):
@@ -165,6 +169,8 @@
         self.endless_bytes = 0
         self.on_restart = None
         self.repeats_calls = False
+        self.orders_to_lose = 0
+        self.late_orders = set()
         self.call_answers = {}
         self.refusals = {}
         self.listener = None
@@ -258,10 +264,22 @@
         path = line.split()[1]
         if path == "/-/report":
             return self._answer_call(writer, 200, self._report())
+        if path == "/-/order" and self.orders_to_lose:
+            self.orders_to_lose -= 1
+            self.late_orders.add(
+                asyncio.create_task(self._carry_out_later(json.loads(body)))
+            )
+            await reader.read()
+            return False
         if path == "/-/order":
             return self._answer_call(writer, *self._order(json.loads(body)))
         return await self._run(request, reader, writer)
 
+    async def _carry_out_later(self, order):
+        await asyncio.sleep(LATE_ORDER_S)
+        self._order(order)
+        self.late_orders.discard(asyncio.current_task())
+
     def _answer_call(self, writer, status, body):
         if self.repeats_calls:
             self.call_answers[writer] = (status, body)
