--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -143,7 +143,7 @@
         services = self.services
         # The target may have said so while the request waited for its ticket.
         signals = services.controllers["target-signals"]
-        reason = signals.wants_nothing(ticket.target, ticket.boot, services.clock())
+        reason = signals.wants_nothing(ticket, services.clock())
         exchange.is_target_paused = reason is not None
         if reason is not None:
             return AttemptFailure(FailureKind.HELD_BACK, reason)
--- a/skylarkpost/gateway/services.py
+++ b/skylarkpost/gateway/services.py
@@ -19,9 +19,9 @@
 logger = logging.getLogger(__name__)
 
 MIN_CONNECTIONS = 4
-# Connections to an engine for reports and orders: one is kept for reports, the others
-# are for a load, an unload and an order without an answer.
-CALL_CONNECTIONS = 4
+# Connections to an engine for a report, two loads and their unloads, and an order
+# without an answer.
+CALL_CONNECTIONS = 6
 # Fraction of the retries that the deployment allows: within one of its accounting
 # spans the reserve may be spent and, once refilled, spent again.
 RETRY_FRACTION = 0.5
@@ -184,14 +184,12 @@
         limit = self.connection_share(service)
         return await self.pool.get(ticket.boot, ticket.address, limit=limit)
 
-    async def call_target(
-        self, entry, method, path, body, timeout, *, is_fresh=False, channel=None
-    ):
+    async def call_target(self, entry, method, path, body, timeout, *, channel):
         """Make a report or order call to a target.
 
         The answers name no call, so a second copy of one looks like the answer to
         whatever its connection carries next. Calls therefore share no connection with
-        requests, and each order with its polls has one of its own.
+        requests; each report, and each order with its polls, has one of its own.
 
         Parameters
         ----------
@@ -203,10 +201,8 @@
             The request's body.
         timeout : float
             Maximum duration, in seconds.
-        is_fresh : bool
-            Whether the answer must not be a copy of an earlier one.
-        channel : CallChannel or None
-            Connection of an order and its polls.
+        channel : CallChannel
+            Connection of the report, or of the order and its polls.
 
         Returns
         -------
@@ -223,7 +219,6 @@
             name=f"{entry.boot} calls",
             address=entry.address,
             limit=CALL_CONNECTIONS,
-            is_fresh=is_fresh,
             channel=channel,
             payload=encode_request(method, path, headers, body),
             timeout=timeout,
--- a/skylarkpost/gateway/shutdown.py
+++ b/skylarkpost/gateway/shutdown.py
@@ -5,11 +5,8 @@
 
 __all__ = ["GraceBudget", "refuse_unfinishable"]
 
-# As in RFC 6298, section 2: gains of the mean and of the deviation, and how many
-# deviations above the mean a request may take.
+# Gain of the smoothed mean, as in RFC 6298, section 2.
 MEAN_GAIN = 0.125
-DEVIATION_GAIN = 0.25
-DEVIATIONS = 4.0
 MAX_ROUTES = 4096
 # Part of the grace that a request of a route without earlier ones is given.
 UNKNOWN_FRACTION = 0.5
@@ -30,8 +27,8 @@
     ----------
     stop_at : float or None
         When the last answer has to be sent, in seconds; None before a shutdown.
-    durations : dict of str to tuple of (float, float)
-        Smoothed duration of the requests of each route and its deviation, in seconds.
+    durations : dict of str to float
+        Smoothed duration of the requests of each route, in seconds.
     """
 
     def __init__(self, *, grace):
@@ -54,15 +51,15 @@
             if len(self.durations) >= MAX_ROUTES:
                 # Names of routes that are gone; a forgotten one is unknown again.
                 del self.durations[next(iter(self.durations))]
-            self.durations[route] = (seconds, seconds / 2)
+            self.durations[route] = seconds
             return
-        mean, deviation = known
-        deviation += DEVIATION_GAIN * (abs(seconds - mean) - deviation)
-        mean += MEAN_GAIN * (seconds - mean)
-        self.durations[route] = (mean, deviation)
+        self.durations[route] = known + MEAN_GAIN * (seconds - known)
 
     def expected(self, route, timeout):
-        """Return how long a request of a route may take at its target.
+        """Return how long a request of a route is expected to take at its target.
+
+        With room for the spread of durations, a roll of instances under load would
+        refuse many requests that end in time.
 
         Parameters
         ----------
@@ -79,8 +76,7 @@
         known = self.durations.get(route)
         if known is None:
             return min(timeout, UNKNOWN_FRACTION * self.grace)
-        mean, deviation = known
-        return min(timeout, mean + DEVIATIONS * deviation)
+        return min(timeout, known)
 
     def can_finish(self, route, timeout, now):
         """Return whether a request that is passed on now ends before the process.
--- a/skylarkpost/gateway/target_signals.py
+++ b/skylarkpost/gateway/target_signals.py
@@ -101,13 +101,13 @@
                 logger, "target-paused", target=target, boot=boot, seconds=seconds
             )
 
-    def wants_nothing(self, target, boot, now):
+    def wants_nothing(self, ticket, now):
         """Return why a run of a target gets no request now.
 
         Parameters
         ----------
-        target, boot : str
-            The target and its boot.
+        ticket : Ticket
+            Names the target, its boot and its address.
         now : float
             The present time, in seconds.
 
@@ -116,13 +116,14 @@
         str or None
             None if it takes requests.
         """
-        if boot in self.directory.leaving_runs:
+        if ticket.boot in self.directory.leaving_runs:
             return "the target leaves"
-        if self.pauses.left(boot, now):
+        if self.pauses.left(ticket.boot, now):
             return "the target has asked for a pause"
-        entry = self.directory.find(target, now)
-        if entry is None or entry.boot != boot:
-            # A steward that hears less may have granted the ticket.
+        entry = self.directory.find(ticket.target, now)
+        # A steward that hears less may have granted the ticket. One that hears more
+        # knows the next run of a restarted target before it is announced here.
+        if entry is None or entry.address != ticket.address:
             return "the target leaves or has gone"
         return None
 
--- a/skylarkpost/targets/sequenced_engine_client.py
+++ b/skylarkpost/targets/sequenced_engine_client.py
@@ -62,9 +62,8 @@
         This instance, the sender of the orders.
     call : callable
         Coroutine function of the engine's entry, an HTTP method and path, a
-        body and a timeout; returns a `CallResponse` or `CallIncomplete`. With
-        ``is_fresh`` the answer must be the first on its connection; ``channel`` is the
-        `CallChannel` of an order.
+        body, a timeout and the `CallChannel` of a report, or of an order and its polls;
+        returns a `CallResponse` or `CallIncomplete`.
     codec : object
         Codec with the interface of `skylarkpost.platform.EngineCodec`.
     clock : callable
@@ -104,7 +103,6 @@
         self.fencing_number = 0
         self.model_ordered_at = None
         self.last_order_at = -math.inf
-        self.last_report_at = -math.inf
         self._lock = asyncio.Lock()
 
     async def load_report(self, address):
@@ -121,13 +119,9 @@
         """
         requested_at = self.clock()
         last_order_at = self.last_order_at
-        answer, state = await self._read_state()
+        state = await self._read_state()
         if not isinstance(state, EngineState):
             return TargetUnavailable(detail=str(state))
-        earlier, self.last_report_at = self.last_report_at, requested_at
-        if not answer.is_first:
-            # It may be a second copy of the report before.
-            requested_at = min(requested_at, earlier)
         is_idle = self.last_order_at == last_order_at
         if is_idle and requested_at >= last_order_at + REPORT_SETTLE_S:
             # Count and loaded adapters are a consistent snapshot: an order
@@ -392,19 +386,15 @@
 
     async def _read_state(self):
         method, path = self.codec.report_request
-        # What sets the count must not be older than it seems.
-        answer = await self.call(
-            self.entry,
-            method,
-            path,
-            b"",
-            REPORT_TIMEOUT_S,
-            is_fresh=self.orders_accepted is None,
-        )
+        # On a connection of its own it can't be a second copy of an older report.
+        with contextlib.closing(CallChannel()) as channel:
+            answer = await self.call(
+                self.entry, method, path, b"", REPORT_TIMEOUT_S, channel=channel
+            )
         status = getattr(answer, "status", None)
         if status != 200:
-            return answer, f"no report: {answer}"
-        return answer, self.codec.decode_report(answer.body)
+            return f"no report: {answer}"
+        return self.codec.decode_report(answer.body)
 
     async def _load_model(self, state):
         now = self.clock()
--- a/skylarkpost/transport/calls.py
+++ b/skylarkpost/transport/calls.py
@@ -27,14 +27,10 @@
         HTTP status.
     body : bytes
         Response body.
-    is_first : bool
-        Whether it is the first response on its connection; a later one may be a
-        second copy of an earlier one.
     """
 
     status: int
     body: bytes
-    is_first: bool = True
 
 
 class CallIncomplete(NamedTuple):
@@ -104,7 +100,6 @@
     timeout,
     is_foreign=None,
     on_head=None,
-    is_fresh=False,
     channel=None,
 ):
     """Send a request and read the complete response.
@@ -126,10 +121,9 @@
         the same connection; such a response is skipped.
     on_head : callable or None
         Takes the `ResponseHead` of each answer, foreign ones as well.
-    is_fresh : bool
-        Whether the call needs a connection that nothing was sent on before.
     channel : CallChannel or None
-        Whose connection is used, and which keeps it; None for a pooled one.
+        Whose connection is used, and which keeps it; a new one at first. None for a
+        pooled connection.
 
     Returns
     -------
@@ -145,7 +139,7 @@
                     name,
                     address,
                     limit=limit,
-                    is_fresh=is_fresh or channel is not None,
+                    is_fresh=channel is not None,
                 )
             if isinstance(connection, ConnectFailed | PoolExhausted):
                 return CallIncomplete(connection.detail, was_sent=False)
@@ -197,5 +191,4 @@
             if len(body) > MAX_RESPONSE_BYTES:
                 return CallIncomplete("the answer is too long", was_sent=True)
         else:
-            is_first = connection.request_count == 1
-            return CallResponse(status, bytes(body), is_first)
+            return CallResponse(status, bytes(body))
