Skip a record of the log only for nesting too deep, not for a garbled answer

Found on a second read: any answer that could not be decoded counted as malformed, so two garbled answers in a row would have skipped a record that was never read. Two forms of the new test failed before.

--- a/skylarkpost/log/log_client.py
+++ b/skylarkpost/log/log_client.py
@@ -174,10 +174,10 @@
             return LogUnavailable(detail=f"status {status}")
         try:
             decoded = _decode_read(answer)
-        except (ValueError, RecursionError) as error:
-            return LogUnavailable(
-                detail=f"answer not understood: {error}", is_malformed=True
-            )
+        except ValueError as error:
+            return LogUnavailable(detail=f"answer not understood: {error}")
+        except RecursionError:
+            return LogUnavailable(detail="nested too deeply", is_malformed=True)
         records = [_record(on_wire) for on_wire in decoded.records]
         self.extra_read_timeout = max(
             0.0, self.extra_read_timeout - EXTRA_READ_TIMEOUT_STEP_S
--- a/skylarkpost/log/outcomes.py
+++ b/skylarkpost/log/outcomes.py
@@ -98,7 +98,8 @@
     detail : str
         What happened.
     is_malformed : bool
-        Whether an answer came that can't be decoded.
+        Whether the answer came whole and one of its records can't be decoded, so that
+        asking again doesn't help.
     """
 
     detail: str
--- a/tests/log/test_log_client.py
+++ b/tests/log/test_log_client.py
@@ -144,3 +144,26 @@
         reads = [await log.read("s", from_offset=0) for _ in range(3)]
         assert isinstance(reads[0], LogUnavailable)
         assert [r.data["type"] for r in reads[-1].records] == ["a"]
+
+
+@pytest.mark.parametrize(
+    ("answer", "is_malformed"),
+    [
+        (b"<html>bad gateway</html>", False),
+        (b'{"records": [', False),
+        (b'{"records": [{"data": ' + b"[" * 60_000 + b"]" * 60_000 + b"}]}", True),
+    ],
+)
+async def test_only_a_record_nested_too_deeply_cannot_be_read_again(
+    answer, is_malformed
+):
+    """Guards against records that are skipped for an answer that was garbled."""
+
+    async def call(method, path, *, wait):
+        return 200, answer
+
+    async with serving_log() as (_, client):
+        client._call = call
+        found = await client.read("state", from_offset=0)
+    assert isinstance(found, LogUnavailable)
+    assert found.is_malformed is is_malformed
