Leave evacuated data centres out; hold targets that warm up to their rate

Cause: nothing read op/evacuate/ZONE, coldLeftMs, coldPerS or X-Cold-Ms, so requests reached evacuated data centres, and targets that came back cold got whatever their emptiness attracted. Change: the directory leaves evacuated data centres out for requests and keeps them for stewards; a last look before each send. Stewards grant tickets at the warm-up rate; few instances send to plain targets, each at an even pace. A deleted value is no longer recalled from an instance that lags. Ruled out: treating the targets as leaving (ends their stewardships).

--- a/skylarkpost/discovery/directory.py
+++ b/skylarkpost/discovery/directory.py
@@ -44,6 +44,8 @@
     held_back : dict of str to tuple
         Announcements of gone runs that a restored store offers again, and the time
         at which they are believed, since the store still has them then.
+    evacuated : frozenset of str
+        Data centres whose targets get no new requests.
     version : int
         Incremented with each change.
     """
@@ -56,10 +58,12 @@
         self.believed_from = -math.inf
         self.held_back = {}
         self.leaving_runs = {}
+        self.evacuated = frozenset()
         self.entries = {}
         self.expired = {}
         self.version = 0
         self.grouped = {}
+        self.in_service = {}
         self.grouped_version = None
 
     def put(self, entry, now):
@@ -156,6 +160,24 @@
         entry = self.entries.get(boot.rpartition("/")[0])
         return entry is not None and entry.boot == boot
 
+    def is_newer_run(self, boot):
+        """Return whether a run of a target began after the one that is announced.
+
+        Parameters
+        ----------
+        boot : str
+            The run.
+
+        Returns
+        -------
+        bool
+        """
+        name, _, started_at_ms = boot.rpartition("/")
+        entry = self.entries.get(name)
+        if entry is None or entry.boot == boot:
+            return False
+        return started_at_ms.isdecimal() and int(started_at_ms) > entry.started_at_ms
+
     def note_restore(self, now):
         """Prepare for announcements from a store that was restored from a copy.
 
@@ -255,8 +277,56 @@
         found = (self.find(name, now) for name in names)
         return [entry for entry in found if entry is not None]
 
+    def in_data_centre(self, data_centre, now):
+        """Return the usable targets of a data centre.
+
+        Parameters
+        ----------
+        data_centre : str
+            The data centre.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        list of TargetEntry
+        """
+        return [each for each in self.usable(now) if each.data_centre == data_centre]
+
+    def set_evacuated(self, data_centres):
+        """Set the data centres whose targets get no new requests.
+
+        Parameters
+        ----------
+        data_centres : frozenset of str
+            The data centres.
+        """
+        if data_centres != self.evacuated:
+            self.evacuated = data_centres
+            self.version += 1
+
     def of_service(self, service, now):
-        """Return the usable targets of a service.
+        """Return the targets of a service that may receive requests.
+
+        Unlike `usable_of_service` it leaves out evacuated data centres.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        tuple of TargetEntry
+            The same object until an announcement changes.
+        """
+        self._group(now)
+        return self.in_service.get(service, ())
+
+    def usable_of_service(self, service, now):
+        """Return the usable targets of a service, in evacuated data centres too.
 
         Parameters
         ----------
@@ -271,13 +341,25 @@
             The same object until an announcement changes, so that callers can
             keep what they derive from it.
         """
-        is_changing = self.expired or self.held_back
-        if is_changing or self.grouped_version != self.version:
-            grouped = {}
-            for entry in self.usable(now):
-                grouped.setdefault(entry.service, []).append(entry)
-            self.grouped = {name: tuple(each) for name, each in grouped.items()}
-            # Expired and held back entries change without a change of the version.
-            is_changing = self.expired or self.held_back
-            self.grouped_version = None if is_changing else self.version
+        self._group(now)
         return self.grouped.get(service, ())
+
+    def _group(self, now):
+        is_changing = self.expired or self.held_back
+        if not is_changing and self.grouped_version == self.version:
+            return
+        grouped = {}
+        for entry in self.usable(now):
+            grouped.setdefault(entry.service, []).append(entry)
+        self.grouped = {name: tuple(each) for name, each in grouped.items()}
+        self.in_service = self.grouped
+        if self.evacuated:
+            self.in_service = {
+                name: tuple(
+                    each for each in entries if each.data_centre not in self.evacuated
+                )
+                for name, entries in self.grouped.items()
+            }
+        # Expired and held back entries change without a change of the version.
+        is_changing = self.expired or self.held_back
+        self.grouped_version = None if is_changing else self.version
--- a/skylarkpost/discovery/entries.py
+++ b/skylarkpost/discovery/entries.py
@@ -56,6 +56,8 @@
         Loaded base models; empty for a service without engines.
     remaining_time : float or None
         Seconds until it shuts down, if that was announced.
+    warm_up_left : float
+        Seconds until it has warmed up, when it was announced.
     """
 
     name: str
@@ -68,6 +70,7 @@
     orders_accepted: int
     models: tuple[LoadedModel, ...]
     remaining_time: float | None
+    warm_up_left: float = 0.0
 
     @property
     def boot(self):
--- a/skylarkpost/gateway/configuration.py
+++ b/skylarkpost/gateway/configuration.py
@@ -11,6 +11,8 @@
     Malformed,
     decode_adapter_version,
     decode_configuration,
+    decode_evacuation,
+    evacuated_data_centre,
 )
 from skylarkpost.routing import CallerBounds, ConfigurationState
 
@@ -39,12 +41,15 @@
         Routes, services and teams in force.
     adapter_versions : dict of (str, str) to tuple of (int, float)
         Newest version by base model and adapter, and when it was received.
+    evacuated : dict of str to float
+        When the evacuation of each data centre was received, in seconds.
     """
 
     def __init__(self, *, services):
         super().__init__(services=services)
         self.state = ConfigurationState()
         self.adapter_versions = {}
+        self.evacuated = {}
         self.follower = KeyedFollower(
             store=services.store,
             topic=OPERATOR_TOPIC,
@@ -107,11 +112,16 @@
         return ["The operators' topic of the store cannot be read."]
 
     def status(self):
-        """Return the version of the active configuration."""
-        return {"version": self.state.version}
+        """Return the version in force and the seconds since each evacuation."""
+        now = self.services.clock()
+        ages = {name: now - since for name, since in sorted(self.evacuated.items())}
+        return {"version": self.state.version, "evacuated": ages}
 
     def _apply_record(self, record, now):
         """Apply a record; return False if a newer value is in force."""
+        data_centre = evacuated_data_centre(record.key)
+        if data_centre is not None:
+            return self._apply_evacuation(record, data_centre, now)
         if not record.value:
             return True
         if record.key == "config":
@@ -158,6 +168,32 @@
         )
         return True
 
+    def _apply_evacuation(self, record, data_centre, now):
+        fault = data_centre if isinstance(data_centre, Malformed) else None
+        if fault is None and record.value:
+            decoded = decode_evacuation(record.value)
+            fault = decoded if isinstance(decoded, Malformed) else None
+        if fault is not None:
+            self._log_malformed(record, fault)
+            return False
+        if bool(record.value) is (data_centre in self.evacuated):
+            return True
+        if record.value:
+            self.evacuated[data_centre] = now
+        else:
+            del self.evacuated[data_centre]
+        directory = self.services.controllers["directory"].targets
+        directory.set_evacuated(frozenset(self.evacuated))
+        log_event(
+            logger,
+            "evacuation-began" if record.value else "evacuation-ended",
+            data_centre=data_centre,
+            evacuated=len(self.evacuated),
+            targets=len(directory.in_data_centre(data_centre, now)),
+            offset=describe_position(record.offset),
+        )
+        return True
+
     def _log_malformed(self, record, malformed):
         log_event(
             logger,
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -78,7 +78,7 @@
         return self.follower.synced.is_set()
 
     def of_service(self, service, now):
-        """Return the usable targets of a service.
+        """Return the targets of a service that may receive requests.
 
         Parameters
         ----------
@@ -94,6 +94,10 @@
         """
         return self.targets.of_service(service, now)
 
+    def usable_of_service(self, service, now):
+        """Return the usable targets; see `TargetDirectory.usable_of_service`."""
+        return self.targets.usable_of_service(service, now)
+
     def status(self):
         """Return the names of the announced targets."""
         return {"targets": sorted(self.targets.entries)}
@@ -132,6 +136,7 @@
             )
             return False
         known = self.targets.entries.get(decoded.name)
+        self.services.controllers["warm-ups"].note_entry(decoded, now)
         self.targets.put(decoded, now)
         is_new = known is None or known.boot != decoded.boot
         if is_new or known.state is not decoded.state:
--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -197,7 +197,7 @@
             return {}
         directory = self.services.controllers["directory"]
         pools = [
-            (service, directory.of_service(service.name, now))
+            (service, directory.usable_of_service(service.name, now))
             for service in known.services.values()
             if service.engine is not None
         ]
--- a/skylarkpost/gateway/metadata.py
+++ b/skylarkpost/gateway/metadata.py
@@ -71,6 +71,8 @@
     pause : float or None
         Seconds for which the target wants nothing from this instance; None if it
         turns nothing away or names no time. Not finite if the time can't be read.
+    warm_up_left : float or None
+        Seconds until the target has warmed up; None if it doesn't say so.
     """
 
     attempt_id: str | None
@@ -79,3 +81,4 @@
     request_limit: float | None = None
     is_leaving: bool = False
     pause: str | None = None
+    warm_up_left: float | None = None
--- a/skylarkpost/gateway/run.py
+++ b/skylarkpost/gateway/run.py
@@ -29,6 +29,7 @@
     "skylarkpost.gateway.stewardship",
     "skylarkpost.gateway.target_limits",
     "skylarkpost.gateway.target_signals",
+    "skylarkpost.gateway.warm_ups",
     "skylarkpost.membership.controller",
     "skylarkpost.placement.filter",
 )
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -282,7 +282,12 @@
         }
         outstanding = len(self.placer.sent.get(entry.name, ()))
         limits = self.services.controllers["target-limits"]
-        has_room = limits.admit(entry.boot, now) == 0.0
+        service = self.config.state.configuration.services.get(entry.service)
+        warm_ups = self.services.controllers["warm-ups"]
+        is_warming_up = service is not None and warm_ups.is_limited(
+            entry.boot, service, now
+        )
+        has_room = not is_warming_up and limits.admit(entry.boot, now) == 0.0
         return LoadReport(
             boot=entry.boot,
             taken_at=now,
@@ -500,6 +505,7 @@
         known = self.catalogue.of_service(exchange.service, now)
         avoid = avoid | self._targets_to_avoid(known, now)
         limits = self.services.controllers["target-limits"]
+        warm_ups = self.services.controllers["warm-ups"]
         directory = self.services.controllers["directory"]
         targets, pause = self._without_paused(known, now)
         if pause and not targets:
@@ -512,7 +518,9 @@
             if ticket is None:
                 break
             boot = directory.targets.find(ticket.target, now).boot
-            wait = limits.admit(boot, now)
+            wait = warm_ups.admit(boot, exchange.service, now)
+            if wait == 0.0:
+                wait = limits.admit(boot, now)
             if wait == 0.0:
                 return ticket._replace(boot=boot)
             self.service_placer.withdraw(ticket)
@@ -549,10 +557,14 @@
         now = self.services.clock()
         self.placer.prefill_rate = self.prefill_rate.tokens_per_s
         limits = self.services.controllers["target-limits"]
-        for executor in self.lease_manager.executors.values():
+        warm_ups = self.services.controllers["warm-ups"]
+        for name, executor in self.lease_manager.executors.items():
             steward = executor.steward
             steward.prefill_rate = self.prefill_rate.tokens_per_s
             limits.pace(steward.pace, steward.boot, now)
+            if name in self.lease_manager.engines:
+                _, service = self.lease_manager.engines[name]
+                warm_ups.pace(steward, service, now)
         self.lease_manager.tick(now)
         summaries = [
             executor.summary(now) for executor in self.lease_manager.executors.values()
--- a/skylarkpost/gateway/target_signals.py
+++ b/skylarkpost/gateway/target_signals.py
@@ -88,6 +88,8 @@
         now : float
             The present time, in seconds.
         """
+        warm_ups = self.services.controllers["warm-ups"]
+        warm_ups.note_answer(target, boot, metadata.warm_up_left, now)
         if metadata.is_leaving and self.directory.note_leaving(boot):
             self.heard[boot] = now
             log_event(logger, "target-leaving", target=target, boot=boot, by=None)
@@ -125,6 +127,8 @@
         # knows the next run of a restarted target before it is announced here.
         if entry is None or entry.address != ticket.address:
             return "the target leaves or has gone"
+        if entry.data_centre in self.directory.evacuated:
+            return "the data centre is evacuated"
         return None
 
     def receive_digest(self, member, payload, now):
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -383,6 +383,9 @@
             if known is not None and not known.value and known.offset > record.offset:
                 # Deleted since.
                 continue
+            if known is None and self._is_below_snapshot(record.offset):
+                # The snapshot of its era lacks it: deleted before.
+                continue
             if self.on_record(record, now) is not False:
                 log_event(
                     logger,
@@ -421,6 +424,9 @@
         self.fresh_at = max(self.fresh_at, requested_at - answer.age)
         self._note_advanced()
 
+    def _is_below_snapshot(self, position):
+        return self._is_of_era(position) and position < self.deletions_from < math.inf
+
     def _is_of_era(self, position):
         if self.next_offset is None:
             return False
--- a/skylarkpost/platform/__init__.py
+++ b/skylarkpost/platform/__init__.py
@@ -8,6 +8,8 @@
 from skylarkpost.platform.configuration import (
     decode_adapter_version,
     decode_configuration,
+    decode_evacuation,
+    evacuated_data_centre,
 )
 from skylarkpost.platform.engines import EngineCodec
 from skylarkpost.platform.headers import HeaderCodec
@@ -23,5 +25,7 @@
     "StoreClient",
     "decode_adapter_version",
     "decode_configuration",
+    "decode_evacuation",
     "decode_target",
+    "evacuated_data_centre",
 ]
--- a/skylarkpost/platform/configuration.py
+++ b/skylarkpost/platform/configuration.py
@@ -1,8 +1,10 @@
 """Decoder of the operators' configuration."""
 
+from typing import Annotated
+
 import msgspec
 
-from skylarkpost.decoding import Count, Malformed, decode_json
+from skylarkpost.decoding import Count, Malformed, Seconds, decode_json
 from skylarkpost.routing import (
     AdapterModel,
     CallerBounds,
@@ -12,11 +14,17 @@
     GatewayTeam,
     RouteKind,
     TargetService,
+    WarmUp,
     WeightedService,
     key_digest,
 )
 
-__all__ = ["decode_adapter_version", "decode_configuration"]
+__all__ = [
+    "decode_adapter_version",
+    "decode_configuration",
+    "decode_evacuation",
+    "evacuated_data_centre",
+]
 
 ROUTE_KINDS = {
     "safe": RouteKind.SAFE,
@@ -25,6 +33,10 @@
 }
 TOKENS_UNIT = "tokens"
 MS_PER_S = 1000.0
+MAX_RATE = 1e9
+Rate = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RATE)]
+EVACUATION_PREFIX = "evacuate/"
+MAX_NAME_LENGTH = 200
 
 
 class SplitOnWire(msgspec.Struct):
@@ -76,6 +88,9 @@
     # Limit over all callers together, not per caller.
     max_conns: int
     engine: EngineOnWire | None = None
+    # Zero for targets that need no warm-up.
+    cold_start_s: Seconds = msgspec.field(default=0.0, name="coldStartS")
+    cold_per_s: Rate = msgspec.field(default=0.0, name="coldPerS")
 
 
 class BoundsOnWire(msgspec.Struct, rename="camel"):
@@ -162,6 +177,45 @@
     return wire.model, wire.adapter, wire.version
 
 
+def evacuated_data_centre(key):
+    """Return the data centre that an operator's key asks to evacuate.
+
+    Parameters
+    ----------
+    key : str
+        Key of an entry in the operators' topic.
+
+    Returns
+    -------
+    str, Malformed or None
+        None if the entry is of another kind.
+    """
+    if not key.startswith(EVACUATION_PREFIX):
+        return None
+    name = key.removeprefix(EVACUATION_PREFIX)
+    if not 0 < len(name) <= MAX_NAME_LENGTH:
+        return Malformed("evacuation: no name of a data centre")
+    return name
+
+
+def decode_evacuation(payload):
+    """Check the value of a request to evacuate a data centre.
+
+    Parameters
+    ----------
+    payload : bytes
+        The entry's value, an object without fields that are known here.
+
+    Returns
+    -------
+    dict or Malformed
+    """
+    wire = decode_json(payload, dict)
+    if isinstance(wire, Malformed):
+        return Malformed(f"evacuation: {wire.detail}")
+    return wire
+
+
 def _route(wire):
     services = [WeightedService(each.service, each.weight) for each in wire.split]
     pause = wire.gap_target_ms
@@ -188,9 +242,16 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         engine=None if engine is None else _engine(engine),
+        warm_up=_warm_up(wire),
     )
 
 
+def _warm_up(wire):
+    if not wire.cold_per_s:
+        return None
+    return WarmUp(rate=wire.cold_per_s, duration=wire.cold_start_s)
+
+
 def _engine(wire):
     models = tuple(
         AdapterModel(
--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -23,6 +23,8 @@
 REQUEST_LIMIT = "server-limit"
 LEAVING = "server-leaving"
 RETRY_AFTER = "retry-after"
+# How much longer a target warms up.
+WARM_UP_LEFT = "x-cold-ms"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "bearer "
 TOKEN_COUNT = re.compile(r"[0-9]{1,15}")
@@ -158,6 +160,7 @@
             request_limit=_parse_rate(values.get(REQUEST_LIMIT)),
             is_leaving=values.get(LEAVING, "").strip() == "1",
             pause=values.get(RETRY_AFTER) if status == 503 else None,
+            warm_up_left=_parse_seconds(values.get(WARM_UP_LEFT)),
         )
 
 
--- a/skylarkpost/platform/targets.py
+++ b/skylarkpost/platform/targets.py
@@ -37,6 +37,7 @@
     seq: Count = 0
     models: list[ModelOnWire] = []
     remaining_ms: Seconds | None = None
+    cold_left_ms: Seconds = 0.0
 
 
 def decode_target(name, payload):
@@ -77,6 +78,7 @@
         remaining_time=None
         if wire.remaining_ms is None
         else wire.remaining_ms / MS_PER_S,
+        warm_up_left=wire.cold_left_ms / MS_PER_S,
     )
 
 
--- a/skylarkpost/routing/__init__.py
+++ b/skylarkpost/routing/__init__.py
@@ -9,6 +9,7 @@
     GatewayTeam,
     RouteKind,
     TargetService,
+    WarmUp,
     WeightedService,
 )
 from skylarkpost.routing.state import ConfigurationState
@@ -25,6 +26,7 @@
     "RouteKind",
     "RouteTable",
     "TargetService",
+    "WarmUp",
     "WeightedService",
     "key_digest",
 ]
--- a/skylarkpost/routing/configuration.py
+++ b/skylarkpost/routing/configuration.py
@@ -12,6 +12,7 @@
     "GatewayTeam",
     "RouteKind",
     "TargetService",
+    "WarmUp",
     "WeightedService",
 ]
 
@@ -150,6 +151,21 @@
     cache_tokens: int
 
 
+class WarmUp(NamedTuple):
+    """What a target tolerates while it warms up.
+
+    Attributes
+    ----------
+    rate : float
+        Requests a second that it accepts from all instances together.
+    duration : float
+        How long it warms up after a start, in seconds.
+    """
+
+    rate: float
+    duration: float
+
+
 class TargetService(NamedTuple):
     """A pool of targets.
 
@@ -164,12 +180,15 @@
         together.
     engine : EngineLimits or None
         None for a service without engines.
+    warm_up : WarmUp or None
+        None if the targets need no warm-up.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineLimits | None
+    warm_up: WarmUp | None = None
 
 
 class GatewayTeam(NamedTuple):
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -93,6 +93,19 @@
         ge=0.0,
         description="Requests in a span that are tolerated beyond that.",
     )
+    warm_up_overrun: float = Field(
+        default=1.0,
+        ge=1.0,
+        le=1000.0,
+        description="Multiple of a target's warm-up rate that is tolerated in one "
+        "second.",
+    )
+    warm_up_slack: float = Field(
+        default=0.0,
+        ge=0.0,
+        le=1e6,
+        description="Requests in one second that are tolerated beyond that.",
+    )
 
 
 class GatewaySettings(Section):
--- a/skylarkpost/stewardship/request_pace.py
+++ b/skylarkpost/stewardship/request_pace.py
@@ -8,10 +8,12 @@
 
 from skylarkpost.limits.demand_share import SlidingWindow
 
-__all__ = ["RequestPace"]
+__all__ = ["WARM_UP_WINDOW_S", "RequestPace"]
 
 # An earlier steward may have granted a whole window's requests just before.
 INITIAL_FILL = 1.0
+# Span over which a target that warms up counts its requests.
+WARM_UP_WINDOW_S = 1.0
 
 
 class RequestPace:
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -13,7 +13,7 @@
 from skylarkpost.stewardship.policy import StewardPolicy
 from skylarkpost.stewardship.prefill import PreambleCache, PrefillBacklog
 from skylarkpost.stewardship.queue import FairQueue
-from skylarkpost.stewardship.request_pace import RequestPace
+from skylarkpost.stewardship.request_pace import WARM_UP_WINDOW_S, RequestPace
 from skylarkpost.stewardship.slots import SlotPlanner
 from skylarkpost.stewardship.summary import TargetSummary, adapter_hash
 from skylarkpost.stewardship.takeover import Takeover
@@ -81,6 +81,8 @@
         Whether another instance is taking over; no further orders are issued.
     pace : RequestPace
         Limit on the requests a second that the engine names.
+    warm_up_pace : RequestPace
+        Limit on the requests a second while the engine warms up.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.preamble_cache = PreambleCache(capacity=self.policy.preamble_cache_tokens)
         self.backlog = PrefillBacklog(now=now)
         self.pace = RequestPace(window=self.policy.limit_window)
+        self.warm_up_pace = RequestPace(window=WARM_UP_WINDOW_S)
         self.queue = FairQueue(
             limit=self.policy.queue_limit,
             order=self.policy.queue_order,
@@ -465,7 +468,7 @@
         ahead = self.queue.count_at_least(urgency) + 1 - self._free_tickets(now)
         if ahead <= 0:
             return 0.0
-        return ahead * max(self.service_time / self.batch_limit, self.pace.interval)
+        return ahead * max(self.service_time / self.batch_limit, self._pace_interval())
 
     def summary(self, now):
         """Return the state of the target that is published to other instances.
@@ -492,7 +495,7 @@
             queued=len(self.queue),
             queued_urgent=tuple(self.queue.count_at_least(u) for u in URGENCIES),
             service_time=round(
-                max(self.service_time, self.batch_limit * self.pace.interval), 2
+                max(self.service_time, self.batch_limit * self._pace_interval()), 2
             ),
             load_wait=round(self._expected_load_wait(now), 2),
             free_slots=self.slots.residency.free_slots(),
@@ -584,6 +587,7 @@
         )
         self.ledger.add(held)
         self.pace.take(now)
+        self.warm_up_pace.take(now)
         self.backlog.add(self._prefill_time(request), urgency=request.urgency, now=now)
         self.preamble_cache.note_prompt(request.preambles)
         assert self.ledger.occupied() <= self.batch_limit + self.policy.batch_slack
@@ -645,7 +649,14 @@
         return limit - self.ledger.occupied()
 
     def _free_tickets(self, now):
-        return min(self._available_tickets(), self.pace.free(now))
+        return min(
+            self._available_tickets(),
+            self.pace.free(now),
+            self.warm_up_pace.free(now),
+        )
+
+    def _pace_interval(self):
+        return max(self.pace.interval, self.warm_up_pace.interval)
 
     def _may_grant(self, now):
         report_at = self.slots.residency.report_at
--- a/tests/discovery/test_directory.py
+++ b/tests/discovery/test_directory.py
@@ -106,3 +106,29 @@
     assert directory.usable(3.1) == []
     directory.put(entry(), 3.2)
     assert [each.name for each in directory.usable(3.2)] == ["t"]
+
+
+def test_targets_of_an_evacuated_data_centre_are_usable_but_get_no_requests():
+    directory = TargetDirectory(expiry_grace=2.0)
+    directory.put(entry("a"), 0.0)
+    directory.put(entry("b", data_centre="lekki"), 0.0)
+    assert directory.of_service("desk", 0.0) is directory.usable_of_service("desk", 0.0)
+    directory.set_evacuated(frozenset({"yaba"}))
+    assert [each.name for each in directory.of_service("desk", 0.0)] == ["b"]
+    assert len(directory.usable_of_service("desk", 0.0)) == 2
+    # An entry that expires meanwhile stays out, and so does a later announcement.
+    directory.drop("a", 1.0, after_outage=True)
+    directory.put(entry("c"), 1.0)
+    assert [each.name for each in directory.of_service("desk", 1.0)] == ["b"]
+    directory.set_evacuated(frozenset())
+    assert {each.name for each in directory.of_service("desk", 1.0)} == {"a", "b", "c"}
+
+
+def test_a_run_after_the_announced_one_is_newer():
+    directory = TargetDirectory(expiry_grace=2.0)
+    directory.put(entry(started_at_ms=5), 0.0)
+    assert directory.is_newer_run("t/6")
+    assert not directory.is_newer_run("t/5")
+    assert not directory.is_newer_run("t/4")
+    assert not directory.is_newer_run("other/6")
+    assert not directory.is_newer_run("t/odd")
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -309,6 +309,21 @@
             await wait_until(lambda: newest.get("a") == b"95")
 
 
+async def test_a_deleted_value_is_not_recalled_from_an_instance_that_lags():
+    async def recall(topic, start):
+        return [PeerRecords((KeyedRecord("a", b"1", 0),), 1, 0.0)]
+
+    async with store() as (stand_in, client):
+        await stand_in.put(TOPIC, "a", b"1")
+        await stand_in.put(TOPIC, "a", b"")
+        await stand_in.put(TOPIC, "b", b"2")
+        async with following(client, recall=recall) as (follower, seen):
+            await wait_until(follower.synced.is_set)
+            await wait_until(lambda: follower.recall_from is None)
+            assert "a" not in seen
+            assert seen["b"] == b"2"
+
+
 async def test_records_that_a_restored_store_lacks_are_told_as_lost():
     lost = []
 
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -18,8 +18,10 @@
 }
 
 
-def fill(seeds):
+def fill(seeds, *, has_optional=True):
     text = TEMPLATE.read_text()
+    section = r"\{\{#bounds\.(\w+)\}\}(.*?)\{\{/bounds\.\1\}\}"
+    text = re.sub(section, r"\2" if has_optional else "", text)
     listed = ", ".join(f'"{seed}"' for seed in seeds)
     text = re.sub(r"\{\{#seeds\}\}.*?\{\{/seeds\}\}", listed, text)
     for name, value in VALUES.items():
@@ -27,13 +29,15 @@
     return re.sub(r"\{\{[^}]*\}\}", "2.5", text)
 
 
+@pytest.mark.parametrize("has_optional", [False, True])
 @pytest.mark.parametrize("seeds", [(), ("10.1.0.25:8229", "10.2.0.17:8229")])
-def test_the_template_gives_settings_without_faults(tmp_path, seeds):
+def test_the_template_gives_settings_without_faults(tmp_path, seeds, has_optional):
     path = tmp_path / "boot.conf"
-    path.write_text(fill(seeds))
+    path.write_text(fill(seeds, has_optional=has_optional))
     settings = load_settings(path, schema=GatewaySettings)
     assert isinstance(settings, GatewaySettings), settings
     assert settings.instance.seeds == seeds
+    assert (settings.bounds.warm_up_slack > 0.0) is has_optional
 
 
 def test_all_faults_are_reported_at_once_and_unknown_keys_are_ignored(tmp_path):
