--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -4,7 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
-from skylarkpost.settings.schema import LogSettings, Name
+from skylarkpost.settings.schema import LogSettings, Name, ProcessSettings
 
 __all__ = ["GatewaySettings"]
 
@@ -114,4 +114,5 @@
     instance: GatewayInstanceSettings
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
+    process: ProcessSettings = ProcessSettings()
     log: LogSettings = LogSettings()
--- a/skylarkpost/settings/schema.py
+++ b/skylarkpost/settings/schema.py
@@ -45,6 +45,23 @@
     )
 
 
+class ProcessSettings(Section):
+    """``[process]``: what this process may use of its machine."""
+
+    memory_mb: float = Field(
+        default=0.0,
+        ge=0.0,
+        description="Memory of the machine; a quarter is for what callers' connections "
+        "hold. 0: what the system names.",
+    )
+    descriptors: float = Field(
+        default=0.0,
+        ge=0.0,
+        description="Open descriptors; half of those beyond 200 are for callers. 0: "
+        "what the system allows.",
+    )
+
+
 class RequestSettings(Section):
     """``[requests]``: bounds on what callers send and how long it may take."""
 
@@ -283,6 +300,7 @@
     instance: InstanceSettings
     platform: PlatformSettings
     requests: RequestSettings = RequestSettings()
+    process: ProcessSettings = ProcessSettings()
     shutdown: ShutdownSettings = ShutdownSettings()
     quarantine: QuarantineSettings = QuarantineSettings()
     limits: LimitSettings = LimitSettings()
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -153,8 +153,11 @@
 
 
 @contextlib.asynccontextmanager
-async def crowd(address, shape):
-    """Let the callers of a shape send what they have, and keep them connected."""
+async def crowd(address, shape, *, translate=lambda head: head):
+    """Let the callers of a shape send what they have, and keep them connected.
+
+    `translate` turns their heads, each in one piece, into those of another front end.
+    """
     host, _, port = address.rpartition(":")
     writers = []
 
@@ -167,7 +170,7 @@
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(WRITE_TIMEOUT_S):
                 for piece in shape(number):
-                    writer.write(piece)
+                    writer.write(translate(piece))
                     await writer.drain()
 
     try:
