Bound what the connections of callers hold, in both front ends

Cause: bodies in receipt, complete requests behind one that is served, answers that aren't read and the number of connections had no common bound; a process of 64 MB grew to 230 to 345 MB with 60 callers. Change: one account of the process from the machine's memory and descriptors. Stalled connections give way, larger bodies are refused as not run, the connection that is idle for longest makes place for a new one; answers of which nothing is read end; costly input gets one turn of the event loop at a time. A body generator that never waits no longer goes on after a failed write. No bound or crowd of the tests was changed.

--- a/skylarkpost/daemon/instance.py
+++ b/skylarkpost/daemon/instance.py
@@ -13,6 +13,7 @@
 from skylarkpost.filters import FilterChain, build_filters, refuse_all
 from skylarkpost.frontend import build_app
 from skylarkpost.frontend.protocol import BoundedHttpProtocol
+from skylarkpost.transport.connection_account import limits_of_machine
 
 __all__ = ["Instance"]
 
@@ -59,7 +60,9 @@
                 loop="asyncio",
                 # Refuses a request with both Content-Length and Transfer-Encoding, which
                 # h11 would serve.
-                http=BoundedHttpProtocol,
+                http=BoundedHttpProtocol.configured(
+                    most_connections=_most_connections(services.settings.process)
+                ),
                 lifespan="off",
                 log_config=None,
                 access_log=False,
@@ -131,3 +134,10 @@
     listener.listen(LISTEN_BACKLOG)
     listener.setblocking(False)
     return listener
+
+
+def _most_connections(process):
+    limits = limits_of_machine(
+        memory_mb=process.memory_mb, descriptors=process.descriptors
+    )
+    return limits.connections
--- a/skylarkpost/frontend/caller.py
+++ b/skylarkpost/frontend/caller.py
@@ -12,6 +12,10 @@
 from skylarkpost.frontend.history import RequestHistory, RequestSummary
 from skylarkpost.frontend.responses import refusal_response, relayed_response
 from skylarkpost.outcomes import Reason, Refused, RunState
+from skylarkpost.transport.connection_account import (
+    ConnectionAccount,
+    limits_of_machine,
+)
 
 __all__ = ["CallerEndpoint"]
 
@@ -20,6 +24,33 @@
 HISTORY_LIMIT = 5000
 BODY_TIMEOUT_S = 15.0
 SEND_TIMEOUT_S = 20.0
+NO_ROOM_RETRY_AFTER_S = 1.0
+# The body of a request that is served is also held, parsed and encoded, for its target.
+IN_SERVICE_COPIES = 3
+
+
+class BodyReceipt:
+    """The body of one request while it is received and served.
+
+    Parameters
+    ----------
+    timeout : asyncio.Timeout
+        Ends the receipt.
+
+    Attributes
+    ----------
+    is_closed_for_room : bool
+        Whether the receipt was ended since others need the room.
+    """
+
+    def __init__(self, *, timeout):
+        self.timeout = timeout
+        self.is_closed_for_room = False
+
+    def close_for_room(self):
+        """End the receipt."""
+        self.is_closed_for_room = True
+        self.timeout.reschedule(asyncio.get_running_loop().time())
 
 
 class CallerEndpoint:
@@ -37,24 +68,60 @@
         self.services = services
         self.chain = chain
         self.history = RequestHistory(limit=HISTORY_LIMIT)
+        process = services.settings.process
+        self.account = ConnectionAccount(
+            limits=limits_of_machine(
+                memory_mb=process.memory_mb, descriptors=process.descriptors
+            )
+        )
 
     async def __call__(self, scope, receive, send):
         """Serve one request. See the ASGI specification."""
         request = Request(scope, receive)
         request_id = uuid.uuid4().hex
-        body = await self._read_body(request)
-        if isinstance(body, Refused):
-            response = refusal_response(body, request_id=request_id)
-            await response(scope, receive, send)
-            return
-        exchange = self._open_exchange(request, request_id, body)
-        self.services.exchanges[request_id] = exchange
+        receipt = BodyReceipt(timeout=asyncio.timeout(BODY_TIMEOUT_S))
         try:
-            await self._serve(exchange, scope, receive, send)
+            body = await self._read_body(request, receipt)
+            if isinstance(body, Refused):
+                response = refusal_response(body, request_id=request_id)
+                if receipt.is_closed_for_room:
+                    # The rest of the body isn't read.
+                    response.headers["connection"] = "close"
+                await response(scope, receive, send)
+                return
+            self._hold(receipt, IN_SERVICE_COPIES * len(body), may_be_closed=False)
+            exchange = self._open_exchange(request, request_id, body)
+            self.services.exchanges[request_id] = exchange
+            try:
+                await self._serve(exchange, scope, receive, send)
+            finally:
+                await asyncio.shield(self._close_exchange(exchange))
         finally:
-            await asyncio.shield(self._close_exchange(exchange))
+            self._hold(receipt, 0)
+
+    def _hold(self, receipt, size, *, may_be_closed=True):
+        self.account.hold(
+            receipt, size, now=self.services.clock(), may_be_closed=may_be_closed
+        )
+
+    def _has_room(self, receipt):
+        """Return whether a body may grow; close those that are stalled for others."""
+        body_limit = self.services.settings.requests.max_body
+        if not self.account.may_grow(receipt, body_limit=body_limit):
+            receipt.is_closed_for_room = True
+            return False
+        now = self.services.clock()
+        for each in self.account.stalled(now=now, body_limit=body_limit):
+            log_event(
+                logger,
+                "body-closed",
+                held=self.account.held[each].size,
+                total=self.account.total,
+            )
+            each.close_for_room()
+        return True
 
-    async def _read_body(self, request):
+    async def _read_body(self, request, receipt):
         settings = self.services.settings.requests
         if len(self.services.exchanges) >= settings.max_open:
             return Refused(
@@ -64,15 +131,20 @@
             )
         chunks = bytearray()
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with receipt.timeout:
                 async for chunk in request.stream():
                     chunks += chunk
+                    self._hold(receipt, len(chunks))
+                    if not self._has_room(receipt):
+                        return _no_room()
                     if len(chunks) > settings.max_body:
                         return Refused(
                             reason=Reason.TOO_LARGE,
                             message=f"The body is over {settings.max_body} bytes.",
                         )
         except TimeoutError:
+            if receipt.is_closed_for_room:
+                return _no_room()
             message = f"The body did not arrive within {BODY_TIMEOUT_S:.0f} seconds."
             return Refused(reason=Reason.DEADLINE_PASSED, message=message)
         except ClientDisconnect:
@@ -192,6 +264,14 @@
     )
 
 
+def _no_room():
+    return Refused(
+        reason=Reason.TOO_MANY_OPEN,
+        message="This instance has no room for the body at present.",
+        retry_after=NO_ROOM_RETRY_AFTER_S,
+    )
+
+
 def _with_send_timeout(send):
     """Wrap `send` with a timeout, so that a caller that stops reading is dropped."""
 
--- a/skylarkpost/gateway/instance.py
+++ b/skylarkpost/gateway/instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import socket
 
 import grpc
 
@@ -12,6 +13,11 @@
 from skylarkpost.gateway.shutdown import refuse_unfinishable
 from skylarkpost.routing import CallerBounds
 from skylarkpost.transport import CallerConnection, PlainResponse
+from skylarkpost.transport.connection_account import (
+    ConnectionAccount,
+    TurnQueue,
+    limits_of_machine,
+)
 
 __all__ = ["GatewayInstance"]
 
@@ -19,6 +25,8 @@
 
 # After an outage, all callers of a data centre may connect at once.
 LISTEN_BACKLOG = 2048
+# Connections that are accepted in one turn of the event loop.
+ACCEPTED_AT_ONCE = 64
 # The load balancer probes once a second and removes an instance after two failures.
 NOTICE_S = 2.6
 # Reserved before the process is killed, for stopping controllers and servers.
@@ -116,6 +124,17 @@
         connections = self.internal_connections if is_internal else self.connections
         bounds = CallerBounds if is_internal else self._bounds
 
+        account = turns = None
+        if not is_internal:
+            process = self.services.settings.process
+            limits = limits_of_machine(
+                memory_mb=process.memory_mb, descriptors=process.descriptors
+            )
+            account = ConnectionAccount(limits=limits)
+            turns = TurnQueue()
+            self.account = account
+            log_event(logger, "caller-limits", **limits._asdict())
+
         def make_connection():
             return CallerConnection(
                 handler=handler,
@@ -123,11 +142,18 @@
                 clock=self.services.clock,
                 connections=connections,
                 is_closing=lambda: self.services.draining and not is_internal,
+                account=account,
+                turns=turns,
             )
 
+        sock = socket.create_server((host, int(port)), backlog=LISTEN_BACKLOG)
+        sock.setblocking(False)
         server = await asyncio.get_running_loop().create_server(
-            make_connection, host, int(port), backlog=LISTEN_BACKLOG
+            make_connection, sock=sock, backlog=ACCEPTED_AT_ONCE
         )
+        # asyncio takes the backlog for the number of connections that it accepts at
+        # once, too.
+        sock.listen(LISTEN_BACKLOG)
         self.listeners.append((server, is_internal))
 
     def _bounds(self):
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -9,7 +9,16 @@
 
 import httptools
 
+from skylarkpost.eventlog import log_event
+from skylarkpost.transport.client import MAX_BUFFERED_BYTES
+from skylarkpost.transport.connection_account import (
+    AccountLimits,
+    ConnectionAccount,
+    TurnQueue,
+    connection_to_close,
+)
 from skylarkpost.transport.sockets import (
+    READ_BUFFER,
     BoundedReads,
     configure_socket,
     set_reset_on_close,
@@ -29,6 +38,17 @@
 REASON_PHRASES = {each.value: each.phrase for each in http.HTTPStatus}
 CONNECT = "CONNECT"
 REASON_PHRASES[499] = "Client Closed Request"
+# The body of a request that is served is also held by the connection to its target.
+IN_SERVICE_COPIES = 2
+# Bytes of input for each piece of a body below which parsing takes longer than reading.
+COSTLY_PIECE_BYTES = 256
+# Bytes of such input that are read in one turn of the event loop.
+COSTLY_READ_BYTES = 4096
+# Stalled connections are closed within about this time.
+NO_ROOM_RETRY_AFTER_S = 1
+
+
+UNLIMITED = AccountLimits(capacity=2**62, connections=2**62)
 
 
 class UpgradeOffer(NamedTuple):
@@ -149,14 +169,30 @@
         Open connections; each connection adds and removes itself.
     is_closing : callable
         Returns whether connections should close after the current request.
+    account : ConnectionAccount or None
+        What all connections of the port hold; None for no limit.
+    turns : TurnQueue or None
+        Turns of connections whose input takes long to parse.
     """
 
-    def __init__(self, *, handler, bounds, clock, connections, is_closing):
+    def __init__(
+        self,
+        *,
+        handler,
+        bounds,
+        clock,
+        connections,
+        is_closing,
+        account=None,
+        turns=None,
+    ):
         self.handler = handler
         self.bounds = bounds
         self.clock = clock
         self.connections = connections
         self.is_closing = is_closing
+        self.account = account or ConnectionAccount(limits=UNLIMITED)
+        self.turns = turns or TurnQueue()
         self.transport = None
         self.parser = httptools.HttpRequestParser(self)
         self.requests = deque()
@@ -173,6 +209,10 @@
         self._raw_head_bytes = 0
         self._in_head = False
         self._offer = None
+        self._pieces = 0
+        self._is_costly = False
+        self._waits_for_turn = False
+        self._unsent = 0
         self._reset_message()
 
     def connection_made(self, transport):
@@ -184,11 +224,24 @@
             configure_socket(sock, user_timeout=USER_TIMEOUT_S)
         self._last_byte_at = self.clock()
         self._set_timer()
+        if len(self.connections) > self.account.limits.connections:
+            self._make_room_for_connection()
+
+    @property
+    def is_ending(self):
+        """Whether the connection is closed once its last answer has been written."""
+        return self.refusal is not None or self.transport.is_closing()
+
+    @property
+    def idle_since(self):
+        """Time of the last byte, in seconds; None while a request is served."""
+        return None if self._is_serving() else self._last_byte_at
 
     def connection_lost(self, exc):
         """Notify the pending requests. See `asyncio.BaseProtocol`."""
         self.is_lost = True
         self.connections.discard(self)
+        self.account.hold(self, 0, now=self.clock())
         self.writable.set()
         if self.timer is not None:
             self.timer.cancel()
@@ -214,10 +267,17 @@
         """Lift backpressure. See `asyncio.BaseProtocol`."""
         self.writable.set()
 
+    def get_buffer(self, sizehint):
+        """Return the buffer to read into. See `BoundedReads`."""
+        if self._is_costly:
+            return READ_BUFFER[:COSTLY_READ_BYTES]
+        return super().get_buffer(sizehint)
+
     def data_received(self, data):
         """Parse received bytes. See `BoundedReads`."""
         if self.refusal is not None:
             return
+        self._pieces = 0
         self._last_byte_at = self.clock()
         if self._first_byte_at is None:
             self._first_byte_at = self._last_byte_at
@@ -226,10 +286,99 @@
         self._parse(data)
         if self._in_head and self._raw_head_bytes > self.bounds().header_bytes:
             self._refuse(431, "The head is too large.")
-        if len(self.requests) >= MAX_PIPELINED:
-            self.transport.pause_reading()
+        self._note_held()
+        self._make_room()
+        self._is_costly = self._pieces * COSTLY_PIECE_BYTES > len(data)
+        if self._is_costly and not self._waits_for_turn:
+            self._waits_for_turn = True
+            self.turns.wait(self._take_turn)
+        self._update_reading()
         self._set_timer()
 
+    def close_for_room(self, reason):
+        """Close the connection, since others need what it holds.
+
+        Parameters
+        ----------
+        reason : str
+            Why, for the log.
+        """
+        if self.is_lost or self.refusal is not None:
+            return
+        held = self.account.held.get(self)
+        log_event(
+            logger,
+            "caller-closed",
+            reason=reason,
+            held=0 if held is None else held.size,
+            idle=self.clock() - self._last_byte_at,
+            total=self.account.total,
+            connections=len(self.connections),
+        )
+        if self._is_serving():
+            # Its answer isn't read. A connection that ends promises nothing.
+            set_reset_on_close(self.transport, True)
+            self.transport.abort()
+        elif self._first_byte_at is None:
+            self._close()
+        else:
+            self._refuse_for_room()
+
+    def _make_room_for_connection(self):
+        closed = connection_to_close(
+            [
+                (each, each.idle_since)
+                for each in self.connections
+                if not each.is_ending
+            ],
+            most=self.account.limits.connections,
+            now=self.clock(),
+        )
+        if closed is not None:
+            closed.close_for_room("too many connections")
+
+    def _is_serving(self):
+        return self.current is not None or self.task is not None
+
+    def _refuse_for_room(self):
+        self._refuse(
+            503,
+            "There is no room for the body at present.",
+            (("retry-after", str(NO_ROOM_RETRY_AFTER_S)),),
+        )
+
+    def _note_held(self):
+        size = len(self._body) + self._unsent
+        size += sum(len(request.body) for request in self.requests)
+        if self.current is not None:
+            size += IN_SERVICE_COPIES * len(self.current.body)
+        # A request that may run is not ended for others; its answer's delivery may be.
+        may_be_closed = not self._is_serving() or self._unsent > 0
+        self.account.hold(self, size, now=self.clock(), may_be_closed=may_be_closed)
+
+    def _make_room(self):
+        body_limit = self.bounds().body_bytes
+        if self._body and not self.account.may_grow(self, body_limit=body_limit):
+            self._refuse_for_room()
+        for each in self.account.stalled(now=self.clock(), body_limit=body_limit):
+            each.close_for_room("stalled")
+
+    def _take_turn(self):
+        self._waits_for_turn = False
+        if not self.is_lost:
+            self._update_reading()
+
+    def _update_reading(self):
+        """Read on unless enough requests wait, or others have their turn."""
+        queued = sum(len(request.body) for request in self.requests)
+        is_full = (
+            len(self.requests) >= MAX_PIPELINED or queued >= self.bounds().body_bytes
+        )
+        if is_full or self._waits_for_turn:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
     def _parse(self, data):
         while data and self.refusal is None:
             try:
@@ -331,6 +480,7 @@
         """See `httptools.HttpRequestParser`."""
         if self.refusal is not None:
             return
+        self._pieces += 1
         self._body += body
         if len(self._body) > self.bounds().body_bytes:
             self._refuse(413, "The body is too large.")
@@ -370,10 +520,11 @@
     def _is_between_requests(self):
         return not self._in_head and not self._headers
 
-    def _refuse(self, status, message):
+    def _refuse(self, status, message, headers=()):
+        self._body = bytearray()
         self.refusal = PlainResponse(
             status,
-            (("content-type", "application/json"),),
+            (("content-type", "application/json"), *headers),
             b'{"error": {"message": "%s", "run_state": "not-run"}}'
             % message.replace('"', "'").encode("ascii", "replace"),
             closes=True,
@@ -389,11 +540,12 @@
             while self.requests and not self.is_lost:
                 self.current = self.requests.popleft()
                 self.current.is_half_closed = self.half_closed
-                if len(self.requests) < MAX_PIPELINED:
-                    self.transport.resume_reading()
+                self._note_held()
+                self._update_reading()
                 response = await self._handle(self.current)
                 keeps_open = await self._respond(self.current, response)
                 self.current = None
+                self._note_held()
                 if not keeps_open:
                     self._close()
                     return
@@ -463,7 +615,8 @@
             if not self.is_lost:
                 self.transport.write(self._head(response.status, headers, closes))
             async for piece in body:
-                if self.is_lost:
+                # A write that fails closes the transport; the loss is told later.
+                if self.is_lost or self.transport.is_closing():
                     return False
                 if not piece or not has_body:
                     continue
@@ -471,7 +624,7 @@
                     piece = b"%x\r\n%b\r\n" % (len(piece), piece)
                 self.transport.write(piece)
                 if not self.writable.is_set():
-                    await self.writable.wait()
+                    await self._wait_until_read()
             if chunked and not self.is_lost:
                 self.transport.write(b"0\r\n\r\n")
             if ends_at_close and not self.is_lost:
@@ -482,6 +635,25 @@
             await body.aclose()
         return not closes
 
+    async def _wait_until_read(self):
+        """Wait until the caller has read on; disconnect one that reads nothing."""
+        while not self.writable.is_set():
+            unread = self.transport.get_write_buffer_size()
+            # What the target sends on meanwhile is held by its connection.
+            self._unsent = unread + MAX_BUFFERED_BYTES
+            self._note_held()
+            self._make_room()
+            try:
+                async with asyncio.timeout(self.bounds().idle_timeout):
+                    await self.writable.wait()
+            except TimeoutError:
+                if self.transport.get_write_buffer_size() >= unread:
+                    self.close_for_room("an answer is not read")
+                    break
+        self._unsent = 0
+        if not self.is_lost:
+            self._note_held()
+
     def _head(self, status, headers, closes):
         phrase = REASON_PHRASES.get(status, "Unknown")
         lines = [f"HTTP/1.1 {status} {phrase}"]
--- a/tests/frontend/test_caller.py
+++ b/tests/frontend/test_caller.py
@@ -1,3 +1,4 @@
+import asyncio
 import types
 
 import pytest
@@ -6,6 +7,7 @@
 from skylarkpost.frontend.caller import CallerEndpoint
 from skylarkpost.metrics import Metrics
 from skylarkpost.outcomes import Reason, Refused, Relayed
+from skylarkpost.settings.schema import ProcessSettings
 
 SCOPE = {
     "type": "http",
@@ -42,10 +44,12 @@
             self.cleanup_steps.append("body-closed")
 
 
-def make_endpoint(chain, *, max_body=100):
+def make_endpoint(chain, *, max_body=100, memory_mb=0.0):
     requests = types.SimpleNamespace(max_open=2, max_body=max_body, deadline=5.0)
     services = types.SimpleNamespace(
-        settings=types.SimpleNamespace(requests=requests),
+        settings=types.SimpleNamespace(
+            requests=requests, process=ProcessSettings(memory_mb=memory_mb)
+        ),
         exchanges={},
         clock=lambda: 1.0,
         metrics=Metrics(),
@@ -100,3 +104,47 @@
     endpoint.services.exchanges = {"a": 1, "b": 2}
     sent = await call(endpoint)
     assert sent[0]["status"] == 503
+
+
+async def test_a_body_without_room_is_refused_with_a_time_to_return():
+    chain = FakeChain()
+    endpoint = make_endpoint(chain, max_body=100_000, memory_mb=1.0)
+    other = object()
+    endpoint.account.hold(other, 500_000, now=1.0, may_be_closed=False)
+    sent = await call(endpoint, body=b"x" * 50_000)
+    assert sent[0]["status"] == 503
+    headers = dict(sent[0]["headers"])
+    assert float(headers[b"retry-after"]) > 0.0
+    assert headers[b"connection"] == b"close"
+    assert b'"not-run"' in sent[1]["body"]
+    assert not hasattr(chain, "exchange")
+    assert endpoint.account.total == 500_000
+
+
+async def test_a_body_that_stalls_makes_room_for_another():
+    endpoint = make_endpoint(FakeChain(), max_body=100_000, memory_mb=1.0)
+    now = 1.0
+    endpoint.services.clock = lambda: now
+    sent = []
+    never = asyncio.Event()
+    pieces = [{"type": "http.request", "body": b"x" * 90_000, "more_body": True}]
+
+    async def receive():
+        if pieces:
+            return pieces.pop()
+        await never.wait()
+
+    async def send(message):
+        sent.append(message)
+
+    stalled = asyncio.create_task(endpoint(SCOPE, receive, send))
+    await asyncio.sleep(0.01)
+    other = object()
+    endpoint.account.hold(other, 200_000, now=now, may_be_closed=False)
+    now = 9.0
+    # The chain answers without an end; the caller leaves after the first pieces.
+    with pytest.raises(ClientDisconnect):
+        await call(endpoint, fail_after=3)
+    await asyncio.wait_for(stalled, 5.0)
+    assert sent[0]["status"] == 503
+    assert endpoint.account.total == 200_000
--- a/tests/processes/test_api_callers_outside_the_limits.py
+++ b/tests/processes/test_api_callers_outside_the_limits.py
@@ -52,7 +52,11 @@
             if not piece.startswith(b"POST "):
                 return piece
             head = piece.replace(b" /safe/ ", b" /v1/chat/completions ", 1)
-            return head.replace(KEY.encode(), caller.headers["Authorization"].removeprefix("Bearer ").encode(), 1)
+            return head.replace(
+                KEY.encode(),
+                caller.headers["Authorization"].removeprefix("Bearer ").encode(),
+                1,
+            )
 
         async with crowd(address, shape, translate=translate):
             reply = await caller.chat(INSTANCE, "plan-0", "ordinary", max_tokens=2)
--- a/tests/transport/rig.py
+++ b/tests/transport/rig.py
@@ -14,7 +14,7 @@
 
 
 @contextlib.asynccontextmanager
-async def caller_server(handler, bounds=BOUNDS, is_closing=lambda: False):
+async def caller_server(handler, bounds=BOUNDS, is_closing=lambda: False, account=None):
     """Serve on a free port; yield the port and the set of open connections."""
     connections = set()
     server = await asyncio.get_running_loop().create_server(
@@ -24,6 +24,7 @@
             clock=time.monotonic,
             connections=connections,
             is_closing=is_closing,
+            account=account,
         ),
         "127.0.0.1",
         0,
