Queue order that weighs what callers lose by waiting, off by default

Cause: with more load than an engine can prefill in time, requests were granted by urgency and arrival and queued inside the engine; all became a little late. Change: order least-loss (in time first, late ones in the room that is left, a floor for less urgent kinds, hopeless ones refused at once) and a bound on the prefill that an engine gets ahead; both are settings. Holders name the goal.

--- a/skylarkpost/gateway/lease_manager.py
+++ b/skylarkpost/gateway/lease_manager.py
@@ -237,6 +237,8 @@
             policy=self.policy._replace(
                 preamble_cache_tokens=PROMPT_CACHE_FRACTION * limits.cache_tokens,
                 limit_window=self.services.settings.bounds.limit_window_s,
+                queue_order=self.services.settings.queue.order,
+                prefill_ahead=self.services.settings.queue.prefill_ahead_s,
             ),
             authority=authority,
             current_lora_name=lambda name: self._current_lora_name(
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -425,6 +425,8 @@
             preambles=request.preambles,
             max_first_token=max_wait,
             deadline=wait_until,
+            goal_at=exchange.received_at + exchange.route.latency_goal,
+            give_up_at=exchange.received_at + self._max_wait(exchange),
         )
         outcome = await self.ticket_client.acquire(
             exchange, [target], on_requested=note_asked, details=details
--- a/skylarkpost/settings/gateway.py
+++ b/skylarkpost/settings/gateway.py
@@ -108,6 +108,24 @@
     )
 
 
+class QueueSettings(Section):
+    """``[queue]``: in which order requests wait for engines that are full."""
+
+    order: str = Field(
+        default="fair",
+        pattern="^(fair|first-come|least-loss)$",
+        description="`fair`: urgency, teams' shares, arrival. `least-loss`: what "
+        "callers lose least by comes last.",
+    )
+    prefill_ahead_s: float = Field(
+        default=60.0,
+        gt=0.0,
+        le=60.0,
+        description="Seconds of prefill that an engine gets ahead; more requests wait "
+        "where their order may still change.",
+    )
+
+
 class GatewaySettings(Section):
     """The whole file."""
 
@@ -115,4 +133,5 @@
     store: StoreSettings
     bounds: BoundSettings = BoundSettings()
     process: ProcessSettings = ProcessSettings()
+    queue: QueueSettings = QueueSettings()
     log: LogSettings = LogSettings()
--- a/skylarkpost/stewardship/conversion.py
+++ b/skylarkpost/stewardship/conversion.py
@@ -26,6 +26,9 @@
 ]
 
 
+MIN_SECONDS = 0.001
+
+
 def request_to_wire(request, target, now):
     """Convert a request for a ticket to protobuf.
 
@@ -58,9 +61,16 @@
             pb.Preamble(key=each.key, tokens=each.tokens) for each in request.preambles
         ],
         patience=0.0 if math.isinf(request.patience) else request.patience,
+        goal=_seconds_left(request.goal_at, now),
+        give_up=_seconds_left(request.give_up_at, now),
     )
 
 
+def _seconds_left(at, now):
+    """Return the seconds until a time, never 0; 0 for a time that never comes."""
+    return 0.0 if math.isinf(at) else max(MIN_SECONDS, at - now)
+
+
 def request_from_wire(message, now):
     """Convert a protobuf request for a ticket; see `request_to_wire`."""
     return TicketRequest(
@@ -76,6 +86,8 @@
         prompt_tokens=message.prompt_tokens,
         preambles=tuple(Preamble(each.key, each.tokens) for each in message.preambles),
         patience=message.patience or math.inf,
+        goal_at=now + (message.goal or math.inf),
+        give_up_at=now + (message.give_up or math.inf),
     )
 
 
--- a/skylarkpost/stewardship/messages.py
+++ b/skylarkpost/stewardship/messages.py
@@ -52,6 +52,10 @@
     patience : float
         Maximum expected time to first token, in seconds; beyond it the
         request is refused at once, so that the holder can try another target.
+    goal_at : float
+        Time until which its first token is in time, in seconds of the steward's clock.
+    give_up_at : float
+        Time at which its caller gives up, in seconds of the steward's clock.
     """
 
     ticket_id: str
@@ -66,6 +70,8 @@
     prompt_tokens: int = 0
     preambles: tuple = ()
     patience: float = math.inf
+    goal_at: float = math.inf
+    give_up_at: float = math.inf
 
 
 class HeldTicket(NamedTuple):
--- a/skylarkpost/stewardship/policy.py
+++ b/skylarkpost/stewardship/policy.py
@@ -1,5 +1,6 @@
 """Parameters of the stewardship of a target."""
 
+import math
 from typing import NamedTuple
 
 __all__ = ["StewardPolicy"]
@@ -44,6 +45,9 @@
         Shortest and longest pause, in seconds, after a failed load.
     queue_order : str
         Name of a registered queue order.
+    prefill_ahead : float
+        Seconds of prefill that an engine may have ahead of it before further requests
+        wait in the steward's queue, where their order may still change.
     eviction : str
         Name of a registered eviction policy.
     engine_drains_on_unload : bool
@@ -79,6 +83,7 @@
     min_backoff: float = 1.0
     max_backoff: float = 60.0
     queue_order: str = "fair"
+    prefill_ahead: float = math.inf
     eviction: str = "worth"
     engine_drains_on_unload: bool = False
     one_version: bool = False
--- a/skylarkpost/stewardship/queue.py
+++ b/skylarkpost/stewardship/queue.py
@@ -7,11 +7,22 @@
 
 from skylarkpost.stewardship.fairness import FairShares
 from skylarkpost.stewardship.messages import TicketRequest
-from skylarkpost.stewardship.queue_orders import effective_urgency, queue_order
+from skylarkpost.stewardship.queue_orders import (
+    begins_in_time,
+    effective_urgency,
+    queue_order,
+)
 
 __all__ = ["AdapterWaiters", "FairQueue", "QueueEntry"]
 
 
+# Part of the engine's time that orders which compare goals give to less urgent
+# requests while more urgent ones fill the engine.
+FLOOR_FRACTION = 0.15
+# Time that may be saved up for them, in seconds: a long prompt.
+MAX_FLOOR_CREDIT_S = 1.0
+
+
 class QueueEntry(NamedTuple):
     """A request in the queue.
 
@@ -77,6 +88,8 @@
         self._ready = {}
         self._blocked = {}
         self._deadlines = []
+        self.floor_credit = 0.0
+        self.floor_spent = {}
 
     def __len__(self):
         return len(self.entries)
@@ -138,7 +151,7 @@
             self._unblock(entry)
         return entry
 
-    def pop(self, now, *, suspects=True):
+    def pop(self, now, *, suspects=True, work=lambda request: 0.0):
         """Remove and return the ready request that is served next.
 
         Parameters
@@ -147,24 +160,111 @@
             Current time, in seconds.
         suspects : bool
             Whether a request that may have crashed an engine is eligible.
+        work : callable
+            Takes a `TicketRequest` and returns its seconds of prefill.
 
         Returns
         -------
         QueueEntry or None
         """
-        best, best_key = None, None
-        for key in list(self._ready):
-            head = self._head(self._ready, key)
-            if head is None or (head.request.suspect and not suspects):
-                continue
-            rank = self.order(head, shares=self.shares, ageing=self.ageing, now=now)
-            if best is None or rank < best_key:
-                best, best_key = head, rank
-        if best is None:
+        candidates = [
+            entry
+            for key in list(self._ready)
+            for entry in self._candidates(key)
+            if suspects or not entry.request.suspect
+        ]
+        if not candidates:
             return None
-        self._ready[_flow_key(best)].popleft()
+        best = min(
+            candidates,
+            key=lambda entry: self.order(
+                entry,
+                shares=self.shares,
+                ageing=self.ageing,
+                work=work(entry.request),
+                now=now,
+            ),
+        )
+        if self.order.compares_goals:
+            best = self._with_floor(best, candidates, work, now)
+        self._ready[_flow_key(best)].remove(best)
         return self.remove(best.request.ticket_id)
 
+    def shed(self, now, *, work):
+        """Remove the ready requests that can't begin before their callers give up.
+
+        Load pattern: a burst leaves more waiting than the engine can begin. What would
+        be refused seconds later is refused now, so that it can be served elsewhere.
+        Orders that don't compare goals shed nothing.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+        work : callable
+            Takes a `TicketRequest` and returns its seconds of prefill.
+
+        Returns
+        -------
+        list of QueueEntry
+            Those that cost callers least are last in the order, so they go first.
+        """
+        if not self.order.compares_goals or not self._ready:
+            return []
+        waiting = [
+            (entry, work(entry.request))
+            for key in list(self._ready)
+            for entry in self._candidates(key)
+        ]
+        waiting.sort(
+            key=lambda each: self.order(
+                each[0], shares=self.shares, ageing=self.ageing, work=each[1], now=now
+            )
+        )
+        begins_at, removed = now, []
+        for entry, seconds in waiting:
+            if begins_at + seconds > entry.request.give_up_at:
+                removed.append(self.remove(entry.request.ticket_id))
+            else:
+                begins_at += seconds
+        return removed
+
+    def _with_floor(self, best, candidates, work, now):
+        """Return the request to serve, so that less urgent ones get their floor."""
+        overtaken = [
+            entry
+            for entry in candidates
+            if entry.request.urgency < best.request.urgency
+            and begins_in_time(entry.request, work=work(entry.request), now=now)
+        ]
+        # The urgency that has had least, and its oldest request.
+        chosen = min(
+            overtaken,
+            key=lambda entry: (
+                self.floor_spent.get(entry.request.urgency, 0.0),
+                entry.sequence,
+            ),
+            default=None,
+        )
+        if chosen is not None and work(chosen.request) <= self.floor_credit:
+            seconds = work(chosen.request)
+            self.floor_credit -= seconds
+            spent = self.floor_spent.get(chosen.request.urgency, 0.0)
+            self.floor_spent[chosen.request.urgency] = spent + seconds
+            return chosen
+        credit = self.floor_credit + FLOOR_FRACTION * work(best.request)
+        self.floor_credit = min(MAX_FLOOR_CREDIT_S, credit)
+        return best
+
+    def _candidates(self, key):
+        """Return the requests of a flow that may be next."""
+        head = self._head(self._ready, key)
+        if head is None:
+            return ()
+        if not self.order.compares_goals:
+            return (head,)
+        return [each for each in self._ready[key] if self._is_waiting(each)]
+
     def set_ready(self, lora_name, *, ready):
         """Move the requests of an adapter between ready and blocked.
 
--- a/skylarkpost/stewardship/steward.py
+++ b/skylarkpost/stewardship/steward.py
@@ -442,6 +442,12 @@
             wait += self._expected_load_wait(now)
         # The prefill backlog shrinks during the wait, so only the longer counts.
         ahead = self.backlog.ahead(request.urgency, now=now)
+        if not self._may_prefill(now):
+            ahead += sum(
+                self._prefill_time(entry.request)
+                for entry in self.queue.entries.values()
+                if entry.request.urgency >= request.urgency
+            )
         return max(wait, ahead) + self._prefill_time(request)
 
     def _prefill_time(self, request):
@@ -526,9 +532,15 @@
         return commands
 
     def _refuse_expired(self, now):
+        expired = self.queue.expire(now)
+        shed = self.queue.shed(now, work=self._prefill_time)
         return [
-            self._refuse(entry.request, Reason.QUEUE_TIMEOUT, now)
-            for entry in self.queue.expire(now)
+            self._refuse(entry.request, reason, now)
+            for entries, reason in (
+                (expired, Reason.QUEUE_TIMEOUT),
+                (shed, Reason.QUEUE_FULL),
+            )
+            for entry in entries
         ]
 
     def _may_act(self, now):
@@ -563,14 +575,22 @@
 
     def _grant_all(self, now):
         commands = []
-        while self._free_tickets(now) > 0:
+        while self._free_tickets(now) > 0 and self._may_prefill(now):
             # Run one suspect at a time, so that a crash identifies the culprit.
-            entry = self.queue.pop(now, suspects=not self.ledger.has_suspect())
+            entry = self.queue.pop(
+                now,
+                suspects=not self.ledger.has_suspect(),
+                work=self._prefill_time,
+            )
             if entry is None:
                 break
             commands.append(self._grant(entry, now))
         return commands
 
+    def _may_prefill(self, now):
+        """Return whether the engine would soon have no prompt to prefill."""
+        return self.backlog.ahead(0, now=now) < self.policy.prefill_ahead
+
     def _grant(self, entry, now):
         request = entry.request
         assert self.slots.is_usable(request.lora_name)
--- a/skylarkpost/stewardship/ticket_client.py
+++ b/skylarkpost/stewardship/ticket_client.py
@@ -74,12 +74,17 @@
         Longest acceptable time to the first token, in seconds.
     deadline : float
         Latest time for a grant, in seconds.
+    goal_at, give_up_at : float
+        Times until which the first token is in time, and at which the caller gives up,
+        in seconds.
     """
 
     prompt_tokens: int = 0
     preambles: tuple = ()
     max_first_token: float = math.inf
     deadline: float = math.inf
+    goal_at: float = math.inf
+    give_up_at: float = math.inf
 
 
 class TicketClient:
@@ -210,6 +215,8 @@
             prompt_tokens=details.prompt_tokens,
             preambles=details.preambles,
             patience=details.max_first_token,
+            goal_at=details.goal_at,
+            give_up_at=details.give_up_at,
         )
 
     async def _request_ticket(self, exchange, target, request):
