Give back what a refused body held at once; end a receipt once only

Read in the change: a second body could end the receipt of the same stalled one again, which raises; a refused body counted until its connection was lost.

--- a/skylarkpost/frontend/caller.py
+++ b/skylarkpost/frontend/caller.py
@@ -48,7 +48,9 @@
         self.is_closed_for_room = False
 
     def close_for_room(self):
-        """End the receipt."""
+        """End the receipt, unless that has been done."""
+        if self.is_closed_for_room:
+            return
         self.is_closed_for_room = True
         self.timeout.reschedule(asyncio.get_running_loop().time())
 
--- a/skylarkpost/frontend/protocol.py
+++ b/skylarkpost/frontend/protocol.py
@@ -111,6 +111,7 @@
         self.last_byte_at = self.loop.time()
         if self.backlog:
             self.backlog += data
+            self.transport.pause_reading()
             return
         self._receive(data)
 
--- a/skylarkpost/transport/server.py
+++ b/skylarkpost/transport/server.py
@@ -529,6 +529,7 @@
             % message.replace('"', "'").encode("ascii", "replace"),
             closes=True,
         )
+        self._note_held()
         self._start()
 
     def _start(self):
