Say that least-loss doesn't keep the order of urgencies; list the case

Found by reading the change again: the test named for any less urgent kind compared two of three kinds, and docs/PROMISES.md claimed more than it showed. The test keeps its assertions under a name that says what it checks.

--- a/tests/stewardship/test_least_loss.py
+++ b/tests/stewardship/test_least_loss.py
@@ -90,13 +90,25 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("load", [0.6, 1.0, 1.3, 2.0])
-def test_an_urgent_kind_is_never_served_less_often_than_a_less_urgent_one(load, seed):
+def test_of_two_kinds_with_equal_prompts_the_urgent_one_is_not_served_less_often(
+    load, seed
+):
     counts = replay("least-loss", load=load, seed=seed)
     served = [share(counts, kind.name, *SERVED) for kind in KINDS[:2]]
     # The pages tolerate five in a hundred.
     assert served[0] >= served[1] - 0.05
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("load", [0.6, 1.0, 1.3, 2.0])
+def test_no_kind_is_served_less_often_than_a_less_urgent_one(load, seed):
+    counts = replay("least-loss", load=load, seed=seed)
+    served = [share(counts, kind.name, *SERVED) for kind in KINDS]
+    # The pages tolerate five in a hundred.
+    for urgent, others in ((served[0], served[1:]), (served[1], served[2:])):
+        assert urgent >= max(others) - 0.05
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_while_all_can_be_kept_none_is_given_up(seed):
     counts = replay("least-loss", load=0.5, seed=seed)
