Log how old an instance's knowledge of a topic is

store-lost says how long the failed call was on its way and how old the known state is; a refusal of a route or key says how old the configuration behind it may be. Hypotheses of the silent connections could not be told apart without. No logic changes.

--- a/skylarkpost/gateway/app.py
+++ b/skylarkpost/gateway/app.py
@@ -22,6 +22,8 @@
 
 # Replaces statuses that imply that the request has not run and never will.
 UNKNOWN_OUTCOME_STATUS = 502
+# Refusals that an older configuration may cause.
+CONFIGURED_REASONS = (Reason.ROUTE_UNKNOWN, Reason.KEY_MISSING, Reason.KEY_UNKNOWN)
 
 
 def render_refusal(refusal, request_id):
@@ -180,14 +182,19 @@
             for each in exchange.decisions
             if each.filter in ("placement", "forward") and each.decision != "passed"
         ]
+        now = self.services.clock()
+        knowledge_age = None
+        if refused.reason in CONFIGURED_REASONS:
+            knowledge_age = self.services.controllers["config"].follower.age(now)
         log_event(
             logger,
             "request-refused",
             request=exchange.request_id,
             reason=refused.reason,
             retry_after=refused.retry_after,
-            waited=self.services.clock() - exchange.received_at,
+            waited=now - exchange.received_at,
             asked=",".join(asked) or None,
+            knowledge_age=knowledge_age,
         )
 
     def _log_end(self, exchange, outcome, is_complete):
--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -192,6 +192,21 @@
                 while self.next_offset is None or self.next_offset <= start:
                     await self.advanced.wait()
 
+    def age(self, now):
+        """Return how old the known state is.
+
+        Parameters
+        ----------
+        now : float
+            The present time, in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds since the known state was the complete topic; None before.
+        """
+        return now - self.fresh_at if math.isfinite(self.fresh_at) else None
+
     async def _run(self):
         backoff = FIRST_BACKOFF_S
         while True:
@@ -247,7 +262,7 @@
             wait = self.wait() if self.lost_at is None else 0.0
             answer = await self.store.read(self.topic, self.next_offset, wait=wait)
         if isinstance(answer, StoreUnavailable):
-            self._note_lost(answer.detail)
+            self._note_lost(answer.detail, began)
             return False
         self._note_answered()
         if isinstance(answer, RecordsTrimmed):
@@ -442,7 +457,7 @@
         self.advanced.set()
         self.advanced = asyncio.Event()
 
-    def _note_lost(self, detail):
+    def _note_lost(self, detail, began):
         if self.lost_at is None:
             self.lost_at = self.clock()
             log_event(
@@ -452,6 +467,8 @@
                 topic=self.topic,
                 detail=detail,
                 next_offset=describe_position(self.next_offset),
+                waited=self.lost_at - began,
+                knowledge_age=self.age(self.lost_at),
             )
         self.available = False
 
