Log the known usage of teams near their limits

One line a second and team beyond half of its limit: what all instances are known to have admitted, the own part, and how many instances are heard. No logic changes.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -1,11 +1,13 @@
 """Controller and filter that enforce team limits across all instances."""
 
 import asyncio
+import logging
 
 import msgspec
 
 from skylarkpost.controllers import GATEWAY, Controller, register_controller
 from skylarkpost.decoding import Malformed, decode_msgpack
+from skylarkpost.eventlog import log_event
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
 from skylarkpost.outcomes import Reason, Refused
@@ -13,10 +15,15 @@
 
 __all__ = ["MAX_LIMIT_WAIT_S", "QuotaController", "QuotaFilter", "request_units"]
 
+logger = logging.getLogger(__name__)
+
 TOPIC = "demand"
 PUBLISH_INTERVAL_S = 0.4
 # Longest wait for room in a limit; a fraction of the shortest latency goals.
 MAX_LIMIT_WAIT_S = 0.2
+# Usage is logged once a second, of teams that use more than this part of their limit.
+USAGE_LOG_INTERVAL_S = 1.0
+LOGGED_USAGE_FRACTION = 0.5
 
 
 @register_controller("quota", order=30, front_ends=(GATEWAY,))
@@ -38,6 +45,7 @@
             window=services.settings.bounds.quota_window_s,
         )
         self.background = BackgroundTask(name="quota")
+        self.usage_logged_at = services.clock()
 
     async def start(self):
         """Start publishing the demand."""
@@ -76,8 +84,33 @@
             }
             membership.publish(TOPIC, msgspec.msgpack.encode(usage))
             self.shares.note_heard(membership.heard(now), now)
+            if now - self.usage_logged_at >= USAGE_LOG_INTERVAL_S:
+                self.usage_logged_at = now
+                self._log_usage(now)
             await asyncio.sleep(PUBLISH_INTERVAL_S)
 
+    def _log_usage(self, now):
+        known = self.services.controllers["config"].state.configuration
+        for name, reported in self.shares.reported.items():
+            team = None if known is None else known.teams.get(name)
+            if team is None or team.rate <= 0:
+                continue
+            limit = team.rate * self.shares.window + team.burst
+            admitted = self.shares.admitted_by_all(name, now)
+            if admitted < LOGGED_USAGE_FRACTION * limit:
+                continue
+            log_event(
+                logger,
+                "team-usage",
+                team=name,
+                limit=limit,
+                admitted=admitted,
+                own=reported.admitted,
+                demand=reported.demand,
+                heard=len(self.shares.received) - len(self.shares.silent),
+                silent=len(self.shares.silent),
+            )
+
 
 def request_units(team, metadata):
     """Return the units that a request counts against its team's limit.
