--- a/standins/common.py
+++ b/standins/common.py
@@ -42,6 +42,8 @@
         Active faults.
     transports : set of asyncio.Transport
         Open connections that have carried a request.
+    silenced : set of asyncio.Transport
+        Connections that are open and answer nothing any more.
     """
 
     switches_type = Switches
@@ -49,6 +51,7 @@
     def __init__(self):
         self.switches = self.switches_type()
         self.transports = set()
+        self.silenced = set()
         switch_routes = [
             Route("/switches", self.get_switches, methods=["GET"]),
             Route("/switches", self.post_switches, methods=["POST"]),
@@ -76,7 +79,12 @@
         self.transports.add(transport)
         if scope["path"] != "/switches":
             await wait_while(scope, lambda: self.is_cut(scope))
-        await self.starlette(scope, receive, send)
+
+        async def send_unless_silenced(message):
+            await wait_while(scope, lambda: transport in self.silenced)
+            await send(message)
+
+        await self.starlette(scope, receive, send_unless_silenced)
 
     def is_cut(self, scope):
         """Return whether a request currently gets no answer."""
@@ -101,6 +109,10 @@
     def on_switches_changed(self):
         """Apply switches that need an action when they change."""
 
+    def silence_connections(self):
+        """Answer nothing on the open connections any more; new ones work."""
+        self.silenced |= self.transports
+
     def drop_connections(self):
         """Reset every connection."""
         for transport in self.transports:
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -390,3 +390,30 @@
                 elder.peers = ask_younger
                 await elder.query_peers()
             assert seen == {"gone": b"", "kept": b"1", "new": b"1"}
+
+
+@pytest.mark.parametrize(("age", "wait"), [(0.0, 2.0), (1.5, 0.5), (9.0, 0.0)])
+async def test_a_read_waits_no_longer_than_the_known_state_may_age(age, wait):
+    """Guards against a long read after a reader for this instance has failed.
+
+    On a dead connection it would add its whole wait to the age of the state.
+    """
+    waits = []
+
+    class Store:
+        async def read(self, topic, start, *, wait):
+            waits.append(wait)
+            return KeyedRecords((), start)
+
+    follower = KeyedFollower(
+        store=Store(),
+        topic=TOPIC,
+        clock=lambda: 100.0,
+        random=random.Random(1),
+        on_record=lambda record, now: True,
+        wait=lambda: 2.0,
+    )
+    follower.next_offset = 0
+    follower.fresh_at = 100.0 - age
+    await follower.step()
+    assert waits == [wait]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Calls of the store while it comes back from older copies."""
 
+import asyncio
 import contextlib
 
 import pytest
@@ -94,3 +95,32 @@
             snapshot = await client.newest(TOPIC)
         assert snapshot.end == make_position(1, 1)
         assert "store-era-malformed" in caplog.text
+
+
+async def read_on_silent_connection(stand_in, client):
+    """Silence the connection of a waiting read, then append a record."""
+    read = asyncio.create_task(client.read(TOPIC, 1, wait=0.3))
+    calls = stand_in.calls
+    while stand_in.calls == calls:
+        await asyncio.sleep(0.01)
+    stand_in.silence_connections()
+    await stand_in.put(TOPIC, "b", b"2")
+    return await read
+
+
+async def test_a_read_whose_connection_goes_silent_returns_the_change():
+    async with store() as (stand_in, client):
+        await client.append(TOPIC, [RECORD])
+        answer = await read_on_silent_connection(stand_in, client)
+        assert answer == KeyedRecords((KeyedRecord("b", b"2", 1),), 2)
+
+
+async def test_after_a_silent_read_no_call_uses_a_connection_from_before():
+    async with store() as (stand_in, client):
+        await asyncio.gather(*(client.append(TOPIC, [RECORD]) for _ in range(5)))
+        stand_in.silence_connections()
+        answer = await client.newest(TOPIC)
+        assert isinstance(answer, KeyedSnapshot)
+        for _ in range(4):
+            answer = await client.append(TOPIC, [RECORD])
+            assert isinstance(answer, StoreAppended)
