Repeat overdue reads of the store on a new connection

Cause: after all connections had gone silent, a read of the operators' topic was given up 4 s after it began (its wait of 2 s and 2 s for the answer), and the calls after it could take further silent connections from the pool. Instances are in touch again after 3 s. Class: a time limit that allows for a slow answer bounds the age of what is known. Change: a read without an answer 0.5 s after its wait is repeated on a new connection, at once and beside the first; after it, or after any call that times out, calls use new connections until the pooled ones have expired (as the product's own log client does). A read waits no longer than the known state may age, so that a failed reader adds nothing.

--- a/skylarkpost/log/keyed_follower.py
+++ b/skylarkpost/log/keyed_follower.py
@@ -23,6 +23,9 @@
 # An empty answer proves that the topic did not change for this fraction of the wait:
 # the store answers no sooner, but its clock may run slightly fast.
 PROVEN_WAIT_FRACTION = 0.9
+# A state that is no older than this fraction of the wait counts as new, so that the
+# waits of an idle topic are not shortened.
+FRESH_FRACTION = 0.25
 # Several times the store's usual response time.
 FIRST_BACKOFF_S = 0.1
 # Entries have to be read within two seconds of the end of an outage.
@@ -56,8 +59,9 @@
         Takes a `KeyedRecord` and ``now``. An empty value deletes the key. It returns
         False if the value is older than the known one, which then stays known here.
     wait : callable
-        Returns the long-poll timeout of a read, in seconds: short enough that a
-        dead connection is noticed, long enough that an idle topic costs few calls.
+        Returns the age of the known state, in seconds, until which a read may wait:
+        short enough that a dead connection is noticed, long enough that an idle topic
+        costs few calls.
     pause : callable or None
         Returns the delay between two reads in seconds, which reduces the calls for
         a busy topic.
@@ -259,7 +263,7 @@
             answer = await self.store.newest(self.topic)
         else:
             # After an outage the first read returns at once, so that its end is noticed.
-            wait = self.wait() if self.lost_at is None else 0.0
+            wait = self._read_wait(began) if self.lost_at is None else 0.0
             answer = await self.store.read(self.topic, self.next_offset, wait=wait)
         if isinstance(answer, StoreUnavailable):
             self._note_lost(answer.detail, began)
@@ -274,6 +278,12 @@
         self._apply_records(answer, began + proven)
         return True
 
+    def _read_wait(self, now):
+        """Return how long a read may wait until the known state is too old."""
+        wait = self.wait()
+        age = now - self.fresh_at
+        return wait if age <= FRESH_FRACTION * wait else max(0.0, wait - age)
+
     def _apply_records(self, answer, fresh_at):
         now = self.clock()
         for record in answer.records:
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -1,10 +1,12 @@
 """Client of the platform's store."""
 
+import asyncio
 import base64
 import logging
 import re
 import socket
 import struct
+import time
 from typing import NamedTuple
 
 import aiohttp
@@ -23,6 +25,7 @@
     StoreUnknown,
 )
 from skylarkpost.log.positions import MAX_ERA, era_of, make_position, offset_of
+from skylarkpost.runtime.sessions import HttpSessions
 from skylarkpost.transport.sockets import configure_socket
 
 __all__ = ["OPERATOR_TOPIC", "TARGETS_TOPIC", "StoreClient"]
@@ -41,6 +44,9 @@
 # The store usually answers within milliseconds, and up to sixty times slower when
 # it is degraded.
 ANSWER_TIMEOUT_S = 2.0
+# After this time beyond its wait, a read is repeated on a new connection; about
+# twice the response time of a degraded store.
+OVERDUE_S = 0.5
 # Maximum time that sent bytes stay unacknowledged on a dead connection.
 USER_TIMEOUT_S = 3.0
 # Idle time before the first keep-alive probe: a long poll has to detect a dead
@@ -89,16 +95,28 @@
     ----------
     address : str
         ``IP:PORT`` of the store.
+    clock : callable
+        Returns the current time in seconds.
 
     Attributes
     ----------
     era : int
         Latest known era of the store.
+
+    Notes
+    -----
+    A kept-alive connection can go silent for good while new ones work. A call without
+    an answer makes the calls after it use new connections. A read that is overdue is
+    repeated on one, so that the age of what is known stays bounded.
     """
 
-    def __init__(self, *, address):
+    def __init__(self, *, address, clock=time.monotonic):
         self.base_url = f"http://{address}"
+        self.clock = clock
         self.session = None
+        self.sessions = HttpSessions(
+            session_source=self._open_session, socket_factory=_make_socket
+        )
         self.era = 0
 
     async def append(self, topic, records, *, expected_end=None):
@@ -162,9 +180,8 @@
             "part": PARTITION,
             "from": str(offset_of(start)),
             "maxKb": str(READ_SIZE_KB),
-            "waitMs": str(int(wait * 1000)),
         }
-        answer = await self._call("GET", "/-/log-read", query, extra_timeout=wait)
+        answer = await self._get("/-/log-read", query, wait=wait)
         if isinstance(answer, StoreUnknown):
             return StoreUnavailable(answer.detail)
         if isinstance(answer, StoreUnavailable):
@@ -199,7 +216,7 @@
             query = {"topic": topic, "part": PARTITION}
             if after is not None:
                 query["after"] = after
-            answer = await self._call("GET", "/-/log-newest", query)
+            answer = await self._get("/-/log-newest", query, wait=0.0)
             if isinstance(answer, StoreUnknown):
                 return StoreUnavailable(answer.detail)
             if isinstance(answer, StoreUnavailable):
@@ -229,16 +246,42 @@
 
     async def close(self):
         """Close all connections."""
+        await self.sessions.close()
         if self.session is not None:
             await self.session.close()
 
+    async def _get(self, path, query, *, wait):
+        """Read from the store; repeat a read that is overdue on a new connection."""
+        first = self._start_get(path, query, wait)
+        calls = {first}
+        try:
+            done, _ = await asyncio.wait(calls, timeout=wait + OVERDUE_S)
+            if not done:
+                log_event(logger, "store-read-overdue", path=path, wait=wait)
+                self.sessions.note_silence(self.base_url, now=self.clock())
+                calls.add(self._start_get(path, query, 0.0))
+                done, _ = await asyncio.wait(calls, return_when=asyncio.FIRST_COMPLETED)
+            answers = [call.result() for call in done]
+            return next((each for each in answers if _is_answer(each)), answers[0])
+        finally:
+            unfinished = [call for call in calls if not call.done()]
+            for call in unfinished:
+                call.cancel()
+            if unfinished:
+                await asyncio.wait(unfinished)
+
+    def _start_get(self, path, query, wait):
+        query = query | {"waitMs": str(int(wait * 1000))} if wait else query
+        return asyncio.ensure_future(self._call("GET", path, query, extra_timeout=wait))
+
     async def _call(self, method, path, query, *, body=None, extra_timeout=0.0):
         era_before = self.era
         timeout = aiohttp.ClientTimeout(
             total=ANSWER_TIMEOUT_S + extra_timeout, sock_connect=CONNECT_TIMEOUT_S
         )
         try:
-            async with self._open_session().request(
+            session = self.sessions.select(self.base_url, now=self.clock())
+            async with session.request(
                 method,
                 self.base_url + path,
                 params=query,
@@ -250,7 +293,10 @@
                 answer = StoreAnswer(era, response.status, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return StoreUnavailable(f"not connected: {error!r}")
-        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+        except TimeoutError as error:
+            self.sessions.note_silence(self.base_url, now=self.clock())
+            return StoreUnknown(f"no answer: {error!r}")
+        except (aiohttp.ClientError, OSError) as error:
             return StoreUnknown(f"no answer: {error!r}")
         if answer.era < self.era:
             log_event(logger, "store-answer-outdated", era=answer.era, known=self.era)
@@ -282,6 +328,10 @@
         return self.session
 
 
+def _is_answer(outcome):
+    return not isinstance(outcome, StoreUnavailable | StoreUnknown)
+
+
 def _make_socket(address):
     family, kind, protocol = address[0], address[1], address[2]
     sock = socket.socket(family=family, type=kind, proto=protocol)
--- a/skylarkpost/runtime/sessions.py
+++ b/skylarkpost/runtime/sessions.py
@@ -22,10 +22,13 @@
     ----------
     session_source : callable
         Returns the pooled `aiohttp.ClientSession`.
+    socket_factory : callable or None
+        Creates the sockets of new connections; see `aiohttp.TCPConnector`.
     """
 
-    def __init__(self, *, session_source):
+    def __init__(self, *, session_source, socket_factory=None):
         self.session_source = session_source
+        self.socket_factory = socket_factory
         self.no_reuse_until = {}
         self._fresh = None
 
@@ -60,7 +63,10 @@
         """
         if self._fresh is None or self._fresh.closed:
             connector = aiohttp.TCPConnector(
-                limit=0, force_close=True, use_dns_cache=False
+                limit=0,
+                force_close=True,
+                use_dns_cache=False,
+                socket_factory=self.socket_factory,
             )
             self._fresh = aiohttp.ClientSession(
                 connector=connector, timeout=aiohttp.ClientTimeout(total=None)
