--- a/tests/limits/test_demand_share.py
+++ b/tests/limits/test_demand_share.py
@@ -1,6 +1,7 @@
 """Simulates one overloaded team at several instances, in virtual time."""
 
 import random
+from typing import NamedTuple
 
 import pytest
 
@@ -53,22 +54,43 @@
     return admitted, refused
 
 
-def replay_late_reports(*, count, lag, seconds=34.0, hot_from=12.0, seed=1):
+class Load(NamedTuple):
+    """Load of a team, in units per second, before and after it turns hot."""
+
+    team: GatewayTeam
+    slack: float
+    usual: float
+    hot: float
+    sizes: tuple
+
+    @property
+    def allowed(self):
+        limit = self.team.rate * WINDOW + self.team.burst
+        return 1.1 * limit + self.slack
+
+
+SMALL_LOAD = Load(TEAM, SLACK, 14_000, 105_000, (600, 900, 9000, 12_000))
+
+
+def replay_late_reports(
+    *, count, lag, seconds=34.0, hot_from=12.0, seed=1, load=SMALL_LOAD
+):
     """Send the requests of a team that turns hot; reports arrive late.
 
     Return the admitted requests as (time, tokens).
     """
     rng = random.Random(seed)
     shares = [
-        DemandShares(own=str(n), random=rng, slack=SLACK, window=WINDOW)
+        DemandShares(own=str(n), random=rng, slack=load.slack, window=WINDOW)
         for n in range(count)
     ]
     admitted, on_their_way = [], []
     now, reported_at = 0.0, -1.0
+    mean_size = sum(load.sizes) / len(load.sizes)
     while now < seconds:
-        offered = 105_000 if now >= hot_from else 14_000
-        tokens = rng.choice((600, 900, 9000, 12_000))
-        now += rng.expovariate(offered / 5600)
+        offered = load.hot if now >= hot_from else load.usual
+        tokens = rng.choice(load.sizes)
+        now += rng.expovariate(offered / mean_size)
         if now - reported_at >= 0.5:
             reported_at = now
             reports = [each.report(now) for each in shares]
@@ -80,17 +102,21 @@
                     if sender != receiver:
                         other.receive(str(sender), report, now - lag)
         index = rng.randrange(count)
-        outcome = shares[index].admit(TEAM, tokens, instances=count, now=now)
+        outcome = shares[index].admit(load.team, tokens, instances=count, now=now)
         if isinstance(outcome, Receipt):
             admitted.append((now, tokens))
     return admitted
 
 
 def max_in_window(admitted):
-    return max(
-        sum(tokens for at, tokens in admitted if begin <= at < begin + WINDOW)
-        for begin, _ in admitted
-    )
+    most = total = first = 0
+    for at, tokens in admitted:
+        total += tokens
+        while admitted[first][0] <= at - WINDOW:
+            total -= admitted[first][1]
+            first += 1
+        most = max(most, total)
+    return most
 
 
 ALLOWED = (TEAM.rate * WINDOW + TEAM.burst) * 1.1 + SLACK
@@ -131,6 +157,24 @@
     assert max_in_window(admitted) <= ALLOWED
 
 
+# A team whose limit is a hundred times what the deployment tolerates beyond it, beside
+# a tenth of the limit.
+LARGE_TEAM = TEAM._replace(rate=800_000.0, burst=2_000_000.0)
+LARGE_SIZES = (800, 9000, 9200, 15_500)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+@pytest.mark.parametrize("lag", [0.5, 1.0, 2.0])
+@pytest.mark.parametrize("usual", [250_000, 500_000])
+def test_a_surge_of_a_large_team_is_held_to_its_limit(usual, lag, seed):
+    """Load pattern: a team sends several times its usual within a second."""
+    load = Load(LARGE_TEAM, 72_000.0, usual, 3_300_000, LARGE_SIZES)
+    admitted = replay_late_reports(
+        count=27, lag=lag, seed=seed, load=load, seconds=26.0
+    )
+    assert max_in_window(admitted) <= load.allowed
+
+
 def test_a_cut_does_not_add_up_to_more_than_the_limit():
     admitted, _ = replay((1, 1, 1, 1), offered=150_000, cut=(10.0, 22.0))
     assert max_in_window(admitted) <= ALLOWED
