Bound what all instances admit of a team before they hear of each other

Cause: in a surge each of 27 instances admitted up to 1.7 times its even part of the room, by shares that add up to over three while demands are reported, until the others' reports came; and reports counted from their arrival and faded evenly. Change: an instance admits its share of the room that was left one delay of the reports ago, by demands of the same age, and no more than the estimated usage of all leaves of the limit. Reports carry totals and the time at which they were made. Where an even part of a limit holds less than four requests, the rule of before stays, with lower factors.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from typing import NamedTuple
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from skylarkpost.eventlog import log_event
 from skylarkpost.filters import Filter, register_filter
 from skylarkpost.limits.demand_share import DemandShares, TeamUsage
+from skylarkpost.limits.report_clock import ReportClock
 from skylarkpost.outcomes import Reason, Refused
 from skylarkpost.runtime import BackgroundTask
 
@@ -26,6 +28,21 @@
 LOGGED_USAGE_FRACTION = 0.5
 
 
+class UsageReport(NamedTuple):
+    """Usage at one instance, as published to the other instances.
+
+    Attributes
+    ----------
+    made_at : float
+        Seconds of the sender's clock.
+    usage : dict of str to TeamUsage
+        Usage by team.
+    """
+
+    made_at: float
+    usage: dict[str, TeamUsage]
+
+
 @register_controller("quota", order=30, front_ends=(GATEWAY,))
 class QuotaController(Controller):
     """Exchanges the teams' demand with the other instances.
@@ -44,6 +61,8 @@
             slack=services.settings.bounds.quota_slack,
             window=services.settings.bounds.quota_window_s,
         )
+        self.report_clock = ReportClock()
+        self.published = {}
         self.background = BackgroundTask(name="quota")
         self.usage_logged_at = services.clock()
 
@@ -68,22 +87,33 @@
         return self.shares.admit(team, units, instances=instances, now=now)
 
     def _receive_usage(self, member, payload, now):
-        usage = decode_msgpack(payload, dict[str, TeamUsage])
-        if isinstance(usage, Malformed):
+        report = decode_msgpack(payload, UsageReport)
+        if isinstance(report, Malformed):
             self.services.metrics.count_event("malformed-digest")
             return
-        self.shares.receive(member.instance, usage, now)
+        if self.report_clock.is_restarted(member.instance, member.boot):
+            # It counts its totals anew.
+            self.shares.forget(member.instance)
+        made_at = self.report_clock.convert(
+            member.instance, member.boot, report.made_at, now
+        )
+        self.shares.receive(member.instance, report.usage, made_at)
 
     async def _run(self):
         membership = self.services.controllers["membership"]
         while True:
             now = self.services.clock()
             usage = {
-                team: TeamUsage(round(each.demand), round(each.admitted))
+                team: TeamUsage(*(round(number) for number in each))
                 for team, each in self.shares.report(now).items()
             }
-            membership.publish(TOPIC, msgspec.msgpack.encode(usage))
+            # The others are told of changes only.
+            if usage != self.published:
+                self.published = usage
+                report = UsageReport(round(now, 3), usage)
+                membership.publish(TOPIC, msgspec.msgpack.encode(report))
             self.shares.note_heard(membership.heard(now), now)
+            self.report_clock.retain(self.shares.received)
             if now - self.usage_logged_at >= USAGE_LOG_INTERVAL_S:
                 self.usage_logged_at = now
                 self._log_usage(now)
--- a/skylarkpost/gateway/target_limits.py
+++ b/skylarkpost/gateway/target_limits.py
@@ -202,7 +202,7 @@
             for boot in [b for b in self.shares.demands if b not in self.limits.newest]:
                 self.shares.drop(boot)
             usage = {
-                boot: (round(each.demand, 1), round(each.admitted, 1))
+                boot: tuple(round(number, 1) for number in each)
                 for boot, each in self.shares.report(now).items()
             }
             digest = TargetLimitsDigest(self.limits.own_ages(now), usage)
--- a/skylarkpost/limits/demand_share.py
+++ b/skylarkpost/limits/demand_share.py
@@ -8,6 +8,7 @@
 import bisect
 import itertools
 import math
+from collections import deque
 from typing import NamedTuple
 
 __all__ = ["DemandShares", "SlidingWindow", "TeamDemand", "TeamUsage", "WindowReceipt"]
@@ -21,13 +22,11 @@
 # A restarted instance does not know what its previous run admitted. It starts as
 # if this fraction of its share had been admitted, evenly over the window.
 INITIAL_FILL = 0.6
-# Fraction of the tolerated excess over a limit that is added to the shares. The
-# rest covers requests admitted in advance, and shares that add up to more than
-# the limit while instances have different views of the demand.
-HEADROOM_FRACTION = 0.3
-# Fraction of the tolerated excess up to which requests are admitted by shares once the
-# others' reports are counted. The rest covers what they have admitted since.
-KNOWN_USAGE_FRACTION = 0.7
+# Fraction of the tolerated excess over a limit up to which all instances admit
+# requests, as far as they know. The rest covers what they don't know.
+HEADROOM_FRACTION = 0.15
+# Fraction of the tolerated excess that the instances may use before their reports.
+UNREPORTED_FRACTION = 0.4
 # Bounds on the delay until the others know what one instance has admitted. It is
 # measured from the ages of their reports; the interval between two reports of one
 # instance grows with the fleet.
@@ -36,12 +35,20 @@
 # A few reports may be late; the margin below covers them.
 REPORT_LAG_QUANTILE = 0.9
 # Factor by which demand may grow during that delay.
-DEMAND_GROWTH_MARGIN = 1.5
-# Times its even part of the room that an instance may admit within one delay of the
-# reports. Where an even part holds less than some requests, few of the instances get
-# any at one moment, and each of them may admit more.
-MIN_ROOM_FACTOR = 1.7
+DEMAND_GROWTH_MARGIN = 2.5
+# Where an even part of the limit holds fewer of a team's largest requests than this,
+# requests are rare at each instance.
+REQUESTS_PER_PART = 4.0
+# Times its even part of the free units that an instance may then admit within one
+# delay of the reports.
 MAX_ROOM_FACTOR = 4.0
+# Part of the free units that instances divide by their present demand, which the
+# others do not know yet.
+PRESENT_SHARE_FRACTION = 0.25
+# Decay of a team's largest request, with each request.
+LARGEST_DECAY = 0.99
+# What is known of the others is summed up at most this often for a team.
+SUMMARY_LIFE_S = 0.05
 # Network partitions last some seconds, and an instance behind one goes on admitting
 # its share.
 FORGET_SILENT_AFTER_S = 15.0
@@ -61,15 +68,114 @@
         Units per second requested at that instance, admitted or not.
     admitted : float
         Units that it has admitted within the window.
+    total : float
+        Units that it has admitted since it started.
     """
 
     demand: float
     admitted: float
+    total: float = 0.0
 
 
 NO_USAGE = TeamUsage(0.0, 0.0)
 
 
+def _has_usage(usage):
+    return usage.demand > 0.0 or usage.admitted > 0.0
+
+
+class UsageHistory:
+    """When another instance has admitted units of a team, from its reports.
+
+    Between two reports the units count as admitted evenly. What a report says of the
+    time before the first one counts as admitted evenly over the window.
+
+    Parameters
+    ----------
+    window : float
+        Length of the window, in seconds.
+
+    Examples
+    --------
+    >>> history = UsageHistory(window=8.0)
+    >>> history.add(TeamUsage(10.0, 40.0, 40.0), 100.0)
+    >>> history.add(TeamUsage(10.0, 50.0, 60.0), 101.0)
+    >>> history.admitted(since=92.5, until=100.5)
+    47.5
+    >>> history.rate()
+    20.0
+    """
+
+    def __init__(self, *, window):
+        self.window = window
+        self.times = []
+        self.totals = []
+
+    def add(self, usage, at):
+        """Add a report.
+
+        Parameters
+        ----------
+        usage : TeamUsage
+            The report.
+        at : float
+            When it was made, in seconds.
+        """
+        if not self.totals or usage.total < self.totals[0]:
+            # The first report, or the first one after a restart.
+            self.times = [at - self.window]
+            self.totals = [usage.total - usage.admitted]
+        while len(self.totals) > 1 and self.totals[-1] > usage.total:
+            # Refunded; the units before them are known.
+            self.times.pop()
+            self.totals.pop()
+        if at > self.times[-1]:
+            self.times.append(at)
+            self.totals.append(usage.total)
+        outdated = bisect.bisect_right(self.times, at - self.window) - 1
+        if outdated > 0:
+            del self.times[:outdated]
+            del self.totals[:outdated]
+
+    def admitted(self, *, since, until):
+        """Return the units admitted in a span.
+
+        Parameters
+        ----------
+        since, until : float
+            Begin and end of the span, in seconds.
+
+        Returns
+        -------
+        float
+            Units.
+        """
+        return max(0.0, self._total(until) - self._total(since))
+
+    def rate(self):
+        """Return the units per second admitted between the last two reports.
+
+        Returns
+        -------
+        float
+        """
+        if len(self.times) < 2:
+            return 0.0
+        units = self.totals[-1] - self.totals[-2]
+        return max(0.0, units) / (self.times[-1] - self.times[-2])
+
+    def _total(self, at):
+        number = bisect.bisect_right(self.times, at)
+        if number == 0:
+            return self.totals[0]
+        if number == len(self.times):
+            return self.totals[-1]
+        begin, end = self.times[number - 1], self.times[number]
+        part = (at - begin) / (end - begin)
+        before = self.totals[number - 1]
+        return before + part * (self.totals[number] - before)
+
+
 class TeamDemand:
     """Exponentially decaying average of the units that a team requests.
 
@@ -133,6 +239,72 @@
     units: float
 
 
+class OthersUsage(NamedTuple):
+    """What is known of a team's usage at the other instances.
+
+    Attributes
+    ----------
+    at : float
+        When it was summed up, in seconds.
+    demand : float
+        Units per second.
+    known : float
+        Units reported, and not reported by instances that are silent or new.
+    settled : float
+        The part of `known` that was admitted before the delay of the reports.
+    estimated : float
+        `known`, and what the instances may have admitted since their reports.
+    lag : float
+        Delay of the reports, in seconds.
+    """
+
+    at: float
+    demand: float
+    known: float
+    settled: float
+    estimated: float
+    lag: float
+
+
+class LimitView(NamedTuple):
+    """What this instance knows of a team's limit and usage.
+
+    Attributes
+    ----------
+    target : float
+        Units that all instances together may admit within the window.
+    instances : int
+        Instances that may serve.
+    own : float
+        Units admitted here within the window.
+    others : OthersUsage
+        Usage at the other instances.
+    """
+
+    target: float
+    instances: int
+    own: float
+    others: OthersUsage
+
+
+class AdmissionBounds(NamedTuple):
+    """Bounds that a request has to fit into.
+
+    Attributes
+    ----------
+    usage : float
+        Units that all instances have admitted, as far as is known or estimated.
+    unreported : float
+        Units that this instance may admit before the others know of them.
+    chance : float
+        Part of the request that has to fit, from 0 to 1.
+    """
+
+    usage: float
+    unreported: float
+    chance: float
+
+
 class _Charge(NamedTuple):
     at: float
     number: int
@@ -372,8 +544,15 @@
         self.window = window
         self.demands = {}
         self.reported = {}
+        self.own_reports = deque()
         self.received = {}
         self.received_at = {}
+        self.report_intervals = {}
+        self.histories = {}
+        self.totals = {}
+        self.chances = {}
+        self.largest_requests = {}
+        self.summaries = {}
         self.silent = set()
         self.silent_since = {}
         self.windows = {}
@@ -389,10 +568,19 @@
         reported : dict of str to TeamUsage
             Usage by team.
         now : float
-            The present time, in seconds.
+            When the report was made, in seconds.
         """
+        before = self.received_at.get(instance, now)
+        self.report_intervals[instance] = max(0.0, now - before)
         self.received[instance] = reported
         self.received_at[instance] = now
+        histories = self.histories.setdefault(instance, {})
+        for team in [team for team in histories if team not in reported]:
+            del histories[team]
+        for team, usage in reported.items():
+            if team not in histories:
+                histories[team] = UsageHistory(window=self.window)
+            histories[team].add(usage, now)
 
     def note_heard(self, heard, now):
         """Record which instances are heard; forget those silent for long.
@@ -424,6 +612,8 @@
         """
         self.received.pop(instance, None)
         self.received_at.pop(instance, None)
+        self.report_intervals.pop(instance, None)
+        self.histories.pop(instance, None)
 
     def drop(self, team):
         """Drop what is known of the usage of a team here.
@@ -436,6 +626,10 @@
         self.demands.pop(team, None)
         self.windows.pop(team, None)
         self.allowances.pop(team, None)
+        self.summaries.pop(team, None)
+        self.totals.pop(team, None)
+        self.chances.pop(team, None)
+        self.largest_requests.pop(team, None)
 
     def report(self, now):
         """Return the usage to publish, and remember it for `share`.
@@ -451,12 +645,19 @@
             Usage by team.
         """
         self.reported = {
-            team: TeamUsage(demand.rate(now), self._admitted(team, now))
+            team: TeamUsage(
+                demand.rate(now), self._admitted(team, now), self.totals.get(team, 0.0)
+            )
             for team, demand in self.demands.items()
         }
+        if self.own_reports and self.own_reports[-1][0] == now:
+            self.own_reports.pop()
+        self.own_reports.append((now, self.reported))
+        while self.own_reports[0][0] < now - MAX_REPORT_LAG_S:
+            self.own_reports.popleft()
         return self.reported
 
-    def share(self, team, instances, now):
+    def share(self, team, instances, now, *, own_age=None):
         """Return this instance's share of a team's limit.
 
         Parameters
@@ -467,6 +668,8 @@
             Instances that may serve, this one included.
         now : float
             The present time, in seconds.
+        own_age : float or None
+            Age of the own report to use, in seconds; None for that of the others'.
 
         Returns
         -------
@@ -475,8 +678,11 @@
             far as they agree on the demand.
         """
         # The shares add up only if all instances compute with the same numbers, so
-        # this uses the demand published last, not the present one.
-        own_demand = self.reported.get(team, NO_USAGE).demand + MIN_DEMAND
+        # this uses an own report that is as old as those of the others. A newer one
+        # would raise the shares of all instances at the same time in a surge.
+        age = self._typical_age(now) if own_age is None else own_age
+        own_report = self._own_report(now - age)
+        own_demand = own_report.get(team, NO_USAGE).demand + MIN_DEMAND
         other_demand = sum(
             reported.get(team, NO_USAGE).demand + MIN_DEMAND
             for reported in self.received.values()
@@ -490,9 +696,35 @@
             + (1.0 - EVEN_FRACTION) * own_demand / total
         )
 
+    def _typical_age(self, now):
+        """Return the median age of the reports of the instances that are heard."""
+        ages = sorted(
+            now - at
+            for instance, at in self.received_at.items()
+            if instance not in self.silent
+        )
+        return ages[len(ages) // 2] if ages else 0.0
+
+    def _own_report(self, until):
+        """Return the newest own report from before a moment."""
+        for at, reported in reversed(self.own_reports):
+            if at <= until:
+                return reported
+        return self.own_reports[0][1] if self.own_reports else {}
+
     def admit(self, team, units, *, instances, now):
         """Charge a request to its team.
 
+        Two bounds hold together. What all instances are estimated to have admitted
+        stays within the limit; and what an instance admits before the others know of
+        it stays within its share of the room that all of them see. Without the second
+        bound a surge that reaches all instances at once would be admitted by each of
+        them as if it were alone.
+
+        A request that is larger than the room left is admitted at random, with a
+        probability of room over size. This keeps small requests from starving large
+        ones.
+
         Parameters
         ----------
         team : skylarkpost.routing.GatewayTeam
@@ -511,56 +743,126 @@
         """
         demand = self.demands.setdefault(team.name, TeamDemand(now=now))
         demand.add(units, now)
-        fleet_allowed = (
-            team.rate * self.window + team.burst + HEADROOM_FRACTION * self.slack
-        )
-        allowed = max(
-            MIN_ALLOWED, fleet_allowed * self.share(team.name, instances, now)
-        )
+        limit = team.rate * self.window + team.burst
+        target = max(MIN_ALLOWED, limit + HEADROOM_FRACTION * self.slack)
+        even_part = target / max(1, instances)
+        largest = LARGEST_DECAY * self.largest_requests.get(team.name, 0.0)
+        self.largest_requests[team.name] = largest = max(units, largest)
+        self.allowances[team.name] = max(MIN_ALLOWED, even_part)
         window = self.windows.get(team.name)
         if window is None:
             window = self.windows[team.name] = SlidingWindow(length=self.window)
             window.assume(INITIAL_FILL, now)
-        self.allowances[team.name] = allowed
-        if self._has_room(team.name, units, fleet_allowed, instances, now):
-            return window.charge(units, allowed=fleet_allowed, now=now)
-        most = fleet_allowed + (KNOWN_USAGE_FRACTION - HEADROOM_FRACTION) * self.slack
-        if self.slack and self.admitted_by_all(team.name, now) + units > most:
-            # Callers have moved, or a surge was admitted before it was reported.
+        others = self._others(team.name, target, instances, now)
+        view = LimitView(target, instances, self._admitted(team.name, now), others)
+        recent = window.admitted_since(now - others.lag)
+        if REQUESTS_PER_PART * largest > even_part:
+            bounds = self._bounds_of_few_requests(team.name, view, recent, units, now)
+        else:
+            bounds = self._bounds_of_many_requests(team.name, view, recent, now)
+        if bounds.usage + bounds.chance * units > target:
+            return self._retry_after(bounds.usage + units - target, bounds.usage)
+        if recent + bounds.chance * units > bounds.unreported:
             return RANDOM_REFUSAL_RETRY_S
-        chance = self.random.random()
-        return window.admit(units, allowed=allowed, now=now, chance=chance)
+        self.totals[team.name] = self.totals.get(team.name, 0.0) + units
+        return window.charge(units, allowed=target, now=now)
 
-    def _has_room(self, team, units, fleet_allowed, instances, now):
-        """Return whether the team is far below its limit over all instances.
+    def _bounds_of_many_requests(self, team, view, recent, now):
+        """Return the bounds where each instance's part holds many requests.
 
-        With many instances a share is small compared to a single request. While
-        the team is far below its limit, no instance has to keep to its share: what
-        they may admit before their next reports arrive still fits.
+        All instances divide the room that was left before the delay of the reports,
+        so what they admit meanwhile adds up to that room.
         """
-        demand = self.demands[team].rate(now)
+        share = self.share(team, view.instances, now)
+        return AdmissionBounds(
+            usage=view.own + view.others.estimated,
+            unreported=share * self._settled_room(view, recent),
+            chance=self._chance(team, view.others.lag, now),
+        )
+
+    def _settled_room(self, view, recent):
+        """Return the room that was left before the delay of the reports."""
+        most = view.target + (UNREPORTED_FRACTION - HEADROOM_FRACTION) * self.slack
+        return most - view.others.settled - (view.own - recent)
+
+    def _is_far_below(self, team, view, now):
+        """Return whether what is expected of all instances fits into the room."""
+        free = view.target - view.own - view.others.known
+        demand = self.demands[team].rate(now) + view.others.demand
+        return free > DEMAND_GROWTH_MARGIN * demand * view.others.lag
+
+    def _bounds_of_few_requests(self, team, view, recent, units, now):
+        """Return the bounds where some requests are larger than an instance's part.
+
+        Requests are then rare at each instance, and few instances get any between two
+        reports. So each may admit more than its part, as long as what is expected of
+        all fits into the room.
+        """
+        free = view.target - view.own - view.others.known
+        share = self.share(team, view.instances, now, own_age=0.0)
+        unreported = max(
+            self.share(team, view.instances, now) * self._settled_room(view, recent),
+            PRESENT_SHARE_FRACTION * share * free,
+        )
+        if free > units and self._is_far_below(team, view, now):
+            even_part = free / max(1, view.instances)
+            unreported = max(unreported, MAX_ROOM_FACTOR * even_part)
+        return AdmissionBounds(
+            usage=view.own + view.others.known,
+            unreported=unreported,
+            chance=self.random.random(),
+        )
+
+    def _chance(self, team, lag, now):
+        """Return a random number from 0 to 1, the same one for a delay of the reports.
+
+        With a new one for each request, an instance with many requests would soon
+        draw one that admits a large request.
+        """
+        drawn_at, chance = self.chances.get(team, (-math.inf, 0.0))
+        if now - drawn_at >= lag:
+            chance = self.random.random()
+            self.chances[team] = (now, chance)
+        return chance
+
+    def _retry_after(self, excess, usage):
+        """Return after how long an excess has left the window, if it leaves evenly."""
+        seconds = self.window * excess / max(usage, MIN_ALLOWED)
+        return min(self.window, max(MIN_RETRY_AFTER_S, seconds))
+
+    def _others(self, team, target, instances, now):
+        """Sum up what is known of a team's usage at the other instances."""
+        summary = self.summaries.get(team)
+        if summary is not None and 0.0 <= now - summary.at < SUMMARY_LIFE_S:
+            return summary
         lag = self._report_lag(team, now)
-        room = fleet_allowed - self._admitted(team, now)
+        even_part = target / max(1, instances)
         unreported = max(0, instances - 1 - len(self.received))
-        room -= fleet_allowed * unreported / max(1, instances)
+        demand = 0.0
+        known = settled = estimated = even_part * unreported
         for instance, reported in self.received.items():
             usage = reported.get(team, NO_USAGE)
             demand += usage.demand
-            admitted = usage.admitted
             if instance in self.silent:
-                # If it is cut off, it may have used up its whole share since.
-                admitted = max(admitted, fleet_allowed / max(1, instances))
-            room -= admitted
-        if room <= units + DEMAND_GROWTH_MARGIN * demand * lag:
-            return False
-        # A surge reaches all instances before any of them reports it, so each admits
-        # about its part of what is left until the others' reports would show it.
-        recent = self.windows[team].admitted_since(now - lag)
-        part = room / max(1, instances)
-        requests_per_part = fleet_allowed / max(1, instances) / max(1.0, units)
-        factor = MAX_ROOM_FACTOR / requests_per_part
-        factor = max(MIN_ROOM_FACTOR, min(MAX_ROOM_FACTOR, factor))
-        return recent + self.random.random() * units < factor * part
+                # If it is cut off, it may go on using as much as before, or as much
+                # as an even part.
+                held = max(usage.admitted, even_part)
+                known += held
+                settled += held
+                estimated += held
+                continue
+            history = self.histories[instance].get(team)
+            if history is None:
+                continue
+            since = now - self.window
+            left = history.admitted(since=since, until=now)
+            age = max(0.0, now - self.received_at[instance])
+            known += left
+            settled += history.admitted(since=since, until=now - lag)
+            estimated += left + history.rate() * age
+        summary = OthersUsage(now, demand, known, settled, estimated, lag)
+        self.summaries[team] = summary
+        return summary
 
     def admitted_by_all(self, team, now):
         """Return what all instances are known to have admitted within the window.
@@ -575,13 +877,12 @@
         Returns
         -------
         float
-            Units. What an instance reported leaves the window evenly.
+            Units.
         """
         total = self._admitted(team, now) if team in self.windows else 0.0
-        for instance, reported in self.received.items():
-            age = now - self.received_at[instance]
-            left = max(0.0, 1.0 - age / self.window)
-            total += left * reported.get(team, NO_USAGE).admitted
+        for histories in self.histories.values():
+            if team in histories:
+                total += histories[team].admitted(since=now - self.window, until=now)
         return total
 
     def _admitted(self, team, now):
@@ -596,9 +897,9 @@
         shows it. Only instances with usage of the team report changes of it.
         """
         ages = sorted(
-            now - self.received_at[instance]
+            max(now - self.received_at[instance], self.report_intervals[instance])
             for instance, reported in self.received.items()
-            if instance not in self.silent and reported.get(team, NO_USAGE) != NO_USAGE
+            if instance not in self.silent and _has_usage(reported.get(team, NO_USAGE))
         )
         if not ages:
             return MIN_REPORT_LAG_S
@@ -618,3 +919,4 @@
         window = self.windows.get(team)
         if window is not None:
             window.refund(receipt)
+            self.totals[team] -= receipt.units
--- a/skylarkpost/limits/target_limits.py
+++ b/skylarkpost/limits/target_limits.py
@@ -17,13 +17,13 @@
     limits : dict of str to tuple of (float or None, float)
         Last limit that an answer to this instance named, and seconds since that
         request was sent, by boot of the target.
-    usage : dict of str to tuple of (float, float)
-        Demand and admitted requests without a steward, by boot of the target, as in
-        `skylarkpost.limits.demand_share.TeamUsage`.
+    usage : dict of str to tuple of (float, float, float)
+        Demand, admitted requests and their total without a steward, by boot of the
+        target, as in `skylarkpost.limits.demand_share.TeamUsage`.
     """
 
     limits: dict[str, tuple[float | None, float]]
-    usage: dict[str, tuple[float, float]]
+    usage: dict[str, tuple[float, float, float]]
 
 
 class _NamedLimit(NamedTuple):
--- a/tests/log/test_keyed_follower.py
+++ b/tests/log/test_keyed_follower.py
@@ -392,7 +392,9 @@
             assert seen == {"gone": b"", "kept": b"1", "new": b"1"}
 
 
-@pytest.mark.parametrize(("age", "wait"), [(0.0, 2.0), (0.4, 2.0), (1.5, 0.5), (9.0, 0.0)])
+@pytest.mark.parametrize(
+    ("age", "wait"), [(0.0, 2.0), (0.4, 2.0), (1.5, 0.5), (9.0, 0.0)]
+)
 async def test_a_read_waits_no_longer_than_the_known_state_may_age(age, wait):
     """Guards against a long read after a reader for this instance has failed.
 
