--- a/skylarkpost/discovery/entries.py
+++ b/skylarkpost/discovery/entries.py
@@ -58,6 +58,8 @@
         Seconds until it shuts down, if that was announced.
     warm_up_left : float
         Seconds until it has warmed up, when it was announced.
+    software_version : str
+        Version of its software, a name without order; empty if it names none.
     """
 
     name: str
@@ -71,6 +73,7 @@
     models: tuple[LoadedModel, ...]
     remaining_time: float | None
     warm_up_left: float = 0.0
+    software_version: str = ""
 
     @property
     def boot(self):
--- a/skylarkpost/gateway/directory.py
+++ b/skylarkpost/gateway/directory.py
@@ -147,6 +147,7 @@
                 state=decoded.state,
                 boot=decoded.boot,
                 address=decoded.address,
+                software=decoded.software_version,
                 offset=describe_position(record.offset),
             )
         return True
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -180,6 +180,7 @@
             left=left,
             waited=now - exchange.received_at,
             reused=connection.request_count > 0,
+            resumes=exchange.metadata.resumes,
         )
         connection.send(
             self._payload(exchange, ticket, left),
@@ -380,6 +381,7 @@
                             "stream-resumed",
                             request=exchange.request_id,
                             target=ticket.target,
+                            boot=ticket.boot,
                             after=exchange.last_event_id,
                         )
                         return ticket, connection
--- a/skylarkpost/gateway/metadata.py
+++ b/skylarkpost/gateway/metadata.py
@@ -39,6 +39,8 @@
         Parts of the prompt in order, as far as the caller states them.
     last_event_id : str or None
         Event after which a stream is to be resumed.
+    resumes : str or None
+        Attempt of the caller that brought the first event of that stream.
     """
 
     attempt_id: str
@@ -50,6 +52,7 @@
     output_tokens: int | None
     prompt_parts: tuple[PromptPart, ...]
     last_event_id: str | None
+    resumes: str | None = None
 
 
 class AnswerMetadata(NamedTuple):
--- a/skylarkpost/platform/headers.py
+++ b/skylarkpost/platform/headers.py
@@ -18,6 +18,8 @@
 PRIORITY = "x-request-priority"
 NOT_EXECUTED = "x-not-executed"
 LAST_EVENT = "last-event-id"
+# Attempt that brought the first event of a stream that is taken up.
+RESUMES = "resumes"
 STAMP = "x-server-stamp"
 # Requests a second that a target accepts from all instances together.
 REQUEST_LIMIT = "server-limit"
@@ -85,6 +87,7 @@
             output_tokens=output,
             prompt_parts=_parse_prompt_parts(values.get(PROMPT_PARTS)),
             last_event_id=values.get(LAST_EVENT),
+            resumes=values.get(RESUMES, "").strip() or None,
         )
 
     @staticmethod
--- a/skylarkpost/platform/targets.py
+++ b/skylarkpost/platform/targets.py
@@ -15,6 +15,8 @@
 # Ids travel in headers.
 TARGET_NAME = re.compile(r"[!-~]{1,200}")
 VERSION = re.compile(r"[0-9]{1,15}")
+# Longer software versions are not told apart.
+MAX_SOFTWARE_VERSION = 200
 
 
 class ModelOnWire(msgspec.Struct):
@@ -38,6 +40,8 @@
     models: list[ModelOnWire] = []
     remaining_ms: Seconds | None = None
     cold_left_ms: Seconds = 0.0
+    # Of the server's software. Older servers have none, others name it oddly.
+    version: object = None
 
 
 def decode_target(name, payload):
@@ -79,9 +83,14 @@
         if wire.remaining_ms is None
         else wire.remaining_ms / MS_PER_S,
         warm_up_left=wire.cold_left_ms / MS_PER_S,
+        software_version=_software_version(wire.version),
     )
 
 
+def _software_version(value):
+    return value[:MAX_SOFTWARE_VERSION] if isinstance(value, str) else ""
+
+
 def loaded_models(models):
     """Convert the models of an announcement or report.
 
