Reproduce: streams go on at another software version

The rig can replace its instance by one that knows nothing; targets of the stand-in name a software version.

--- a/standins/gateway_target.py
+++ b/standins/gateway_target.py
@@ -114,6 +114,8 @@
         Orders refused for their count.
     start_time_ms : int
         Time of the last start, in Unix milliseconds.
+    software_version : str
+        Version of its software, as it announces it.
     deadly_parts : set of str
         Ids of prompt parts; the target crashes when it begins to write an answer
         on one of them.
@@ -157,6 +159,7 @@
         self.orders = []
         self.conflicts = 0
         self.start_time_ms = 1_700_000_000_000
+        self.software_version = "v1"
         self.port = None
         self.deadly_parts = set()
         self.crashes = 0
@@ -224,7 +227,7 @@
             "service": service,
             "address": f"127.0.0.1:{self.port}",
             "zone": zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 8,
             "state": "ready",
             "coldLeftMs": 0,
--- a/tests/gateway/rig.py
+++ b/tests/gateway/rig.py
@@ -11,6 +11,7 @@
 from skylarkpost.gateway import run as gateway_run
 from skylarkpost.gateway.instance import GatewayInstance
 from skylarkpost.gateway.services import GatewayServices
+from skylarkpost.log.keyed import StoreUnavailable
 from skylarkpost.platform import OPERATOR_TOPIC, TARGETS_TOPIC, StoreClient
 from skylarkpost.settings.gateway import GatewaySettings
 from standins.common import serving
@@ -49,15 +50,72 @@
 class GatewayRig:
     """A running gateway instance with its store and targets."""
 
-    def __init__(self, *, store, targets, instance, session, front, ready):
+    def __init__(self, *, store, store_address, targets, session):
         self.store = store
+        self.store_address = store_address
         self.targets = targets
-        self.instance = instance
         self.session = session
-        self.front = front
-        self.ready = ready
+        self.instance = None
+        self.running = None
+        self.front = None
+        self.ready = None
         self.number = 0
 
+    async def start(self):
+        """Start an instance that knows nothing."""
+        self.front, self.ready, peers, metrics = free_addresses(4)
+        settings = GatewaySettings.model_validate(
+            {
+                "instance": {
+                    "id": "entry-1",
+                    "data_centre": "yaba",
+                    "front_address": self.front,
+                    "ready_address": self.ready,
+                    "peer_address": peers,
+                    "metrics_address": metrics,
+                },
+                "store": {"address": self.store_address},
+            }
+        )
+        gateway_run.import_parts()
+        store = StoreClient(address=settings.store.address)
+        services = GatewayServices(settings=settings, store=store, seed=1)
+        self.instance = GatewayInstance(services=services)
+        self.running = asyncio.create_task(self.instance.run())
+        lease_manager = services.controllers["stewardship"].lease_manager
+        # No other instance exists, so claims need not wait for heartbeats.
+        lease_manager.table.policy = lease_manager.table.policy._replace(
+            settle=0.0, first_claim_wait=0.0
+        )
+
+    async def wait_until_serving(self):
+        engines = [each for each in self.targets.values() if each.model is not None]
+        executors = self.instance.services.controllers[
+            "stewardship"
+        ].lease_manager.executors
+
+        def is_stewarded():
+            counts = [each.engines.orders_accepted for each in executors.values()]
+            return len(counts) == len(engines) and None not in counts
+
+        await wait_until(lambda: self.instance.is_ready() and is_stewarded(), 8.0)
+
+    async def stop(self):
+        self.instance.notice = 0.0
+        self.instance.stop_requested.set()
+        await asyncio.wait_for(self.running, 15)
+
+    async def restart(self):
+        """Replace the instance; what it had not stored is lost."""
+
+        async def lose(topic, records, **kwargs):
+            return StoreUnavailable("lost with the process")
+
+        self.instance.services.store.append = lose
+        await self.stop()
+        await self.start()
+        await self.wait_until_serving()
+
     async def announce(self, target, **changes):
         service = "engines" if target.model else "plain"
         value = target.entry(service, "yaba", **changes)
@@ -112,56 +170,21 @@
         targets += [GatewayTargetStandIn(name=f"p{n}") for n in range(plain)]
         for target in targets:
             await stack.enter_async_context(target.serving())
-        front, ready, peers, metrics = free_addresses(4)
-        settings = GatewaySettings.model_validate(
-            {
-                "instance": {
-                    "id": "entry-1",
-                    "data_centre": "yaba",
-                    "front_address": front,
-                    "ready_address": ready,
-                    "peer_address": peers,
-                    "metrics_address": metrics,
-                },
-                "store": {"address": addresses[0].removeprefix("http://")},
-            }
-        )
-        gateway_run.import_parts()
-        store = StoreClient(address=settings.store.address)
-        services = GatewayServices(settings=settings, store=store, seed=1)
-        instance = GatewayInstance(services=services)
         session = await stack.enter_async_context(aiohttp.ClientSession())
         rig = GatewayRig(
             store=stand_in,
+            store_address=addresses[0].removeprefix("http://"),
             targets={each.name: each for each in targets},
-            instance=instance,
             session=session,
-            front=front,
-            ready=ready,
         )
         await stand_in.put(OPERATOR_TOPIC, "config", payload or configuration())
         for target in targets:
             await rig.announce(target)
-        running = asyncio.create_task(instance.run())
-        lease_manager = services.controllers["stewardship"].lease_manager
-        # No other instance exists, so claims need not wait for heartbeats.
-        lease_manager.table.policy = lease_manager.table.policy._replace(
-            settle=0.0, first_claim_wait=0.0
-        )
-
-        def is_stewarded():
-            counts = [
-                executor.engines.orders_accepted
-                for executor in lease_manager.executors.values()
-            ]
-            return len(counts) == engines and None not in counts
-
+        await rig.start()
         try:
-            await wait_until(lambda: instance.is_ready() and is_stewarded(), 8.0)
+            await rig.wait_until_serving()
             yield rig
         finally:
-            instance.notice = 0.0
-            instance.stop_requested.set()
-            await asyncio.wait_for(running, 15)
+            await rig.stop()
             failed_tasks = [each for each in loop_errors if "failed" in each["message"]]
             assert failed_tasks == []
--- /dev/null
+++ b/tests/gateway/test_software_versions.py
@@ -0,0 +1,163 @@
+"""Streams while targets of two software versions serve side by side."""
+
+import contextlib
+
+import aiohttp
+import pytest
+
+from tests.gateway.rig import (
+    MODEL,
+    ROUTES,
+    configuration,
+    gateway,
+    route,
+    wait_until,
+)
+
+MODEL_HEADERS = {"X-Model": MODEL}
+# Streams of this route are tried at one target, so that they break off at the caller.
+SINGLE = route(
+    "single", "/single/", "streaming", resumable=True, attempts=1, gapTargetMs=300
+)
+
+
+async def announce_versions(rig, versions):
+    """Announce the software version of each engine, and wait until they are known."""
+    directory = rig.instance.services.controllers["directory"].targets
+    for name, version in versions.items():
+        rig.targets[name].software_version = version
+        await rig.announce(rig.targets[name])
+
+    def are_known():
+        return all(
+            directory.entries[name].software_version == version
+            for name, version in versions.items()
+        )
+
+    await wait_until(are_known)
+
+
+def executed(rig):
+    return [name for name, each in rig.targets.items() for _ in each.executed]
+
+
+async def begin_stream(rig):
+    """Begin a stream that its target breaks off; return its attempt and target."""
+    for target in rig.targets.values():
+        target.script = ["break"]
+    with pytest.raises(aiohttp.ClientPayloadError):
+        await rig.fetch("/single/", method="POST", headers=MODEL_HEADERS)
+    [name] = executed(rig)
+    for target in rig.targets.values():
+        target.script = []
+        target.executed.clear()
+    return f"attempt-{rig.number}", name
+
+
+async def take_up_elsewhere(rig, attempt, name):
+    """Take a stream up while the target that began it leaves and starts again."""
+    directory = rig.instance.services.controllers["directory"].targets
+    target = rig.targets[name]
+    await rig.announce(target, state="draining")
+    await wait_until(lambda: directory.find(name, 0.0) is None)
+    answer = await take_up(rig, attempt)
+    target.restart()
+    await rig.announce(target)
+    await wait_until(lambda: directory.find(name, 0.0) is not None)
+    return answer
+
+
+async def take_up(rig, attempt):
+    headers = MODEL_HEADERS | {"Resumes": attempt, "Last-Event-Id": "1"}
+    return await rig.fetch("/single/", method="POST", headers=headers)
+
+
+async def test_a_broken_stream_does_not_go_on_at_another_software_version():
+    async with gateway(engines=2, plain=0) as rig:
+        await announce_versions(rig, {"e0": "v1", "e1": "v1.1"})
+        for _ in range(6):
+            script = ["break"]
+            for target in rig.targets.values():
+                target.script = script
+                target.executed.clear()
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                await rig.fetch("/resumable/", method="POST", headers=MODEL_HEADERS)
+            assert len(set(executed(rig))) == 1
+
+
+async def test_a_broken_stream_goes_on_at_the_software_version_that_began_it():
+    async with gateway(engines=4, plain=0) as rig:
+        versions = {"e0": "v1", "e1": "v1", "e2": "v1.1", "e3": "v1.1"}
+        await announce_versions(rig, versions)
+        for _ in range(12):
+            script = ["break"]
+            for target in rig.targets.values():
+                target.script = script
+                target.executed.clear()
+            status, body, _ = await rig.fetch(
+                "/resumable/", method="POST", headers=MODEL_HEADERS
+            )
+            assert (status, body.count(b"data:")) == (200, 4)
+            names = executed(rig)
+            assert len(names) == 2
+            assert len({versions[name] for name in names}) == 1
+
+
+async def test_a_stream_is_taken_up_at_the_software_version_that_began_it():
+    payload = configuration(routes=[*ROUTES, SINGLE])
+    async with gateway(engines=4, plain=0, payload=payload) as rig:
+        versions = {"e0": "v1", "e1": "v1", "e2": "v1.1", "e3": "v1.1"}
+        await announce_versions(rig, versions)
+        for _ in range(8):
+            attempt, name = await begin_stream(rig)
+            status, body, _ = await take_up_elsewhere(rig, attempt, name)
+            assert (status, body.count(b"data:")) == (200, 3)
+            assert {versions[each] for each in executed(rig)} == {versions[name]}
+            for target in rig.targets.values():
+                target.executed.clear()
+
+
+async def test_a_stream_keeps_its_version_after_all_instances_have_died():
+    """Guards against a stream that no living instance has seen begin."""
+    payload = configuration(routes=[*ROUTES, SINGLE])
+    versions = {"e0": "v1", "e1": "v1", "e2": "v1.1", "e3": "v1.1"}
+    async with gateway(engines=4, plain=0, payload=payload) as rig:
+        await announce_versions(rig, versions)
+        begun = [await begin_stream(rig) for _ in range(6)]
+        controller = rig.instance.services.controllers["stream-versions"]
+        await wait_until(lambda: not controller.streams.unstored)
+        await rig.restart()
+        for attempt, name in begun:
+            status, body, _ = await take_up_elsewhere(rig, attempt, name)
+            assert (status, body.count(b"data:")) == (200, 3)
+            assert {versions[each] for each in executed(rig)} == {versions[name]}
+            for target in rig.targets.values():
+                target.executed.clear()
+
+
+async def test_a_stream_whose_version_has_left_is_refused_after_all_have_died():
+    payload = configuration(routes=[*ROUTES, SINGLE])
+    async with gateway(engines=2, plain=0, payload=payload) as rig:
+        await announce_versions(rig, {"e0": "v1", "e1": "v1"})
+        attempt, _ = await begin_stream(rig)
+        unseen = "attempt-of-nobody"
+        await announce_versions(rig, {"e0": "v1", "e1": "v1.1"})
+        await announce_versions(rig, {"e0": "v1.1", "e1": "v1.1"})
+        await rig.restart()
+        for each in (attempt, unseen):
+            status, _, _ = await take_up(rig, each)
+            assert status == 503, each
+        assert executed(rig) == []
+
+
+async def test_streams_of_a_service_with_one_version_are_taken_up_by_anyone():
+    payload = configuration(routes=[*ROUTES, SINGLE])
+    async with gateway(engines=2, plain=0, payload=payload) as rig:
+        attempt, _ = await begin_stream(rig)
+        await rig.restart()
+        for each in (attempt, "attempt-of-nobody"):
+            status, body, _ = await take_up(rig, each)
+            assert (status, body.count(b"data:")) == (200, 3)
+        assert "skylarkpost-stream-versions" not in {
+            name for name, topic in rig.store.topics.items() if topic.records
+        }
