Keep a stream at the software version that began it

Callers got streams joined from two software versions, inside one answer and over their own tries, answered 200 and whole. Cause: the gateway resumed a stream at any target whose answer had the same status and type, and placed a caller's next try like a new request; nothing read the version of a target's software or the attempt that a caller names. Class: a property of the process behind an answer that a retry must keep was not part of what placement is given. Change: the version of the run whose first event is passed on binds the stream. A caller's next try is bound by the attempt it names: known here, or by a topic of the store that is written only while a service has several versions. What can't be told is refused at once.

--- a/skylarkpost/gateway/exchange.py
+++ b/skylarkpost/gateway/exchange.py
@@ -73,6 +73,9 @@
         Tokens that its engine has to prefill before the first token.
     last_event_id : str or None
         Event after which the stream is resumed at another target.
+    software_version : str or None
+        Software version that began the stream, which may go on at no other; None for
+        any.
     traits : frozenset of str or None
         What crashes of targets can be attributed to; None until it is needed.
     trial : str or None
@@ -97,6 +100,7 @@
         self.sent_at = None
         self.prefill_tokens = 0.0
         self.last_event_id = None
+        self.software_version = None
         self.traits = None
         self.trial = None
 
--- a/skylarkpost/gateway/forward.py
+++ b/skylarkpost/gateway/forward.py
@@ -145,6 +145,9 @@
         signals = services.controllers["target-signals"]
         reason = signals.wants_nothing(ticket, services.clock())
         exchange.is_target_paused = reason is not None
+        versions = services.controllers["stream-versions"]
+        if reason is None and versions.is_other_version(exchange, ticket):
+            reason = "another software version began the stream"
         if reason is not None:
             return AttemptFailure(FailureKind.HELD_BACK, reason)
         connection = await services.connect(ticket, exchange.service)
@@ -318,7 +321,7 @@
                 if isinstance(event, bytes):
                     complete = event_buffer.add(event)
                     if complete and exchange.first_byte_at is None:
-                        self._note_first_event(exchange)
+                        self._note_first_event(exchange, ticket)
                     if event_buffer.is_repeating:
                         event = ResponseBroken("the events begin anew", True)
                     elif event_buffer.pending_bytes > MAX_EVENT_BYTES:
@@ -348,8 +351,10 @@
         controller = self.services.controllers["crash-suspects"]
         controller.note_answered(exchange, self.services.clock())
 
-    def _note_first_event(self, exchange):
+    def _note_first_event(self, exchange, ticket):
         now = exchange.first_byte_at = self.services.clock()
+        versions = self.services.controllers["stream-versions"]
+        versions.note_first_event(exchange, ticket, now)
         self._note_answered(exchange)
         if exchange.is_model_request and len(exchange.targets_tried) == 1:
             controller = self.services.controllers["stewardship"]
--- a/skylarkpost/gateway/run.py
+++ b/skylarkpost/gateway/run.py
@@ -27,6 +27,7 @@
     "skylarkpost.gateway.forward",
     "skylarkpost.gateway.quota",
     "skylarkpost.gateway.stewardship",
+    "skylarkpost.gateway.stream_versions",
     "skylarkpost.gateway.target_limits",
     "skylarkpost.gateway.target_signals",
     "skylarkpost.gateway.warm_ups",
--- a/skylarkpost/gateway/stewardship.py
+++ b/skylarkpost/gateway/stewardship.py
@@ -373,7 +373,7 @@
                 PROMPT_CACHE_FRACTION * exchange.service.engine.cache_tokens
             )
             avoided = avoid | self._targets_to_avoid(known, now) | tried
-            targets, pause = self._without_paused(known, now)
+            targets, pause = self._takers(exchange, known, now)
             if pause and not targets:
                 return _all_paused(pause)
             ranked = self.placer.rank(request, targets, now, avoid=avoided)
@@ -473,6 +473,17 @@
             avoided.update(self.locator.without_steward(known.by_name, now))
         return frozenset(avoided)
 
+    def _takers(self, exchange, known, now):
+        """Return the targets that take a request, and the shortest pause of others."""
+        targets, pause = self._without_paused(known, now)
+        version = exchange.software_version
+        if version is None:
+            return targets, pause
+        running = {
+            entry.name for entry in known.entries if entry.software_version == version
+        }
+        return [each for each in targets if each.name in running], pause
+
     def _without_paused(self, known, now):
         """Return the targets that take requests, and the shortest pause of others."""
         pauses = self.services.controllers["target-signals"].pauses
@@ -509,7 +520,7 @@
         limits = self.services.controllers["target-limits"]
         warm_ups = self.services.controllers["warm-ups"]
         directory = self.services.controllers["directory"]
-        targets, pause = self._without_paused(known, now)
+        targets, pause = self._takers(exchange, known, now)
         if pause and not targets:
             return _all_paused(pause)
         waits = []
--- a/skylarkpost/log/keyed.py
+++ b/skylarkpost/log/keyed.py
@@ -87,7 +87,15 @@
 
 
 class RecordsTrimmed(NamedTuple):
-    """The requested records have been deleted; a snapshot has to be read."""
+    """The requested records have been deleted; a snapshot has to be read.
+
+    Attributes
+    ----------
+    first : int or None
+        Offset of the first record that is left; None if that is not known.
+    """
+
+    first: int | None = None
 
 
 class StoreAppended(NamedTuple):
--- a/skylarkpost/outcomes/reasons.py
+++ b/skylarkpost/outcomes/reasons.py
@@ -42,6 +42,8 @@
     TARGET_FAILED = "target-failed"
     TARGET_TIMEOUT = "target-timeout"
     STREAM_BROKEN = "stream-broken"
+    STREAM_VERSION_UNKNOWN = "stream-version-unknown"
+    STREAM_VERSION_GONE = "stream-version-gone"
     DEADLINE_PASSED = "deadline-passed"
     CALLER_LEFT = "caller-left"
     TOO_MANY_OPEN = "too-many-open"
--- a/skylarkpost/platform/store.py
+++ b/skylarkpost/platform/store.py
@@ -80,6 +80,10 @@
     payload: bytes
 
 
+class FirstOffset(msgspec.Struct):
+    first: int | None = None
+
+
 class TopicEnds(msgspec.Struct, rename="camel"):
     offset: int = 0
     end_offset: int = 0
@@ -188,8 +192,10 @@
             return answer
         if answer.era < era_of(start):
             return StoreUnavailable("read: answered in an earlier era")
-        if answer.status == 410 or answer.era > era_of(start):
+        if answer.era > era_of(start):
             return RecordsTrimmed()
+        if answer.status == 410:
+            return _trimmed(answer)
         size = len(answer.payload)
         if answer.status != 200 or size < READ_HEADER.size:
             return StoreUnavailable(f"read: status {answer.status}, {size} bytes")
@@ -328,6 +334,13 @@
         return self.session
 
 
+def _trimmed(answer):
+    decoded = decode_json(answer.payload, FirstOffset)
+    if isinstance(decoded, Malformed) or decoded.first is None or decoded.first < 0:
+        return RecordsTrimmed()
+    return RecordsTrimmed(make_position(answer.era, decoded.first))
+
+
 def _is_answer(outcome):
     return not isinstance(outcome, StoreUnavailable | StoreUnknown)
 
