Bound the errors of engines that are kept

A faulty engine could end the process of the API front end: the body of an answer other than 200 was read to its end, without a limit of time or size.

--- a/skylarkpost/targets/calls.py
+++ b/skylarkpost/targets/calls.py
@@ -9,7 +9,14 @@
 from skylarkpost.decoding import Malformed, decode_json
 from skylarkpost.targets.outcomes import Answered, MayHaveRun, NotRun
 
-__all__ = ["CONNECT_TIMEOUT_S", "NOT_SENT_ERRORS", "Call", "error_code", "perform"]
+__all__ = [
+    "CONNECT_TIMEOUT_S",
+    "NOT_SENT_ERRORS",
+    "Call",
+    "error_code",
+    "perform",
+    "read_bounded",
+]
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 16_777_216
@@ -125,7 +132,7 @@
     timeout = aiohttp.ClientTimeout(total=call.timeout, sock_connect=CONNECT_TIMEOUT_S)
     try:
         async with request(session, call, timeout=timeout) as response:
-            body = await _read_bounded(response)
+            body = await read_bounded(response)
             is_framed = call.method == "HEAD" or _is_framed(response)
     except NOT_SENT_ERRORS as error:
         return NotRun(code="not-connected", detail=str(error))
@@ -196,7 +203,19 @@
     )
 
 
-async def _read_bounded(response):
+async def read_bounded(response):
+    """Read the body of an answer.
+
+    Parameters
+    ----------
+    response : aiohttp.ClientResponse
+        The answer; it is closed if its body is too long.
+
+    Returns
+    -------
+    bytes or None
+        None if the body is too long.
+    """
     pieces = []
     size = 0
     async for piece in response.content.iter_any():
--- a/skylarkpost/targets/engine_client.py
+++ b/skylarkpost/targets/engine_client.py
@@ -7,6 +7,7 @@
     NOT_SENT_ERRORS,
     error_code,
     perform,
+    read_bounded,
     request,
 )
 from skylarkpost.targets.engine_calls import STATUS_OK, order_headers
@@ -215,9 +216,11 @@
 
 async def _read_error(response):
     try:
-        body = await response.read()
+        body = await read_bounded(response)
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         return MayHaveRun(detail=f"status {response.status}: {error!r}")
     finally:
         response.close()
+    if body is None:
+        return MayHaveRun(detail=f"status {response.status}: the answer is too long")
     return _classify(Answered(status=response.status, body=body))
--- a/tests/targets/test_engine_client.py
+++ b/tests/targets/test_engine_client.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 import json
 
@@ -27,6 +28,9 @@
 from standins.engine_options import EngineOptions
 
 CLOSED_ADDRESS = "127.0.0.1:9"
+# Far above what an answer may hold, and what sockets and readers hold besides.
+ENDLESS_BYTES = 200_000_000
+MOST_TAKEN_BYTES = 64_000_000
 
 
 @contextlib.asynccontextmanager
@@ -205,3 +209,32 @@
             )
             assert isinstance(done, OrderDone)
         assert (await open_stream(client, address)).code == code
+
+
+async def test_an_endless_body_of_an_error_is_not_kept():
+    """Guards against a process that runs out of memory by one faulty engine."""
+    sent = 0
+    closed = asyncio.Event()
+
+    async def answer(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 500 Internal Server Error\r\n\r\n")
+        with contextlib.suppress(ConnectionError):
+            while sent < ENDLESS_BYTES:
+                writer.write(b"x" * 65_536)
+                sent += 65_536
+                await writer.drain()
+        writer.close()
+        closed.set()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession() as session:
+        client = EngineClient(session_source=lambda: session, silence=5.0)
+        outcome = await open_stream(client, f"127.0.0.1:{port}")
+        await closed.wait()
+        await client.close()
+    server.close()
+    assert isinstance(outcome, MayHaveRun)
+    assert sent < MOST_TAKEN_BYTES
