Keep no streams of attempts whose ids no record holds

A caller's id of over 255 bytes ended the task that stores the begins of streams (the new test waits in vain before). Such ids are left out. The last batch at a stop takes 0.2 s at most, and versions are looked at once more before a stream is taken up.

--- a/skylarkpost/gateway/stream_versions.py
+++ b/skylarkpost/gateway/stream_versions.py
@@ -1,6 +1,7 @@
 """Controller and filter that keep a stream at the software version that began it."""
 
 import asyncio
+import contextlib
 import logging
 from typing import NamedTuple
 
@@ -49,6 +50,10 @@
 FIRST_EVENT_ID = "0"
 # Longer than records of streams that have just begun take to be stored.
 UNKNOWN_RETRY_AFTER_S = 0.4
+# Attempts with longer ids are not kept: a key of a record holds 255 bytes.
+MAX_ATTEMPT_CHARS = 100
+# Of what is left of the grace at a stop.
+LAST_STORE_TIMEOUT_S = 0.2
 # The key of a record that says that a service has several versions.
 MIXED_KEY = ""
 
@@ -110,7 +115,9 @@
         await self.background.stop()
         if self.reading is not None:
             self.reading.cancel()
-        await self._store(self.services.clock())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LAST_STORE_TIMEOUT_S):
+                await self._store(self.services.clock())
 
     def status(self):
         """Return the number of known streams and the services with several versions."""
@@ -163,8 +170,9 @@
             # Without a version the stream goes on nowhere.
             exchange.software_version = self.software_version(ticket) or ""
         version = exchange.software_version
-        for attempt in {exchange.request_id, exchange.metadata.resumes} - {None, ""}:
-            self.streams.note_begun(attempt, exchange.service.name, version, now)
+        for attempt in {exchange.request_id, exchange.metadata.resumes}:
+            if attempt and len(attempt) <= MAX_ATTEMPT_CHARS:
+                self.streams.note_begun(attempt, exchange.service.name, version, now)
 
     async def find(self, attempt, service):
         """Return which software version a stream may go on at.
@@ -180,7 +188,9 @@
         -------
         BegunStream, AnyVersion or UnknownVersion
         """
-        found = self.streams.find(attempt, service, self.services.clock())
+        now = self.services.clock()
+        self._note_versions(now)
+        found = self.streams.find(attempt, service, now)
         if isinstance(found, UnknownVersion) and attempt is not None:
             await self._catch_up()
             found = self.streams.find(attempt, service, self.services.clock())
@@ -245,8 +255,9 @@
     async def _run(self):
         while True:
             now = self.services.clock()
-            has_changed = self._note_versions(now)
-            if has_changed or now - self.stored_at >= self._store_interval():
+            self._note_versions(now)
+            is_due = now - self.stored_at >= self._store_interval()
+            if self.unstored_changes or is_due:
                 await self._store(now)
             self._note_dropped()
             await asyncio.sleep(TICK_S)
@@ -256,7 +267,7 @@
         return max(STORE_INTERVAL_S, fleet_interval)
 
     def _note_versions(self, now):
-        """Take note of the announced versions; return whether any have changed."""
+        """Take note of the announced versions."""
         targets = self.services.controllers["directory"].targets
         versions = {}
         for entry in targets.entries.values():
@@ -274,7 +285,6 @@
                 service=service,
                 versions=",".join(sorted(versions[service])),
             )
-        return bool(changed)
 
     async def _store(self, now):
         self.stored_at = now
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -150,6 +150,21 @@
         assert executed(rig) == []
 
 
+async def test_a_long_attempt_id_does_not_stop_the_storing_of_streams():
+    """Guards against a key that a record of the store can't hold."""
+    payload = configuration(routes=[*ROUTES, SINGLE])
+    async with gateway(engines=2, plain=0, payload=payload) as rig:
+        await announce_versions(rig, {"e0": "v1", "e1": "v1.1"})
+        headers = MODEL_HEADERS | {"X-Attempt-Id": "a" * 300}
+        status, _, _ = await rig.fetch("/single/", method="POST", headers=headers)
+        assert status == 200
+        for target in rig.targets.values():
+            target.executed.clear()
+        attempt, _ = await begin_stream(rig)
+        controller = rig.instance.services.controllers["stream-versions"]
+        await wait_until(lambda: attempt not in controller.streams.unstored)
+
+
 async def test_streams_of_a_service_with_one_version_are_taken_up_by_anyone():
     payload = configuration(routes=[*ROUTES, SINGLE])
     async with gateway(engines=2, plain=0, payload=payload) as rig:
