Send the first report of usage even if it is empty

Cause: since the change of team limits an instance reports changes only, so that one without usage was never heard of, and an even part of each limit was held back for it.

--- a/skylarkpost/gateway/quota.py
+++ b/skylarkpost/gateway/quota.py
@@ -62,7 +62,7 @@
             window=services.settings.bounds.quota_window_s,
         )
         self.report_clock = ReportClock()
-        self.published = {}
+        self.published = None
         self.background = BackgroundTask(name="quota")
         self.usage_logged_at = services.clock()
 
