--- a/review/rig-2/quota.py
+++ b/review/rig-2/quota.py
@@ -4,7 +4,14 @@
 
 from standins.gateway_configuration import configuration, route
 
-__all__ = ["LARGEST", "SMALLEST", "TEAM", "Limit", "most_in_a_window", "quota_configuration"]
+__all__ = [
+    "LARGEST",
+    "SMALLEST",
+    "TEAM",
+    "Limit",
+    "most_in_a_window",
+    "quota_configuration",
+]
 
 TEAM = "depot"
 TOKENS_IN, TOKENS_OUT = 9190, 52
--- a/review/rig-2/system.py
+++ b/review/rig-2/system.py
@@ -14,15 +14,16 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from starlette.responses import Response
 from template import render
 
 from standins.common import serving
 from standins.fleet import free_port
-from standins.store import StoreStandIn
+from standins.store import StoreStandIn, StoreSwitches
 
-__all__ = ["Answer", "Gateway", "Record", "Store", "System", "call"]
+__all__ = ["Answer", "Gateway", "Record", "Store", "System", "call", "run_case"]
 
 # The stand-ins tell of each connection that ends early; so does the record.
 logging.disable(logging.CRITICAL)
@@ -47,9 +48,9 @@
 class Record:
     """Writes what happened to a file, with the seconds since the start."""
 
-    def __init__(self, path):
+    def __init__(self, file):
         self.began = time.monotonic()
-        self.file = open(path, "w")
+        self.file = file
 
     def note(self, *words):
         """Write one line."""
@@ -62,6 +63,24 @@
         print(self.note(*words), flush=True)
 
 
+def run_case(rule, main, folder):
+    """Run a case and return the exit status of its script.
+
+    `main` gets a record and returns 1 if the rule was broken, 0 if it held, and 2 if
+    the case could not run.
+    """
+    with open(folder / "record.txt", "w") as file:
+        record = Record(file)
+        try:
+            status = asyncio.run(main(record))
+        except Exception:
+            record.say(traceback.format_exc())
+            status = 2
+        words = {0: "held", 1: "broken"}
+        record.say(rule, words.get(status, "could not be tested"))
+    return status
+
+
 class Store(StoreStandIn):
     """The store, with one port for each machine, so that it can turn some away."""
 
@@ -70,6 +89,18 @@
         self.refused_ports = set()
         self.refusals = 0
 
+    def silence(self, address):
+        """Answer nothing on one address any more, also on its open connections."""
+        port = int(address.rpartition(":")[2])
+        self.switches = StoreSwitches(cut_ports=[port])
+        for transport in self.transports:
+            if transport.get_extra_info("sockname")[1] == port:
+                self.silenced.add(transport)
+
+    def hear(self):
+        """Answer all new connections again."""
+        self.switches = StoreSwitches()
+
     def _with_era(self, handler):
         inner = super()._with_era(handler)
 
@@ -123,7 +154,9 @@
         template = template.replace(":7615", f":{port}")
         self.settings.write_text(render(template, values))
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment["PYTHONPATH"] = str(REPOSITORY / "target/deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
