--- a/review/rig-2/system.py
+++ b/review/rig-2/system.py
@@ -33,6 +33,7 @@
 OPERATOR_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
 START_S = 30.0
+MEMORY_MB = 560
 BOUNDS = {
     "leaseMs": 3000,
     "graceS": 8,
@@ -145,7 +146,7 @@
             },
             "seeds": self.system.seeds(),
             "platform": {"address": self.store_address},
-            "limits": {"memoryMb": 560, "maxFds": 8200},
+            "limits": {"memoryMb": MEMORY_MB, "maxFds": 8200},
             "bounds": BOUNDS,
             "heartbeatMs": 1200,
         }
@@ -184,6 +185,12 @@
         answer = await call(self.ready, "GET", "/-/readyz", {}, timeout=1.0)
         return answer.status == 200
 
+    def memory_mb(self):
+        """Return the resident memory of the process, in megabytes."""
+        text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        lines = [line for line in text.splitlines() if line.startswith("VmRSS:")]
+        return int(lines[0].split()[1]) // 1024 if lines else 0
+
     async def kill(self):
         """Send SIGKILL and wait for the end."""
         if self.process is not None and self.process.returncode is None:
