--- a/review/10/case.py
+++ b/review/10/case.py
@@ -27,7 +27,8 @@
 )
 ZONES = ("windhoek-a", "windhoek-b", "okahandja")
 USUAL_PER_S = LIMIT.rate / 1.8 / (TOKENS_IN + TOKENS_OUT)
-HOT = 7.5
+# `hot_tenant` as a standard day of the site has it: x and seconds.
+HOT = 6.0
 HOT_S = 11.0
 CALM_S = 10.0
 DOWN_S = 1.0
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -102,7 +102,9 @@
         headers = {"Last-Event-Id": events[-1].decode(), "Resumes": first}
         # Each zone has one machine, so retries reach the same one.
         answer = await self.send(number, f"stream-{number}-2", headers)
-        goes_on = answer.status == 200 and answer.whole
+        goes_on = answer.status == 200 and (
+            answer.whole or bool(EVENT_ID.findall(answer.body))
+        )
         self.taken_up.append(goes_on)
         text = answer.body.decode("latin-1")[:160] if answer.status != 200 else ""
         self.record.note(
--- a/review/rig-2/system.py
+++ b/review/rig-2/system.py
@@ -34,6 +34,8 @@
 SERVERS_TOPIC = "keyed.servers"
 START_S = 30.0
 MEMORY_MB = 560
+# A case may run for 120 s.
+LONGEST_S = 110.0
 BOUNDS = {
     "leaseMs": 3000,
     "graceS": 8,
@@ -73,7 +75,7 @@
     with open(folder / "record.txt", "w") as file:
         record = Record(file)
         try:
-            status = asyncio.run(main(record))
+            status = asyncio.run(_run_bounded(main, record))
         except Exception:
             record.say(traceback.format_exc())
             status = 2
@@ -82,6 +84,18 @@
     return status
 
 
+async def _run_bounded(main, record):
+    """Run a case; on SIGTERM and after the longest time it ends what it started."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    try:
+        async with asyncio.timeout(LONGEST_S):
+            return await main(record)
+    except asyncio.CancelledError:
+        record.say("stopped by a signal")
+        return 2
+
+
 class Store(StoreStandIn):
     """The store, with one port for each machine, so that it can turn some away."""
 
